--- /dev/null
+++ b/src/entry/dispatch_client.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/identity.h"
+#include "core/work.h"
+#include "net/cancel_signal.h"
+#include "node/node.h"
+#include "wire/messages.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lentilrack::entry {
+
+/// One attempt to run work at some dispatcher.
+struct DispatchCall
+{
+  core::AttemptId attempt;
+  core::Work work;
+  core::Millis remaining{ 0 };
+  /// The only dispatcher runs that may get it; empty for any live one.
+  std::vector<core::ProcessId> allowed;
+  /// Names of dispatchers to avoid if another one is left.
+  std::set<std::string> avoid;
+  std::function<void(core::Chunk)> onChunk;
+  std::shared_ptr<net::CancelSignal> cancel;
+};
+
+struct DispatchResult
+{
+  core::Outcome outcome;
+  /// The dispatcher that was chosen; nothing if none was available.
+  std::optional<core::ProcessId> dispatcher;
+  /// Whether the request may have reached it. False proves it did not.
+  bool sent = false;
+};
+
+/// Chooses a dispatcher for each attempt and talks to it over its link.
+class DispatchClient
+{
+public:
+  explicit DispatchClient(node::Node& node);
+
+  /// Runs one attempt; never retries. Without a usable dispatcher the outcome
+  /// is NotRun "no_dispatcher".
+  net::Awaitable<DispatchResult> run(DispatchCall call);
+
+  /// Bars a request at one dispatcher run. Nothing if that run did not answer.
+  net::Awaitable<std::optional<wire::BarReply>> bar(core::ProcessId dispatcher,
+                                                    std::string request,
+                                                    core::Millis timeout);
+
+private:
+  struct InFlight;
+
+  node::Node& mNode;
+  std::shared_ptr<InFlight> mInFlight;
+};
+
+} // namespace lentilrack::entry
