--- /dev/null
+++ b/src/core/answer_assembly.cpp
@@ -0,0 +1,51 @@
+#include "core/answer_assembly.h"
+
+namespace lentilrack::core {
+
+AnswerAssembly::AnswerAssembly(AttemptId attempt, std::int64_t offset)
+  : mAttempt(std::move(attempt))
+  , mTokens(offset)
+{
+}
+
+bool
+AnswerAssembly::add(const AttemptId& attempt, Chunk chunk)
+{
+  if (mEnded || attempt != mAttempt || chunk.tokens < 0) {
+    return false;
+  }
+  if (chunk.version && chunk.tokens > 0) {
+    const auto from = mTokens;
+    const auto to = mTokens + chunk.tokens;
+    if (!mSegments.empty() && mSegments.back().version == *chunk.version &&
+        mSegments.back().to == from) {
+      mSegments.back().to = to;
+    } else {
+      mSegments.push_back({ *chunk.version, from, to });
+    }
+  }
+  mTokens += chunk.tokens;
+  mChunks.push_back(std::move(chunk));
+  return true;
+}
+
+std::optional<Outcome>
+AnswerAssembly::finish(const AttemptId& attempt, Outcome outcome)
+{
+  if (mEnded || attempt != mAttempt) {
+    return std::nullopt;
+  }
+  mEnded = true;
+  if (outcome.verdict == Verdict::Done && outcome.totalTokens != mTokens) {
+    outcome.verdict = Verdict::Unknown;
+    outcome.reason = "incomplete_answer";
+  } else if (outcome.verdict == Verdict::NotRun && !mChunks.empty()) {
+    // Tokens came, so something ran, whatever the dispatcher says.
+    outcome.verdict = Verdict::Unknown;
+    outcome.reason = "contradictory_outcome";
+  }
+  outcome.segments = mSegments;
+  return outcome;
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/dispatcher_choice.cpp
@@ -0,0 +1,176 @@
+#include "core/dispatcher_choice.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+#include <vector>
+
+namespace lentilrack::core {
+
+namespace {
+
+/// A candidate is overloaded for a prefix above this multiple of the mean
+/// utilisation. Bounded-load hashing with 1.25 keeps most of the affinity.
+constexpr double kLoadBound = 1.25;
+/// Assumed tokens per second of a slot whose dispatcher has observed none yet.
+constexpr double kAssumedSlotRate = 50;
+
+std::uint64_t
+rendezvousWeight(std::string_view prefix, const ProcessId& id)
+{
+  // The name without the incarnation: a restart keeps the placement.
+  const auto seed = XXH3_64bits(prefix.data(), prefix.size());
+  return XXH3_64bits_withSeed(id.name.data(), id.name.size(), seed);
+}
+
+auto
+rank(const DispatcherCandidate& candidate)
+{
+  return std::tuple(candidate.expectedWait(), candidate.utilisation());
+}
+
+std::size_t
+betterOfTwo(std::span<const DispatcherCandidate> candidates,
+            const RandomBelow& random)
+{
+  const auto first = random(candidates.size());
+  if (candidates.size() == 1) {
+    return first;
+  }
+  // Sampled without replacement, so that two always compete.
+  auto second = random(candidates.size() - 1);
+  second += second >= first ? 1 : 0;
+  return rank(candidates[second]) < rank(candidates[first]) ? second : first;
+}
+
+std::optional<std::size_t>
+affineCandidate(std::span<const DispatcherCandidate> candidates,
+                std::string_view prefix)
+{
+  const auto total = std::accumulate(
+    candidates.begin(),
+    candidates.end(),
+    0.0,
+    [](double sum, const auto& each) { return sum + each.utilisation(); });
+  const auto mean = total / static_cast<double>(candidates.size());
+  std::optional<std::size_t> best;
+  std::uint64_t bestWeight = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto slots = std::max<std::int64_t>(candidates[i].load.slots, 1);
+    // One more request than the bound is allowed, so that an idle fleet keeps
+    // its affinity.
+    const auto bound = mean * kLoadBound + 1.0 / static_cast<double>(slots);
+    const auto weight = rendezvousWeight(prefix, candidates[i].id);
+    if (candidates[i].utilisation() <= bound &&
+        (!best || weight > bestWeight)) {
+      best = i;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+std::uint64_t
+OwnLoad::started(const ProcessId& dispatcher,
+                 std::uint64_t report,
+                 double tokens)
+{
+  auto& sum = mByDispatcher[dispatcher][report];
+  ++sum.requests;
+  sum.tokens += tokens;
+  mRequests[++mLastRequest] = { dispatcher, report, tokens };
+  return mLastRequest;
+}
+
+void
+OwnLoad::finished(std::uint64_t request)
+{
+  const auto found = mRequests.find(request);
+  if (found == mRequests.end()) {
+    return;
+  }
+  const auto& ended = found->second;
+  auto& reports = mByDispatcher[ended.dispatcher];
+  auto& sum = reports[ended.report];
+  sum.tokens -= ended.tokens;
+  if (--sum.requests == 0) {
+    reports.erase(ended.report);
+  }
+  if (reports.empty()) {
+    mByDispatcher.erase(ended.dispatcher);
+  }
+  mRequests.erase(found);
+}
+
+OwnLoad::Unreported
+OwnLoad::since(const ProcessId& dispatcher, std::uint64_t report) const
+{
+  Unreported sum;
+  const auto found = mByDispatcher.find(dispatcher);
+  if (found == mByDispatcher.end()) {
+    return sum;
+  }
+  for (auto next = found->second.lower_bound(report);
+       next != found->second.end();
+       ++next) {
+    sum.requests += next->second.requests;
+    sum.tokens += next->second.tokens;
+  }
+  return sum;
+}
+
+double
+DispatcherCandidate::expectedWait() const
+{
+  const auto slots = static_cast<double>(std::max<std::int64_t>(load.slots, 1));
+  const auto busy = static_cast<double>(load.running + own.requests);
+  if (busy < slots && load.queuedTokens <= 0) {
+    return 0;
+  }
+  const auto rate =
+    load.tokenRate > 0 ? load.tokenRate : slots * kAssumedSlotRate;
+  // Of the unreported requests only those count that find no free slot.
+  const auto free = std::max(0.0, slots - static_cast<double>(load.running));
+  const auto unreported = static_cast<double>(own.requests);
+  const auto waiting =
+    unreported > 0 ? std::max(0.0, unreported - free) / unreported : 0;
+  return (load.queuedTokens + own.tokens * waiting) / rate;
+}
+
+double
+DispatcherCandidate::utilisation() const
+{
+  const auto slots = static_cast<double>(std::max<std::int64_t>(load.slots, 1));
+  const auto busy = static_cast<double>(load.running + own.requests);
+  // A queue counts as the slots that it would fill for one second.
+  const auto slotRate =
+    load.tokenRate > 0 ? load.tokenRate / slots : kAssumedSlotRate;
+  return (busy + load.queuedTokens / slotRate) / slots;
+}
+
+std::size_t
+chooseDispatcher(std::span<const DispatcherCandidate> candidates,
+                 std::string_view prefix,
+                 const RandomBelow& random)
+{
+  if (!prefix.empty()) {
+    if (const auto affine = affineCandidate(candidates, prefix)) {
+      return *affine;
+    }
+  }
+  return betterOfTwo(candidates, random);
+}
+
+std::size_t
+chooseRandomDispatcher(std::span<const DispatcherCandidate> candidates,
+                       std::string_view /*prefix*/,
+                       const RandomBelow& random)
+{
+  return random(candidates.size());
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/request_limits.cpp
@@ -0,0 +1,74 @@
+#include "core/request_limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilrack::core {
+
+namespace {
+
+/// Requests that may come at once: those of one second, at least one.
+double
+burstOf(const Row& row)
+{
+  return std::max(1.0, row.ratePerSecond);
+}
+
+/// Suggested wait when only the end of a running request makes room.
+constexpr Millis kConcurrencyRetry{ 100 };
+
+} // namespace
+
+std::optional<LimitRefusal>
+RequestLimits::enter(const Row& row, TimePoint now)
+{
+  auto& usage = mUsage[{ row.principal, row.kind }];
+  if (row.maxConcurrent > 0 && usage.inFlight >= row.maxConcurrent) {
+    return LimitRefusal{ "concurrency_limit", kConcurrencyRetry };
+  }
+  if (row.ratePerSecond > 0) {
+    const std::chrono::duration<double> passed = now - usage.filled;
+    usage.tokens =
+      usage.isStarted
+        ? std::min(burstOf(row),
+                   usage.tokens + passed.count() * row.ratePerSecond)
+        : burstOf(row);
+    usage.filled = now;
+    usage.isStarted = true;
+    if (usage.tokens < 1) {
+      const auto seconds = (1 - usage.tokens) / row.ratePerSecond;
+      return LimitRefusal{ "rate_limit",
+                           Millis(static_cast<std::int64_t>(
+                             std::ceil(seconds * 1000))) };
+    }
+    usage.tokens -= 1;
+  } else {
+    // A limit that is set later starts with a full bucket.
+    usage.isStarted = false;
+  }
+  ++usage.inFlight;
+  return std::nullopt;
+}
+
+void
+RequestLimits::finished(const RowKey& row)
+{
+  const auto found = mUsage.find(row);
+  if (found == mUsage.end()) {
+    return;
+  }
+  found->second.inFlight =
+    std::max<std::int64_t>(0, found->second.inFlight - 1);
+  if (found->second.inFlight == 0 && !found->second.isStarted) {
+    mUsage.erase(found);
+  }
+}
+
+std::int64_t
+RequestLimits::inFlight(const RowKey& row) const
+{
+  const auto found = mUsage.find(row);
+  return found == mUsage.end() ? 0 : found->second.inFlight;
+}
+
+} // namespace lentilrack::core
