--- /dev/null
+++ b/src/core/bar_decision.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/work.h"
+
+#include <optional>
+#include <vector>
+
+namespace lentilrack::core {
+
+/// What one dispatcher of a dispatch set said when it was asked to bar a
+/// request.
+struct BarAnswer
+{
+  enum class State
+  {
+    /// No answer, or another incarnation answered.
+    None,
+    Barred,
+    Started,
+    Finished,
+  };
+
+  State state = State::None;
+  /// Meaningful if Finished.
+  Outcome outcome;
+};
+
+/// The verdict on a request whose home is lost, from the answers of its whole
+/// dispatch set. NotRun only if every dispatcher that could ever run it barred
+/// it or finished it as not run.
+Outcome
+decideByBars(const std::vector<BarAnswer>& answers);
+
+} // namespace lentilrack::core
--- a/src/core/order_ledger.cpp
+++ b/src/core/order_ledger.cpp
@@ -186,6 +186,18 @@
   record.outcome.reason = "answer_lost";
 }
 
+void
+OrderLedger::forget(const std::string& id)
+{
+  const auto key = digestOf(id);
+  const auto found = mRecords.find(key);
+  if (found != mRecords.end() && found->second.state == State::InFlight) {
+    mByTime.erase({ found->second.keepUntil, key });
+    mRecords.erase(found);
+    --mInFlight;
+  }
+}
+
 void
 OrderLedger::expire(TimePoint now)
 {
--- a/src/core/order_ledger.h
+++ b/src/core/order_ledger.h
@@ -94,6 +94,10 @@
                  Outcome outcome,
                  std::vector<Chunk> answer);
 
+  /// Removes an order in flight about which nobody was told anything, and which
+  /// may be run again: an idempotent one that was cancelled.
+  void forget(const std::string& id);
+
   /// Removes what need not be kept any longer.
   void expire(TimePoint now);
 
--- /dev/null
+++ b/src/entry/dispatch_client.cpp
@@ -0,0 +1,180 @@
+#include "entry/dispatch_client.h"
+
+#include "net/error.h"
+
+#include <pcg_random.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace lentilrack::entry {
+
+namespace {
+
+/// How much longer than the deadline an entry waits for a dispatcher's verdict.
+constexpr core::Millis kVerdictGrace{ 1000 };
+
+core::Outcome
+failure(core::Verdict verdict, std::string reason)
+{
+  core::Outcome outcome;
+  outcome.verdict = verdict;
+  outcome.reason = std::move(reason);
+  return outcome;
+}
+
+core::Outcome
+outcomeOf(const net::LinkReply& reply)
+{
+  using core::Verdict;
+  if (!reply.sent) {
+    const bool isLate = reply.error == net::NetError::NotStarted;
+    return failure(Verdict::NotRun,
+                   isLate ? "deadline" : "dispatcher_unreachable");
+  }
+  if (reply.error == net::NetError::TimedOut) {
+    return failure(Verdict::Unknown, "timeout");
+  }
+  if (reply.error) {
+    return failure(Verdict::Unknown, "dispatcher_lost");
+  }
+  auto outcome = wire::decode<core::Outcome>(reply.body);
+  return outcome ? std::move(outcome).value()
+                 : failure(Verdict::Unknown, "bad_answer");
+}
+
+core::DispatcherCandidate
+candidateOf(const core::Member& member,
+            const std::string& target,
+            const core::OwnLoad& own)
+{
+  return { member.id,
+           member.load.at(target),
+           own.since(member.id, member.reportNumber) };
+}
+
+} // namespace
+
+struct DispatchClient::InFlight
+{
+  core::OwnLoad load;
+  pcg64 engine{ pcg_extras::seed_seq_from<std::random_device>{} };
+  core::RandomBelow random = [this](std::uint64_t bound) {
+    return engine(bound);
+  };
+};
+
+DispatchClient::DispatchClient(node::Node& node,
+                               core::DispatcherChooser chooser)
+  : mNode(node)
+  , mChooser(std::move(chooser))
+  , mInFlight(std::make_shared<InFlight>())
+{
+}
+
+const core::Member*
+DispatchClient::chooseFor(const DispatchCall& call)
+{
+  auto members = mNode.members().live(core::MemberRole::Dispatch);
+  std::erase_if(members, [&](const core::Member& member) {
+    const auto load = member.load.find(call.work.target);
+    return load == member.load.end() || load->second.servers <= 0 ||
+           (!call.allowed.empty() &&
+            std::ranges::find(call.allowed, member.id) == call.allowed.end());
+  });
+  const auto prefer = [&](auto&& isWanted) {
+    if (std::ranges::any_of(members, isWanted)) {
+      std::erase_if(members, std::not_fn(isWanted));
+    }
+  };
+  prefer([&](const core::Member& member) {
+    return !call.avoid.contains(member.id.name);
+  });
+  prefer([](const core::Member& member) {
+    return member.state == core::MemberState::Alive;
+  });
+  if (members.empty()) {
+    return nullptr;
+  }
+  std::vector<core::DispatcherCandidate> candidates;
+  candidates.reserve(members.size());
+  for (const auto& member : members) {
+    candidates.push_back(
+      candidateOf(member, call.work.target, mInFlight->load));
+  }
+  const auto index = mChooser(candidates, call.work.prefix, mInFlight->random);
+  return mNode.members().find(members[index].id);
+}
+
+net::Awaitable<DispatchResult>
+DispatchClient::run(DispatchCall call)
+{
+  DispatchResult result;
+  const auto* chosen = chooseFor(call);
+  if (chosen == nullptr) {
+    result.outcome = failure(core::Verdict::NotRun, "no_dispatcher");
+    co_return result;
+  }
+  result.dispatcher = chosen->id;
+  if (call.onChosen) {
+    call.onChosen(chosen->id);
+  }
+  const auto inFlight = mInFlight;
+  const auto own = inFlight->load.started(
+    chosen->id,
+    chosen->reportNumber,
+    static_cast<double>(std::max<std::int64_t>(call.work.maxTokens, 1)));
+  const auto end = core::Clock::now() + call.remaining;
+  wire::DispatchRequest request{
+    call.attempt, chosen->id, std::move(call.work), call.remaining
+  };
+  net::LinkCallOptions options;
+  options.timeout = call.remaining + kVerdictGrace;
+  options.cancel = call.cancel;
+  options.onEvent = [onChunk = call.onChunk](const wire::Json& event) {
+    auto chunk = wire::decode<core::Chunk>(event);
+    if (chunk && onChunk) {
+      onChunk(std::move(chunk).value());
+    }
+  };
+  // The process may have been paused, or connecting may have taken long.
+  options.beforeSend = [end, cancel = call.cancel](wire::Json& body) {
+    const auto left =
+      std::chrono::duration_cast<core::Millis>(end - core::Clock::now());
+    body["remaining_ms"] = left.count();
+    return left > core::Millis(0) && !(cancel && cancel->cancelled());
+  };
+  const auto link = mNode.links().to(chosen->link);
+  auto body = wire::encode(request);
+  const auto reply = co_await link->call(
+    wire::DispatchRequest::kType, std::move(body), std::move(options));
+  inFlight->load.finished(own);
+  result.sent = reply.sent;
+  result.outcome = outcomeOf(reply);
+  co_return result;
+}
+
+net::Awaitable<std::optional<wire::BarReply>>
+DispatchClient::bar(core::ProcessId dispatcher,
+                    std::string request,
+                    core::Millis timeout)
+{
+  const auto* member = mNode.members().find(dispatcher);
+  if (member == nullptr) {
+    co_return std::nullopt;
+  }
+  const wire::BarRequest message{ std::move(request), std::move(dispatcher) };
+  net::LinkCallOptions options;
+  options.timeout = timeout;
+  const auto link = mNode.links().to(member->link);
+  auto body = wire::encode(message);
+  const auto reply = co_await link->call(
+    wire::BarRequest::kType, std::move(body), std::move(options));
+  if (reply.error) {
+    co_return std::nullopt;
+  }
+  auto decoded = wire::decode<wire::BarReply>(reply.body);
+  co_return decoded ? std::optional(std::move(decoded).value()) : std::nullopt;
+}
+
+} // namespace lentilrack::entry
--- a/src/entry/dispatch_client.h
+++ b/src/entry/dispatch_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/dispatcher_choice.h"
 #include "core/identity.h"
 #include "core/work.h"
 #include "net/cancel_signal.h"
@@ -27,6 +28,8 @@
   std::set<std::string> avoid;
   std::function<void(core::Chunk)> onChunk;
   std::shared_ptr<net::CancelSignal> cancel;
+  /// Told which dispatcher was chosen, before anything is sent.
+  std::function<void(const core::ProcessId&)> onChosen;
 };
 
 struct DispatchResult
@@ -42,7 +45,9 @@
 class DispatchClient
 {
 public:
-  explicit DispatchClient(node::Node& node);
+  explicit DispatchClient(
+    node::Node& node,
+    core::DispatcherChooser chooser = core::chooseDispatcher);
 
   /// Runs one attempt; never retries. Without a usable dispatcher the outcome
   /// is NotRun "no_dispatcher".
@@ -56,7 +61,10 @@
 private:
   struct InFlight;
 
+  const core::Member* chooseFor(const DispatchCall& call);
+
   node::Node& mNode;
+  core::DispatcherChooser mChooser;
   std::shared_ptr<InFlight> mInFlight;
 };
 
--- /dev/null
+++ b/src/entry/order_service.cpp
@@ -0,0 +1,258 @@
+#include "entry/order_service.h"
+
+#include "wire/messages.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace lentilrack::entry {
+
+using core::Millis;
+using core::Outcome;
+using core::Verdict;
+
+namespace {
+
+Outcome
+failure(Verdict verdict, std::string reason)
+{
+  Outcome outcome;
+  outcome.verdict = verdict;
+  outcome.reason = std::move(reason);
+  return outcome;
+}
+
+/// Whether any backend server or dispatcher is known to serve the target.
+/// Before the first list has come, nothing can be called unknown.
+bool
+isKnownTarget(node::Node& node, const core::Work& work)
+{
+  const auto& servers = node.backendServers();
+  const bool isListed = std::ranges::any_of(servers, [&](const auto& server) {
+    return work.type == core::WorkType::Call
+             ? server.service == work.target
+             : std::ranges::find(server.models, work.target) !=
+                 server.models.end();
+  });
+  if (servers.empty() || isListed) {
+    return true;
+  }
+  const auto dispatchers = node.members().live(core::MemberRole::Dispatch);
+  return std::ranges::any_of(dispatchers, [&](const auto& member) {
+    return member.load.contains(work.target);
+  });
+}
+
+} // namespace
+
+core::Digest
+bodyDigest(const core::Work& work)
+{
+  const auto bytes = wire::Json::to_cbor(wire::encode(work));
+  return core::digestOf(
+    { reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+}
+
+bool
+isProtocolError(const std::string& reason)
+{
+  constexpr std::array<std::string_view, 5> kReasons{ "identifier_reused",
+                                                      "ticket_expired",
+                                                      "unknown_model",
+                                                      "unknown_service",
+                                                      "no_row" };
+  return std::ranges::find(kReasons, reason) != kReasons.end();
+}
+
+OrderService::OrderService(node::Node& node,
+                           DispatchClient& client,
+                           OrderServiceOptions options)
+  : mNode(node)
+  , mLog(node.log().part("orders"))
+  , mStart(options.start)
+  , mLedger(options.ledger)
+  , mSingle(client, mLedger)
+  , mRepeatable(node.io(), client, std::move(options.retries))
+{
+}
+
+bool
+OrderService::refusesNewWork() const
+{
+  return mIsDraining || mNode.cutOff() ||
+         mNode.members().self().state == core::MemberState::Leaving;
+}
+
+std::shared_ptr<AnswerStream>
+OrderService::ended(Outcome outcome, const std::vector<core::Chunk>& chunks)
+{
+  const auto stream = std::make_shared<AnswerStream>(mNode.io());
+  for (const auto& chunk : chunks) {
+    stream->push(chunk);
+  }
+  stream->end(std::move(outcome));
+  return stream;
+}
+
+std::shared_ptr<AnswerStream>
+OrderService::recorded(const std::string& id)
+{
+  const auto* record = mLedger.find(id);
+  return ended(record->outcome, record->answer);
+}
+
+std::shared_ptr<AnswerStream>
+OrderService::submit(const core::RequestId& id,
+                     const core::Ticket& ticket,
+                     core::Work work,
+                     Millis remaining)
+{
+  const auto now = core::Clock::now();
+  const auto text = id.text();
+  // A known identifier gets its verdict even after the ticket has expired.
+  const bool isExpired = now - mStart >= ticket.expiry;
+  if (isExpired && mLedger.find(text) == nullptr) {
+    return ended(failure(Verdict::Unknown, "ticket_expired"), {});
+  }
+  const auto keepUntil = mStart + ticket.expiry + core::kTicketGrace;
+  switch (mLedger.enter(text, bodyDigest(work), keepUntil, now)) {
+    case core::OrderLedger::Entry::Reused:
+      return ended(failure(Verdict::Unknown, "identifier_reused"), {});
+    case core::OrderLedger::Entry::Full:
+      mNode.metrics().increment("ledger_full_total");
+      return ended(failure(Verdict::Unknown, "ledger_full"), {});
+    case core::OrderLedger::Entry::Recorded:
+      return recorded(text);
+    case core::OrderLedger::Entry::Joined:
+      return mRunning.at(text)->attach();
+    case core::OrderLedger::Entry::New:
+      break;
+  }
+  if (auto refused = refusal(work, remaining)) {
+    if (isProtocolError(refused->reason)) {
+      mLedger.forget(text);
+      return ended(std::move(*refused), {});
+    }
+    auto stands = mLedger.finish(text, std::move(*refused), {});
+    count(stands);
+    return ended(std::move(stands), {});
+  }
+  const auto* row = mNode.table().table().findRow(work.principal, work.kind);
+  const auto run = std::make_shared<OrderRun>(
+    mNode.io(), text, std::move(work), *row, now + remaining);
+  mRunning.emplace(text, run);
+  const auto stream = run->attach();
+  net::spawn(mNode.io(), execute(run, ticket.dispatchers), shared_from_this());
+  return stream;
+}
+
+std::optional<Outcome>
+OrderService::refusal(const core::Work& work, Millis remaining)
+{
+  const auto* row = mNode.table().table().findRow(work.principal, work.kind);
+  if (row == nullptr) {
+    return failure(Verdict::Unknown, "no_row");
+  }
+  if (!isKnownTarget(mNode, work)) {
+    return failure(Verdict::Unknown,
+                   work.type == core::WorkType::Call ? "unknown_service"
+                                                     : "unknown_model");
+  }
+  if (refusesNewWork()) {
+    return failure(Verdict::NotRun, mNode.cutOff() ? "cut_off" : "leaving");
+  }
+  if (remaining <= Millis(0)) {
+    return failure(Verdict::NotRun, "deadline");
+  }
+  if (const auto limit = mLimits.enter(*row, core::Clock::now())) {
+    auto outcome = failure(Verdict::NotRun, limit->reason);
+    outcome.retryAfter = limit->retryAfter;
+    return outcome;
+  }
+  return std::nullopt;
+}
+
+net::Awaitable<void>
+OrderService::execute(std::shared_ptr<OrderRun> run,
+                      std::vector<core::ProcessId> allowed)
+{
+  Outcome outcome;
+  if (run->work().idempotent) {
+    outcome = co_await mRepeatable.execute(run);
+  } else {
+    outcome = co_await mSingle.execute(run, std::move(allowed));
+  }
+  finish(run, std::move(outcome));
+}
+
+void
+OrderService::finish(const std::shared_ptr<OrderRun>& run, Outcome outcome)
+{
+  mLimits.finished({ run->row().principal, run->row().kind });
+  mRunning.erase(run->id());
+  if (run->abandoned()->cancelled()) {
+    mLedger.forget(run->id());
+    mNode.metrics().increment("orders_cancelled_total");
+    run->end(outcome);
+    return;
+  }
+  const auto stands =
+    mLedger.finish(run->id(), std::move(outcome), run->published());
+  count(stands);
+  mNode.metrics().observe("order_ms",
+                          std::chrono::duration<double, std::milli>(
+                            core::Clock::now() - run->startedAt())
+                            .count());
+  run->end(stands);
+}
+
+std::shared_ptr<AnswerStream>
+OrderService::runForLostHome(const core::RequestId& id,
+                             core::Work work,
+                             Millis remaining)
+{
+  if (auto refused = refusal(work, remaining)) {
+    refused->verdict = Verdict::Unknown;
+    count(*refused);
+    return ended(std::move(*refused), {});
+  }
+  const auto* row = mNode.table().table().findRow(work.principal, work.kind);
+  const auto run = std::make_shared<OrderRun>(mNode.io(),
+                                              id.text(),
+                                              std::move(work),
+                                              *row,
+                                              core::Clock::now() + remaining);
+  const auto stream = run->attach();
+  ++mForOthers;
+  net::spawn(mNode.io(), executeForLostHome(run), shared_from_this());
+  return stream;
+}
+
+net::Awaitable<void>
+OrderService::executeForLostHome(std::shared_ptr<OrderRun> run)
+{
+  auto outcome = co_await mRepeatable.execute(run);
+  if (outcome.verdict == Verdict::NotRun) {
+    outcome.verdict = Verdict::Unknown;
+  }
+  --mForOthers;
+  mLimits.finished({ run->row().principal, run->row().kind });
+  count(outcome);
+  run->end(outcome);
+}
+
+void
+OrderService::count(const Outcome& outcome)
+{
+  auto& metrics = mNode.metrics();
+  metrics.increment("orders_total{verdict=\"" +
+                    wire::verdictName(outcome.verdict) + "\"}");
+  if (outcome.verdict == Verdict::Unknown) {
+    metrics.increment("orders_unknown_total{reason=\"" + outcome.reason +
+                      "\"}");
+    mLog.warning("order ended as unknown: {}", outcome.reason);
+  }
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/single_attempts.cpp
@@ -0,0 +1,140 @@
+#include "entry/attempts.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace lentilrack::entry {
+
+using core::Millis;
+using core::Outcome;
+using core::Verdict;
+
+namespace {
+
+constexpr Millis kBarTimeout{ 2000 };
+/// First wait before a dispatcher that still runs the attempt is asked again.
+constexpr Millis kFirstAskAgain{ 200 };
+
+Outcome
+failure(Verdict verdict, std::string reason)
+{
+  Outcome outcome;
+  outcome.verdict = verdict;
+  outcome.reason = std::move(reason);
+  return outcome;
+}
+
+} // namespace
+
+bool
+isWorthAnotherDispatcher(const std::string& reason)
+{
+  // Refusals by limits and by the deadline hold everywhere, and "barred" means
+  // that another instance speaks for this home already.
+  constexpr std::array<std::string_view, 6> kFinal{
+    "deadline",          "overload", "rate_limit",
+    "concurrency_limit", "barred",   "cancelled"
+  };
+  return std::ranges::find(kFinal, reason) == kFinal.end();
+}
+
+SingleAttempts::SingleAttempts(DispatchClient& client,
+                               core::OrderLedger& ledger)
+  : mClient(client)
+  , mLedger(ledger)
+{
+}
+
+net::Awaitable<Outcome>
+SingleAttempts::execute(std::shared_ptr<OrderRun> run,
+                        std::vector<core::ProcessId> allowed)
+{
+  auto last = failure(Verdict::NotRun, "no_dispatcher");
+  // An empty set allows nothing here, but everything to the client.
+  while (!allowed.empty()) {
+    if (run->remaining() <= Millis(0)) {
+      co_return failure(Verdict::NotRun, "deadline");
+    }
+    const auto number = mLedger.beginAttempt(run->id());
+    if (!number) {
+      co_return failure(Verdict::Unknown, "attempt_outstanding");
+    }
+    auto result = co_await attempt(run, allowed, *number);
+    last = std::move(result.outcome);
+    if (last.verdict != Verdict::NotRun) {
+      co_return last;
+    }
+    mLedger.provedNotRun(run->id());
+    if (!result.dispatcher || !isWorthAnotherDispatcher(last.reason)) {
+      co_return last;
+    }
+    std::erase(allowed, *result.dispatcher);
+  }
+  co_return last;
+}
+
+net::Awaitable<DispatchResult>
+SingleAttempts::attempt(std::shared_ptr<OrderRun> run,
+                        std::vector<core::ProcessId> allowed,
+                        std::uint32_t number)
+{
+  const core::AttemptId id{ run->id(), number };
+  const auto assembly = std::make_shared<core::AnswerAssembly>(id);
+  DispatchCall call;
+  call.attempt = id;
+  call.work = run->work();
+  call.remaining = run->remaining();
+  call.allowed = std::move(allowed);
+  call.onChunk = [run, assembly, id](core::Chunk chunk) {
+    if (assembly->add(id, chunk)) {
+      run->publish(chunk);
+    }
+  };
+  auto result = co_await mClient.run(std::move(call));
+  const auto assembled = assembly->finish(id, result.outcome);
+  result.outcome = *assembled;
+  const bool isLost = result.outcome.reason == "dispatcher_lost" ||
+                      result.outcome.reason == "timeout" ||
+                      result.outcome.reason == "bad_answer";
+  if (result.outcome.verdict == Verdict::Unknown && result.sent &&
+      result.dispatcher && isLost) {
+    auto known = co_await askAfterLoss(run, *result.dispatcher);
+    // What has been published ran, whatever is said now.
+    if (known.verdict != Verdict::NotRun || assembly->chunks().empty()) {
+      result.outcome = std::move(known);
+    }
+  }
+  co_return result;
+}
+
+net::Awaitable<Outcome>
+SingleAttempts::askAfterLoss(std::shared_ptr<OrderRun> run,
+                             core::ProcessId dispatcher)
+{
+  auto wait = kFirstAskAgain;
+  for (;;) {
+    const auto reply = co_await mClient.bar(dispatcher, run->id(), kBarTimeout);
+    if (!reply) {
+      co_return failure(Verdict::Unknown, "dispatcher_lost");
+    }
+    if (reply->state == wire::BarState::Barred) {
+      co_return failure(Verdict::NotRun, "dispatcher_lost");
+    }
+    if (reply->state == wire::BarState::Finished) {
+      auto outcome =
+        reply->outcome.value_or(failure(Verdict::Unknown, "dispatcher_lost"));
+      if (outcome.verdict == Verdict::Done) {
+        outcome.reason = "answer_lost";
+      }
+      co_return outcome;
+    }
+    if (run->remaining() <= wait) {
+      co_return failure(Verdict::Unknown, "dispatcher_lost");
+    }
+    co_await net::sleepFor(wait);
+    wait *= 2;
+  }
+}
+
+} // namespace lentilrack::entry
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -31,6 +31,9 @@
   std::function<void(const wire::Json&)> onEvent;
   /// Asks the peer to cancel. The call still ends with the peer's reply.
   std::shared_ptr<CancelSignal> cancel;
+  /// Asked right before the request is queued, when the link is connected; may
+  /// change the body. False ends the call with NotStarted.
+  std::function<bool(wire::Json& body)> beforeSend;
 };
 
 struct LinkReply
--- a/src/net/link_client.cpp
+++ b/src/net/link_client.cpp
@@ -178,6 +178,10 @@
   const auto call = std::make_shared<PendingCall>(io);
   call->onEvent = std::move(options.onEvent);
   const auto link = connection;
+  if (options.beforeSend && !options.beforeSend(body)) {
+    failure.error = NetError::NotStarted;
+    co_return failure;
+  }
   if (!link ||
       !link->send({ "request", number, std::move(type), std::move(body) })) {
     failure.error = NetError::ConnectFailed;
