Add membership, table propagation and the course of a process

Cause: entry and dispatch share joining, heartbeats, the table in force, the state dump and the graceful shutdown.

--- /dev/null
+++ b/src/core/drain.cpp
@@ -0,0 +1,20 @@
+#include "core/drain.h"
+
+namespace lentilrack::core {
+
+void
+Drain::begin(TimePoint now)
+{
+  if (!mBegun) {
+    mBegun = true;
+    mBeginning = now;
+  }
+}
+
+bool
+Drain::mayEnd(std::size_t inFlight, TimePoint now) const
+{
+  return mBegun && inFlight == 0 && now - mBeginning >= mNotice;
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,206 @@
+#include "core/membership.h"
+
+#include <algorithm>
+
+namespace lentilrack::core {
+
+namespace {
+
+bool
+isNewer(const Member& report, const Member& known)
+{
+  if (report.id.incarnation != known.id.incarnation) {
+    // Incarnations are random and have no order. A process that restarted
+    // counts its reports from 1 again and is believed when it speaks itself.
+    return false;
+  }
+  if (report.reportNumber != known.reportNumber) {
+    return report.reportNumber > known.reportNumber;
+  }
+  // At the same report, the worse state was learned later.
+  return report.state > known.state;
+}
+
+} // namespace
+
+Membership::Membership(Member self, MembershipTimes times)
+  : mSelf(std::move(self))
+  , mTimes(times)
+{
+}
+
+void
+Membership::heard(const Member& member, TimePoint now)
+{
+  merge(member, now, true);
+}
+
+bool
+Membership::reported(const Member& member, TimePoint now)
+{
+  if (member.id == mSelf.id) {
+    const bool isDoubted =
+      member.state == MemberState::Suspect || member.state == MemberState::Dead;
+    if (isDoubted && member.reportNumber >= mSelf.reportNumber) {
+      // Refutes the suspicion: the next heartbeat carries a newer report.
+      mSelf.reportNumber = member.reportNumber + 1;
+    }
+    return false;
+  }
+  return merge(member, now, false);
+}
+
+bool
+Membership::merge(const Member& member, TimePoint now, bool isDirect)
+{
+  if (member.id.name == mSelf.id.name) {
+    return false;
+  }
+  const auto found = mOthers.find(member.id.name);
+  if (found == mOthers.end()) {
+    if (!isDirect && member.state == MemberState::Dead) {
+      return false;
+    }
+    auto& entry = mOthers[member.id.name];
+    entry = { member, ++mChanges, now };
+    entry.member.lastHeard = isDirect ? now : TimePoint{};
+    return true;
+  }
+  auto& entry = found->second;
+  const bool isRestart = member.id.incarnation != entry.member.id.incarnation;
+  const bool isDeadBefore = entry.member.state == MemberState::Dead;
+  const bool isAccepted =
+    isRestart
+      ? isDirect || (isDeadBefore && member.state != MemberState::Dead)
+      : isNewer(member, entry.member) ||
+          (isDirect && member.reportNumber >= entry.member.reportNumber);
+  if (!isAccepted) {
+    return false;
+  }
+  const auto lastHeard = isDirect ? now : entry.member.lastHeard;
+  const auto previous = entry.member.state;
+  entry.member = member;
+  entry.member.lastHeard = lastHeard;
+  entry.changed = ++mChanges;
+  if (previous != member.state || isRestart) {
+    entry.since = now;
+  }
+  return true;
+}
+
+void
+Membership::probeFailed(const std::string& name, TimePoint now)
+{
+  const auto found = mOthers.find(name);
+  if (found != mOthers.end() &&
+      found->second.member.state == MemberState::Alive) {
+    setState(found->second, MemberState::Suspect, now);
+  } else if (found != mOthers.end() &&
+             found->second.member.state == MemberState::Leaving) {
+    // A leaving member that no longer answers has ended.
+    setState(found->second, MemberState::Dead, now);
+  }
+}
+
+void
+Membership::advance(TimePoint now)
+{
+  for (auto& [name, entry] : mOthers) {
+    if (entry.member.state == MemberState::Suspect &&
+        now - entry.since >= mTimes.suspicion) {
+      setState(entry, MemberState::Dead, now);
+    }
+  }
+  std::erase_if(mOthers, [&](const auto& item) {
+    return item.second.member.state == MemberState::Dead &&
+           now - item.second.since >= mTimes.forgetAfter;
+  });
+}
+
+void
+Membership::setState(Entry& entry, MemberState state, TimePoint now)
+{
+  entry.member.state = state;
+  entry.changed = ++mChanges;
+  entry.since = now;
+}
+
+std::vector<Member>
+Membership::select(MemberRole role, bool withLeaving) const
+{
+  const auto fits = [&](const Member& member) {
+    return member.role == role && member.state != MemberState::Dead &&
+           (withLeaving || member.state != MemberState::Leaving);
+  };
+  std::vector<Member> members;
+  if (fits(mSelf)) {
+    members.push_back(mSelf);
+  }
+  for (const auto& [name, entry] : mOthers) {
+    if (fits(entry.member)) {
+      members.push_back(entry.member);
+    }
+  }
+  std::ranges::sort(members, {}, [](const Member& m) { return m.id.name; });
+  return members;
+}
+
+std::vector<Member>
+Membership::live(MemberRole role) const
+{
+  return select(role, false);
+}
+
+std::vector<Member>
+Membership::reachable(MemberRole role) const
+{
+  return select(role, true);
+}
+
+const Member*
+Membership::find(const std::string& name) const
+{
+  if (name == mSelf.id.name) {
+    return &mSelf;
+  }
+  const auto found = mOthers.find(name);
+  return found == mOthers.end() ? nullptr : &found->second.member;
+}
+
+const Member*
+Membership::find(const ProcessId& id) const
+{
+  const auto* member = find(id.name);
+  return member != nullptr && member->id == id ? member : nullptr;
+}
+
+std::vector<Member>
+Membership::others() const
+{
+  std::vector<Member> members;
+  for (const auto& [name, entry] : mOthers) {
+    members.push_back(entry.member);
+  }
+  return members;
+}
+
+std::vector<Member>
+Membership::updates(std::size_t most) const
+{
+  std::vector<const Entry*> entries;
+  for (const auto& [name, entry] : mOthers) {
+    entries.push_back(&entry);
+  }
+  std::ranges::sort(
+    entries, std::greater<>(), [](const Entry* e) { return e->changed; });
+  std::vector<Member> members;
+  for (const auto* entry : entries) {
+    if (members.size() == most) {
+      break;
+    }
+    members.push_back(entry->member);
+  }
+  return members;
+}
+
+} // namespace lentilrack::core
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -2,25 +2,25 @@
 
 #include "core/member.h"
 
-#include <functional>
 #include <string>
 #include <vector>
 
 namespace lentilrack::core {
 
-/// Times after which silence changes a member's state.
+/// Times after which a suspected or dead member changes its state.
 struct MembershipTimes
 {
-  Millis suspectAfter{ 1500 };
-  Millis deadAfter{ 3000 };
+  /// How long a suspected member has to show that it is alive.
+  Millis suspicion{ 2000 };
   /// How long a dead or departed member is remembered, so that an old report
   /// does not bring it back.
   Millis forgetAfter{ 60'000 };
 };
 
 /// What this process knows of the other processes, merged from their own
-/// heartbeats and from reports of others. Decides nothing that must always
-/// hold: it is a view, and views lag.
+/// heartbeats and from reports of others (SWIM: failed probes raise a
+/// suspicion, which the suspect refutes by a newer report of its own). Decides
+/// nothing that must always hold: it is a view, and views lag.
 class Membership
 {
 public:
@@ -33,37 +33,48 @@
   void heard(const Member& member, TimePoint now);
   /// Takes what another process says of a member. Returns true if it was news.
   bool reported(const Member& member, TimePoint now);
-  /// An indirect probe reached the member.
-  void confirmed(const std::string& name, TimePoint now);
-
-  /// Moves silent members to Suspect and Dead, and forgets old dead ones.
+  /// Neither a direct nor an indirect probe reached the member.
+  void probeFailed(const std::string& name, TimePoint now);
+  /// Turns old suspicions into deaths and forgets old dead members.
   void advance(TimePoint now);
 
-  /// Alive and suspect members of the role, itself included if it fits;
-  /// sorted by name.
+  /// Alive and suspect members of the role, itself included if it fits and is
+  /// not leaving; sorted by name.
   std::vector<Member> live(MemberRole role) const;
   /// live() plus leaving members, which still answer.
   std::vector<Member> reachable(MemberRole role) const;
   const Member* find(const std::string& name) const;
   const Member* find(const ProcessId& id) const;
-  /// Every known member but itself.
+  /// Every known member but itself, dead ones included.
   std::vector<Member> others() const;
-  /// The most recently changed members, to be passed on in heartbeats.
+  /// The members that changed most recently, to be passed on in heartbeats.
   std::vector<Member> updates(std::size_t most) const;
-  /// The highest table revision that any reachable member has in force, and
-  /// who.
-  const Member* newestTable() const;
-  /// When any other member was last heard; nothing if there was none.
-  std::optional<TimePoint> lastHeardAny() const;
+  /// When a member whose name `counts` accepts was last heard itself.
+  template<typename Predicate>
+  std::optional<TimePoint> lastHeardOf(Predicate counts) const
+  {
+    std::optional<TimePoint> last;
+    for (const auto& [name, entry] : mOthers) {
+      if (counts(name) && (!last || entry.member.lastHeard > *last)) {
+        last = entry.member.lastHeard;
+      }
+    }
+    return last;
+  }
 
 private:
   struct Entry
   {
     Member member;
+    /// Number of the change, for updates().
     std::uint64_t changed = 0;
+    /// Since when the state is Suspect, Dead or Leaving.
+    TimePoint since;
   };
 
-  void merge(const Member& member, TimePoint now, bool direct);
+  bool merge(const Member& member, TimePoint now, bool isDirect);
+  void setState(Entry& entry, MemberState state, TimePoint now);
+  std::vector<Member> select(MemberRole role, bool withLeaving) const;
 
   Member mSelf;
   MembershipTimes mTimes;
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,475 @@
+#include "node/node.h"
+
+#include "node/heartbeat.h"
+#include "node/node_state.h"
+#include "node/table_sync.h"
+#include "wire/messages.h"
+#include "wire/table_codec.h"
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <cstdio>
+#include <fstream>
+#include <random>
+
+namespace lentilrack::node {
+
+using net::Awaitable;
+using wire::Json;
+
+namespace {
+
+constexpr core::Millis kLeaseTime{ 10'000 };
+/// 630 instances with two processes each renew 315 times a second.
+constexpr core::Millis kLeaseRenewal{ 4'000 };
+constexpr core::Millis kListPeriod{ 1'000 };
+constexpr core::Millis kJoinRetry{ 500 };
+/// Below the 7 s within which an edit is in force everywhere.
+constexpr core::Millis kCutOffAfter{ 5'000 };
+
+const char*
+roleSuffix(core::MemberRole role)
+{
+  return role == core::MemberRole::Entry ? "/entry" : "/dispatch";
+}
+
+core::Incarnation
+randomIncarnation()
+{
+  core::Incarnation value = 0;
+  randombytes_buf(&value, sizeof value);
+  return value;
+}
+
+core::Member
+makeSelf(const NodeSettings& settings)
+{
+  core::Member self;
+  self.id = { settings.name + roleSuffix(settings.role), randomIncarnation() };
+  self.role = settings.role;
+  self.failureDomain = settings.failureDomain;
+  return self;
+}
+
+/// The instance of a process name: "etna-1/entry" gives "etna-1".
+std::string
+instanceOf(const std::string& processName)
+{
+  return processName.substr(0, processName.rfind('/'));
+}
+
+} // namespace
+
+void
+NodeSettings::addTo(net::SettingsBuilder& builder)
+{
+  builder.requiredText("name", &name, "name of the instance")
+    .requiredText(
+      "failure-domain", &failureDomain, "failure domain of the instance")
+    .endpoint("http", &http, "HTTP address; port 0 lets the kernel choose")
+    .endpoint("link", &link, "address for links from other processes")
+    .endpoints("kv", &kv, "addresses of the key-value service")
+    .endpoint("instance-list", &instanceList, "address of the instance list")
+    .endpoint("weight-store", &weightStore, "address of the weight store")
+    .endpoints("peers", &peers, "links of processes to join through")
+    .requiredText("link-secret",
+                  &linkSecret,
+                  "shared secret of the links; prefer the environment")
+    .text("data-dir", &dataDirectory, "directory for bulk data, if any")
+    .text("address-file", &addressFile, "file that gets the bound addresses");
+}
+
+Node::State::State(net::asio::io_context& context, NodeSettings nodeSettings)
+  : io(context)
+  , settings(std::move(nodeSettings))
+  , log(settings.role == core::MemberRole::Entry ? "entry" : "dispatch")
+  , members(makeSelf(settings), {})
+  , http(context)
+  , httpServer(
+      context,
+      {},
+      [this](net::HttpExchange& exchange) { return router.handle(exchange); })
+  , linkServer(context, { members.self().id, settings.linkSecret })
+  , links(context, { members.self().id, settings.linkSecret })
+  , kv(context, { settings.kv })
+  , sync(context, members, table, links, kv, log.part("table"))
+  , heartbeat(
+      context,
+      members,
+      links,
+      log.part("members"),
+      { [this](core::Member& self) { refreshSelf(self); },
+        [this](const core::Member& member) { sync.noteRevision(member); } })
+{
+}
+
+void
+Node::State::refreshSelf(core::Member& self)
+{
+  self.tableRevision = table.revision();
+  if (inFlight) {
+    self.inFlight = inFlight();
+  }
+  if (loadReport) {
+    self.load = loadReport();
+  }
+}
+
+bool
+Node::State::listen()
+{
+  const auto httpBound = httpServer.listen(settings.http);
+  const auto linkBound = linkServer.listen(settings.link);
+  if (!httpBound || !linkBound) {
+    log.error("Cannot listen on {} and {}.",
+              settings.http.text(),
+              settings.link.text());
+    return false;
+  }
+  members.self().http = httpBound.value();
+  members.self().link = linkBound.value();
+  return true;
+}
+
+bool
+Node::State::writeAddressFile() const
+{
+  if (settings.addressFile.empty()) {
+    return true;
+  }
+  const auto& self = members.self();
+  const Json json{ { "name", self.id.name },
+                   { "http", self.http->text() },
+                   { "link", self.link.text() } };
+  const auto temporary = settings.addressFile + ".tmp";
+  std::ofstream(temporary) << json.dump() << '\n';
+  if (std::rename(temporary.c_str(), settings.addressFile.c_str()) != 0) {
+    log.error("Cannot write {}.", settings.addressFile);
+    return false;
+  }
+  return true;
+}
+
+Awaitable<void>
+Node::State::joinThrough(core::Endpoint endpoint)
+{
+  co_await heartbeat.pingAddress(std::move(endpoint));
+}
+
+Awaitable<bool>
+Node::State::findMembers()
+{
+  const auto entries = co_await kv.list("members/");
+  if (!entries) {
+    co_return false;
+  }
+  for (const auto& entry : entries.value()) {
+    const auto member = wire::decode<core::Member>(entry.value);
+    if (member && member.value().id.name != members.self().id.name) {
+      net::spawn(io, joinThrough(member.value().link));
+    }
+  }
+  co_return true;
+}
+
+Awaitable<void>
+Node::State::join()
+{
+  for (;;) {
+    for (const auto& peer : settings.peers) {
+      net::spawn(io, joinThrough(peer));
+    }
+    const bool isListed = co_await findMembers();
+    const bool hasAnswered = co_await sync.readService();
+    co_await net::sleepFor(kJoinRetry);
+    if (table.revision() > 0) {
+      break;
+    }
+    const std::string missing = isListed && hasAnswered
+                                  ? "a first table"
+                                  : "the key-value service or a peer";
+    log.info("Waiting for {}.", missing);
+  }
+}
+
+Awaitable<void>
+Node::State::leaseLoop()
+{
+  std::string lease;
+  for (;;) {
+    std::error_code error;
+    if (!lease.empty()) {
+      error = co_await kv.renewLease(lease);
+    }
+    if (lease.empty() || error) {
+      const auto granted = co_await kv.grantLease(kLeaseTime);
+      lease = granted ? granted.value() : "";
+      if (granted) {
+        platform::KvPut put;
+        put.key = "members/" + members.self().id.name;
+        put.value = wire::encode(members.self());
+        put.lease = lease;
+        co_await kv.put(std::move(put));
+      }
+    }
+    co_await net::sleepFor(kLeaseRenewal);
+  }
+}
+
+Awaitable<void>
+Node::State::listLoop()
+{
+  if (settings.instanceList.port == 0) {
+    co_return;
+  }
+  platform::InstanceListClient client(http, settings.instanceList);
+  for (;;) {
+    auto list = co_await client.fetch();
+    if (list && list.value() != servers) {
+      servers = std::move(list).value();
+      for (const auto& hook : serverHooks) {
+        hook();
+      }
+    }
+    co_await net::sleepFor(kListPeriod);
+  }
+}
+
+Awaitable<void>
+Node::State::rejoinLoop()
+{
+  // After a partition both sides may have forgotten each other.
+  for (;;) {
+    co_await net::sleepFor(kLeaseTime);
+    co_await findMembers();
+  }
+}
+
+Node::Node(net::asio::io_context& io, NodeSettings settings)
+  : mState(std::make_unique<State>(io, std::move(settings)))
+{
+  auto& state = *mState;
+  state.heartbeat.addHandlers(state.linkServer);
+  state.sync.addHandlers(state.linkServer);
+  state.table.onChange(
+    [&state](const core::Table&) { state.heartbeat.spread(); });
+  addRoutes();
+  addDump("members", [&state] {
+    Json list = Json::array();
+    list.push_back(wire::encode(state.members.self()));
+    for (const auto& member : state.members.others()) {
+      list.push_back(wire::encode(member));
+    }
+    return list;
+  });
+  addDump("table_revision", [&state] { return Json(state.table.revision()); });
+  addDump("kv", [&state] {
+    return Json{ { "available", state.kv.available() },
+                 { "calls", state.kv.calls() } };
+  });
+  addDump("backend_servers", [&state] { return Json(state.servers.size()); });
+}
+
+Node::~Node() = default;
+
+void
+Node::addRoutes()
+{
+  auto& state = *mState;
+  state.router.add(
+    "GET", "/healthz", [](net::HttpExchange& exchange) -> Awaitable<void> {
+      net::HttpResponse response;
+      response.body = R"({"ok":true})";
+      co_await exchange.respond(std::move(response));
+    });
+  state.router.add("GET",
+                   "/metrics",
+                   [&state](net::HttpExchange& exchange) -> Awaitable<void> {
+                     net::HttpResponse response;
+                     response.contentType = "text/plain; version=0.0.4";
+                     response.body = state.metrics.text();
+                     co_await exchange.respond(std::move(response));
+                   });
+  state.router.add(
+    "GET", "/state", [this](net::HttpExchange& exchange) -> Awaitable<void> {
+      const auto* principal =
+        table().table().authenticate(exchange.request().bearerToken());
+      net::HttpResponse response;
+      if (principal == nullptr ||
+          principal->role != core::PrincipalRole::Operator) {
+        response.status = 401;
+        response.body = R"({"error":"not_authorized"})";
+      } else {
+        response.body = dump().dump(2) + "\n";
+      }
+      co_await exchange.respond(std::move(response));
+    });
+}
+
+Awaitable<bool>
+Node::start()
+{
+  auto& state = *mState;
+  if (!state.listen()) {
+    co_return false;
+  }
+  if (!state.writeAddressFile()) {
+    co_return false;
+  }
+  state.log.info("{} listens on {}, links on {}.",
+                 self().name,
+                 state.members.self().http->text(),
+                 state.members.self().link.text());
+  net::spawn(state.io, state.heartbeat.run());
+  net::spawn(state.io, state.leaseLoop());
+  net::spawn(state.io, state.listLoop());
+  co_await state.join();
+  net::spawn(state.io, state.sync.run());
+  net::spawn(state.io, state.rejoinLoop());
+  state.started = core::Clock::now();
+  state.log.info("Joined with table revision {}.", state.table.revision());
+  co_return true;
+}
+
+const NodeSettings&
+Node::settings() const
+{
+  return mState->settings;
+}
+
+const core::ProcessId&
+Node::self() const
+{
+  return mState->members.self().id;
+}
+
+net::asio::io_context&
+Node::io()
+{
+  return mState->io;
+}
+
+const net::Logger&
+Node::log() const
+{
+  return mState->log;
+}
+
+net::Metrics&
+Node::metrics()
+{
+  return mState->metrics;
+}
+
+net::HttpClient&
+Node::http()
+{
+  return mState->http;
+}
+
+net::HttpRouter&
+Node::router()
+{
+  return mState->router;
+}
+
+net::HttpServer&
+Node::httpServer()
+{
+  return mState->httpServer;
+}
+
+net::LinkServer&
+Node::linkServer()
+{
+  return mState->linkServer;
+}
+
+net::LinkPool&
+Node::links()
+{
+  return mState->links;
+}
+
+platform::KvClient&
+Node::kv()
+{
+  return mState->kv;
+}
+
+core::Membership&
+Node::members()
+{
+  return mState->members;
+}
+
+core::TableReplica&
+Node::table()
+{
+  return mState->table;
+}
+
+const std::vector<core::BackendServer>&
+Node::backendServers() const
+{
+  return mState->servers;
+}
+
+void
+Node::onBackendServers(std::function<void()> hook)
+{
+  mState->serverHooks.push_back(std::move(hook));
+}
+
+void
+Node::setLoadReport(
+  std::function<std::map<std::string, core::TargetLoad>()> hook)
+{
+  mState->loadReport = std::move(hook);
+}
+
+void
+Node::setInFlight(std::function<std::int64_t()> hook)
+{
+  mState->inFlight = std::move(hook);
+}
+
+bool
+Node::cutOff() const
+{
+  const auto now = core::Clock::now();
+  const auto own = mState->settings.name;
+  const auto heard = mState->members.lastHeardOf(
+    [&own](const std::string& name) { return instanceOf(name) != own; });
+  const auto last = std::max(
+    { mState->sync.lastAnswer(), mState->started, heard.value_or(now) });
+  return now - last > kCutOffAfter;
+}
+
+void
+Node::addDump(std::string part, DumpPart dump)
+{
+  mState->dumps[std::move(part)] = std::move(dump);
+}
+
+Json
+Node::dump() const
+{
+  Json json{ { "process", self().name },
+             { "incarnation", self().incarnation },
+             { "failure_domain", mState->settings.failureDomain } };
+  for (const auto& [part, dumpPart] : mState->dumps) {
+    json[part] = dumpPart();
+  }
+  return json;
+}
+
+Awaitable<void>
+Node::announceLeaving()
+{
+  mState->members.self().state = core::MemberState::Leaving;
+  co_await mState->heartbeat.pingAll();
+}
+
+} // namespace lentilrack::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -4,6 +4,7 @@
 #include "core/table_replica.h"
 #include "net/http_client.h"
 #include "net/http_router.h"
+#include "net/http_server.h"
 #include "net/link.h"
 #include "net/log.h"
 #include "net/metrics.h"
@@ -28,8 +29,8 @@
   core::Endpoint http{ "127.0.0.1", 0 };
   core::Endpoint link{ "127.0.0.1", 0 };
   std::vector<core::Endpoint> kv;
-  /// Instance list service.
-  std::optional<core::Endpoint> instanceList;
+  /// Instance list service; port 0 for none.
+  core::Endpoint instanceList;
   core::Endpoint weightStore;
   /// Links of other processes to join through; may be empty.
   std::vector<core::Endpoint> peers;
@@ -54,8 +55,8 @@
   Node(net::asio::io_context& io, NodeSettings settings);
   ~Node();
 
-  /// Binds the addresses, joins and loads the table; `routes` may add HTTP
-  /// routes before. An error is logged and gives false.
+  /// Binds the addresses, joins and loads the table. HTTP routes and link
+  /// handlers must have been added before. An error is logged and gives false.
   net::Awaitable<bool> start();
 
   const NodeSettings& settings() const;
@@ -95,8 +96,11 @@
   /// Tells the others that this process is leaving.
   net::Awaitable<void> announceLeaving();
 
-private:
   struct State;
+
+private:
+  void addRoutes();
+
   std::unique_ptr<State> mState;
 };
 
--- /dev/null
+++ b/src/node/node_state.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "node/heartbeat.h"
+#include "node/node.h"
+#include "node/table_sync.h"
+
+namespace lentilrack::node {
+
+/// The parts of a node and the loops that keep them current.
+struct Node::State
+{
+  State(net::asio::io_context& context, NodeSettings nodeSettings);
+
+  void refreshSelf(core::Member& self);
+  bool listen();
+  bool writeAddressFile() const;
+  net::Awaitable<void> joinThrough(core::Endpoint endpoint);
+  net::Awaitable<bool> findMembers();
+  net::Awaitable<void> join();
+  net::Awaitable<void> leaseLoop();
+  net::Awaitable<void> listLoop();
+  net::Awaitable<void> rejoinLoop();
+
+  net::asio::io_context& io;
+  NodeSettings settings;
+  net::Logger log;
+  core::Membership members;
+  core::TableReplica table;
+  net::Metrics metrics;
+  net::HttpClient http;
+  net::HttpRouter router;
+  net::HttpServer httpServer;
+  net::LinkServer linkServer;
+  net::LinkPool links;
+  platform::KvClient kv;
+  TableSync sync;
+  Heartbeat heartbeat;
+  core::TimePoint started;
+  std::vector<core::BackendServer> servers;
+  std::vector<std::function<void()>> serverHooks;
+  std::function<std::map<std::string, core::TargetLoad>()> loadReport;
+  std::function<std::int64_t()> inFlight;
+  std::map<std::string, DumpPart> dumps;
+};
+
+} // namespace lentilrack::node
--- /dev/null
+++ b/src/node/process.cpp
@@ -0,0 +1,126 @@
+#include "node/process.h"
+
+#include "core/drain.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+
+namespace lentilrack::node {
+
+using net::Awaitable;
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitCut = 3;
+constexpr core::Millis kNotice{ 1500 };
+constexpr core::Millis kDrainPoll{ 50 };
+
+class Process
+{
+public:
+  Process(net::asio::io_context& io, Node& node, ProcessHooks hooks)
+    : mIo(io)
+    , mNode(node)
+    , mHooks(std::move(hooks))
+    , mSignals(io, SIGTERM, SIGINT, SIGUSR1)
+    , mDrain(kNotice)
+  {
+  }
+
+  int run()
+  {
+    net::spawn(mIo, start());
+    net::spawn(mIo, signalLoop());
+    mIo.run();
+    return mExitCode;
+  }
+
+private:
+  Awaitable<void> start()
+  {
+    const bool isStarted = co_await mNode.start();
+    if (!isStarted) {
+      end(kExitFailed);
+    } else if (mHooks.started) {
+      mHooks.started();
+    }
+  }
+
+  Awaitable<void> signalLoop()
+  {
+    for (;;) {
+      boost::system::error_code error;
+      const int signal = co_await mSignals.async_wait(
+        net::asio::redirect_error(net::asio::use_awaitable, error));
+      if (error) {
+        co_return;
+      }
+      if (signal == SIGUSR1) {
+        fmt::print(stderr, "{}\n", mNode.dump().dump(2));
+      } else if (!mDrain.begun()) {
+        net::spawn(mIo, drain());
+      } else {
+        cut();
+        co_return;
+      }
+    }
+  }
+
+  std::vector<std::string> inFlight() const
+  {
+    return mHooks.inFlight ? mHooks.inFlight() : std::vector<std::string>{};
+  }
+
+  Awaitable<void> drain()
+  {
+    mNode.log().info("Draining.");
+    mDrain.begin(core::Clock::now());
+    if (mHooks.drain) {
+      mHooks.drain();
+    }
+    co_await mNode.announceLeaving();
+    while (
+      !mDrain.mayEnd(inFlight().size() + mNode.httpServer().activeExchanges(),
+                     core::Clock::now())) {
+      co_await net::sleepFor(kDrainPoll);
+    }
+    mNode.log().info("Drained; nothing was cut.");
+    end(0);
+  }
+
+  void cut()
+  {
+    const auto work = inFlight();
+    mNode.log().warning("Ending at once; {} in flight are cut.", work.size());
+    for (const auto& line : work) {
+      mNode.log().warning("Cut: {}", line);
+    }
+    end(kExitCut);
+  }
+
+  void end(int exitCode)
+  {
+    mExitCode = exitCode;
+    mIo.stop();
+  }
+
+  net::asio::io_context& mIo;
+  Node& mNode;
+  ProcessHooks mHooks;
+  net::asio::signal_set mSignals;
+  core::Drain mDrain;
+  int mExitCode = 0;
+};
+
+} // namespace
+
+int
+runProcess(net::asio::io_context& io, Node& node, ProcessHooks hooks)
+{
+  return Process(io, node, std::move(hooks)).run();
+}
+
+} // namespace lentilrack::node
