--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -210,7 +210,8 @@
         put.key = "members/" + members.self().id.name;
         put.value = wire::encode(members.self());
         put.lease = lease;
-        co_await kv.put(std::move(put));
+        const auto written = co_await kv.put(std::move(put));
+        lease = written ? lease : "";
       }
     }
     co_await net::sleepFor(kLeaseRenewal);
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -30,11 +30,11 @@
 protected:
   MemberState stateOf(const std::string& name) const
   {
-    const auto* found = members.find(name);
+    const auto* found = mMembers.find(name);
     return found == nullptr ? MemberState::Dead : found->state;
   }
 
-  Membership members{ member("self", 1, 5), {} };
+  Membership mMembers{ member("self", 1, 5), {} };
 };
 
 } // namespace
@@ -42,21 +42,21 @@
 // Guards against a late report that brings an older state back.
 TEST_F(MembershipTest, OlderReportNeverReplacesNewer)
 {
-  members.heard(member("a", 7, 4, MemberState::Leaving), kStart);
-  EXPECT_FALSE(members.reported(member("a", 7, 3), kStart));
+  mMembers.heard(member("a", 7, 4, MemberState::Leaving), kStart);
+  EXPECT_FALSE(mMembers.reported(member("a", 7, 3), kStart));
   EXPECT_EQ(stateOf("a"), MemberState::Leaving);
 }
 
 // Guards against a dead process that is reported alive for ever.
 TEST_F(MembershipTest, FailedProbeLeadsToDeathUnlessRefuted)
 {
-  members.heard(member("a", 7, 4), kStart);
-  members.heard(member("b", 8, 4), kStart);
-  members.probeFailed("a", kStart);
-  members.probeFailed("b", kStart);
+  mMembers.heard(member("a", 7, 4), kStart);
+  mMembers.heard(member("b", 8, 4), kStart);
+  mMembers.probeFailed("a", kStart);
+  mMembers.probeFailed("b", kStart);
   EXPECT_EQ(stateOf("a"), MemberState::Suspect);
-  EXPECT_TRUE(members.reported(member("b", 8, 5), kStart));
-  members.advance(kStart + std::chrono::seconds(3));
+  EXPECT_TRUE(mMembers.reported(member("b", 8, 5), kStart));
+  mMembers.advance(kStart + std::chrono::seconds(3));
   EXPECT_EQ(stateOf("a"), MemberState::Dead);
   EXPECT_EQ(stateOf("b"), MemberState::Alive);
 }
@@ -64,39 +64,39 @@
 // Guards against an old report by others that replaces a restarted process.
 TEST_F(MembershipTest, RestartIsBelievedOnlyFromTheProcessItself)
 {
-  members.heard(member("a", 7, 400), kStart);
-  members.heard(member("a", 9, 1), kStart);
-  EXPECT_EQ(members.find("a")->id.incarnation, 9U);
-  EXPECT_FALSE(members.reported(member("a", 7, 500), kStart));
-  EXPECT_EQ(members.find("a")->id.incarnation, 9U);
+  mMembers.heard(member("a", 7, 400), kStart);
+  mMembers.heard(member("a", 9, 1), kStart);
+  EXPECT_EQ(mMembers.find("a")->id.incarnation, 9U);
+  EXPECT_FALSE(mMembers.reported(member("a", 7, 500), kStart));
+  EXPECT_EQ(mMembers.find("a")->id.incarnation, 9U);
 }
 
 // Guards against a paused process that stays suspected after it woke up.
 TEST_F(MembershipTest, SuspectedProcessRefutesWithNewerReport)
 {
-  members.reported(member("self", 1, 9, MemberState::Suspect), kStart);
-  EXPECT_GT(members.self().reportNumber, 9U);
+  mMembers.reported(member("self", 1, 9, MemberState::Suspect), kStart);
+  EXPECT_GT(mMembers.self().reportNumber, 9U);
 }
 
 TEST_F(MembershipTest, LeavingMembersAreReachableButNotLive)
 {
-  members.heard(member("a", 7, 4, MemberState::Leaving), kStart);
-  EXPECT_EQ(members.live(MemberRole::Dispatch).size(), 1U);
-  EXPECT_EQ(members.reachable(MemberRole::Dispatch).size(), 2U);
-  members.probeFailed("a", kStart);
-  EXPECT_EQ(members.reachable(MemberRole::Dispatch).size(), 1U);
+  mMembers.heard(member("a", 7, 4, MemberState::Leaving), kStart);
+  EXPECT_EQ(mMembers.live(MemberRole::Dispatch).size(), 1U);
+  EXPECT_EQ(mMembers.reachable(MemberRole::Dispatch).size(), 2U);
+  mMembers.probeFailed("a", kStart);
+  EXPECT_EQ(mMembers.reachable(MemberRole::Dispatch).size(), 1U);
 }
 
 // Guards against a report that revives a member after it was declared dead.
 TEST_F(MembershipTest, DeadMemberIsForgottenOnlyLater)
 {
-  members.heard(member("a", 7, 4), kStart);
-  members.reported(member("a", 7, 4, MemberState::Dead), kStart);
-  EXPECT_FALSE(members.reported(member("a", 7, 4), kStart));
-  members.advance(kStart + std::chrono::seconds(30));
-  EXPECT_NE(members.find("a"), nullptr);
-  members.advance(kStart + std::chrono::seconds(61));
-  EXPECT_EQ(members.find("a"), nullptr);
+  mMembers.heard(member("a", 7, 4), kStart);
+  mMembers.reported(member("a", 7, 4, MemberState::Dead), kStart);
+  EXPECT_FALSE(mMembers.reported(member("a", 7, 4), kStart));
+  mMembers.advance(kStart + std::chrono::seconds(30));
+  EXPECT_NE(mMembers.find("a"), nullptr);
+  mMembers.advance(kStart + std::chrono::seconds(61));
+  EXPECT_EQ(mMembers.find("a"), nullptr);
 }
 
 // Guards against a shutdown that cuts work off or ends before the others know.
