Add clients of the platform's services

Each client tells a request of which no byte was written from one that got no answer. The client of the key-value service keeps to a call budget and backs off with jitter while the service does not answer.

--- /dev/null
+++ b/src/platform/engine_client.cpp
@@ -0,0 +1,224 @@
+#include "platform/engine_client.h"
+
+#include "net/error.h"
+#include "platform/call_outcome.h"
+#include "platform/engine_answer.h"
+#include "platform/http_json.h"
+
+#include <limits>
+
+namespace lentilrack::platform {
+
+namespace {
+
+constexpr std::int64_t kMost = std::numeric_limits<std::int64_t>::max();
+constexpr core::Millis kCommandTimeout{ 2000 };
+constexpr std::size_t kLongestRefusal = 64UL * 1024;
+
+wire::Json
+bodyOf(const GenerateRequest& request)
+{
+  wire::Json body = {
+    { "attempt", request.attempt },   { "model", request.model },
+    { "prompt", request.prompt },     { "max_tokens", request.maxTokens },
+    { "priority", request.priority }, { "offset", request.offset },
+    { "fencing", request.fencing }
+  };
+  if (request.version) {
+    body["version"] = *request.version;
+  }
+  if (!request.prefix.empty()) {
+    body["prefix"] = request.prefix;
+  }
+  return body;
+}
+
+/// The parts of one generate call that its hooks share.
+struct Generation
+{
+  explicit Generation(const GenerateCall& call)
+    : answer(call.request, call.onChunk)
+    , stop(std::make_shared<net::CancelSignal>())
+  {
+  }
+
+  EngineAnswer answer;
+  int status = 0;
+  bool isMalformed = false;
+  std::string refusal;
+  /// Ends the exchange: fired by the caller's signal or by a malformed answer.
+  std::shared_ptr<net::CancelSignal> stop;
+
+  void take(std::string_view data)
+  {
+    if (status == 200) {
+      isMalformed = isMalformed || !answer.take(data);
+    } else {
+      refusal.append(data);
+      isMalformed = refusal.size() > kLongestRefusal;
+    }
+    if (isMalformed) {
+      stop->cancel();
+    }
+  }
+};
+
+/// Only the two published refusals prove that the engine did not start.
+core::Outcome
+refusedOutcome(const Generation& generation, const net::HttpResult& result)
+{
+  const auto code =
+    readAnswer(generation.refusal, [](wire::ObjectReader& reader) {
+      return reader.required<std::string>("error");
+    });
+  const auto reason = code ? code.value() : std::string();
+  const bool isRefusal =
+    (generation.status == 409 && reason == "stale_fencing") ||
+    (generation.status == 503 && reason == "refused");
+  if (!isRefusal) {
+    return outcomeWith(core::Verdict::Unknown, "bad_answer");
+  }
+  auto outcome = outcomeWith(core::Verdict::NotRun, reason);
+  outcome.retryAfter = retryAfter(result.response);
+  return outcome;
+}
+
+core::Outcome
+outcomeOf(Generation& generation, const net::HttpResult& result)
+{
+  if (generation.isMalformed) {
+    return outcomeWith(core::Verdict::Unknown, "bad_answer");
+  }
+  if (result.error) {
+    return failedOutcome(result);
+  }
+  if (generation.status != 200) {
+    return refusedOutcome(generation, result);
+  }
+  if (!generation.answer.end()) {
+    return outcomeWith(core::Verdict::Unknown, "bad_answer");
+  }
+  core::Outcome outcome;
+  outcome.verdict = core::Verdict::Done;
+  return outcome;
+}
+
+LoadReport
+readReport(wire::ObjectReader& reader)
+{
+  LoadReport report;
+  report.running = reader.integer("running", 0, kMost);
+  report.slots = reader.integer("slots", 0, kMost);
+  report.queued = reader.integer("queued", 0, kMost);
+  report.tokenRate = reader.required<double>("token_rate");
+  report.models =
+    reader.required<std::map<std::string, std::int64_t>>("models");
+  report.leaving = reader.required<bool>("leaving");
+  report.age = core::Millis(reader.integer("age_ms", 0, kMost));
+  return report;
+}
+
+CacheEvents
+readEvents(wire::ObjectReader& reader)
+{
+  CacheEvents events;
+  for (const auto& item : reader.required<std::vector<wire::Json>>("events")) {
+    wire::ObjectReader event(item, "events");
+    const auto operation = event.required<std::string>("op");
+    if (operation != "add" && operation != "evict") {
+      event.fail("op", "must be add or evict");
+    }
+    events.events.push_back({ event.integer("seq", 0, kMost),
+                              event.required<std::string>("prefix"),
+                              operation == "add" });
+  }
+  events.next = reader.integer("next", 0, kMost);
+  return events;
+}
+
+} // namespace
+
+EngineClient::EngineClient(net::HttpClient& http)
+  : mHttp(http)
+{
+}
+
+net::Awaitable<core::Outcome>
+EngineClient::generate(core::Endpoint engine, GenerateCall call)
+{
+  Generation generation(call);
+  auto exchange = jsonCall(
+    std::move(engine), "/v1/generate", bodyOf(call.request), call.timeout);
+  exchange.freshConnection = true;
+  exchange.beforeFirstByte = call.beforeFirstByte;
+  exchange.cancel = generation.stop;
+  exchange.onStatus = [&](int status) { generation.status = status; };
+  exchange.onData = [&](std::string_view data) { generation.take(data); };
+  int hook = 0;
+  if (call.cancel) {
+    hook = call.cancel->add([stop = generation.stop] { stop->cancel(); });
+  }
+  const auto result = co_await mHttp.call(std::move(exchange));
+  if (call.cancel) {
+    call.cancel->remove(hook);
+  }
+  auto outcome = outcomeOf(generation, result);
+  outcome.totalTokens = generation.answer.totalTokens();
+  outcome.segments = generation.answer.segments();
+  co_return outcome;
+}
+
+net::Awaitable<std::error_code>
+EngineClient::cancel(core::Endpoint engine, std::string attempt)
+{
+  const wire::Json body = { { "attempt", std::move(attempt) } };
+  auto call = jsonCall(std::move(engine), "/v1/cancel", body, kCommandTimeout);
+  const auto result = co_await mHttp.call(std::move(call));
+  co_return answerError(result);
+}
+
+net::Awaitable<std::error_code>
+EngineClient::load(core::Endpoint engine,
+                   std::string model,
+                   std::int64_t version,
+                   core::Endpoint source,
+                   core::Millis timeout)
+{
+  const wire::Json body = { { "model", std::move(model) },
+                            { "version", version },
+                            { "source", source.text() } };
+  auto call = jsonCall(std::move(engine), "/v1/load", body, timeout);
+  const auto result = co_await mHttp.call(std::move(call));
+  // Status 500 is the published form of a failed load.
+  const bool hasFailed = !result.error && result.response.status == 500;
+  co_return hasFailed ? make_error_code(PlatformError::Refused)
+                      : answerError(result);
+}
+
+net::Awaitable<core::Result<LoadReport>>
+EngineClient::loadReport(core::Endpoint engine)
+{
+  auto call =
+    plainCall(std::move(engine), "GET", "/v1/load_report", kCommandTimeout);
+  const auto result = co_await mHttp.call(std::move(call));
+  if (const auto error = answerError(result)) {
+    co_return error;
+  }
+  co_return readAnswer(result.response.body, readReport);
+}
+
+net::Awaitable<core::Result<CacheEvents>>
+EngineClient::cacheEvents(core::Endpoint engine, std::int64_t after)
+{
+  auto call = plainCall(std::move(engine),
+                        "GET",
+                        "/v1/cache_events?after=" + std::to_string(after),
+                        kCommandTimeout);
+  const auto result = co_await mHttp.call(std::move(call));
+  if (const auto error = answerError(result)) {
+    co_return error;
+  }
+  co_return readAnswer(result.response.body, readEvents);
+}
+
+} // namespace lentilrack::platform
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -76,9 +76,11 @@
   explicit EngineClient(net::HttpClient& http);
 
   /// Done: the whole answer came, with its segments. NotRun: no byte was
-  /// written ("connection_refused", "deadline") or the engine refused
-  /// ("stale_fencing", "refused"). Unknown: anything else ("interrupted",
-  /// "timeout", "bad_answer", "cancelled").
+  /// written ("connection_refused", "deadline", "cancelled") or the engine
+  /// refused ("stale_fencing", "refused"). Unknown: anything else
+  /// ("interrupted", "timeout", "bad_answer", "cancelled"). An answer by
+  /// another version than the one asked for is a bad answer. Tokens whose
+  /// version the engine did not name are in no segment.
   net::Awaitable<core::Outcome> generate(core::Endpoint engine,
                                          GenerateCall call);
   net::Awaitable<std::error_code> cancel(core::Endpoint engine,
--- /dev/null
+++ b/src/platform/http_json.cpp
@@ -0,0 +1,83 @@
+#include "platform/http_json.h"
+
+#include "net/error.h"
+
+#include <fmt/format.h>
+
+#include <cctype>
+
+namespace lentilrack::platform {
+
+net::HttpCall
+plainCall(core::Endpoint endpoint,
+          std::string method,
+          std::string target,
+          core::Millis timeout)
+{
+  net::HttpCall call;
+  call.endpoint = std::move(endpoint);
+  call.request.method = std::move(method);
+  call.request.target = std::move(target);
+  call.timeout = timeout;
+  return call;
+}
+
+net::HttpCall
+jsonCall(core::Endpoint endpoint,
+         std::string target,
+         const wire::Json& body,
+         core::Millis timeout)
+{
+  auto call =
+    plainCall(std::move(endpoint), "POST", std::move(target), timeout);
+  call.request.headers.emplace_back("Content-Type", "application/json");
+  // Text of outside callers may not be valid UTF-8; dump() would throw.
+  call.request.body =
+    body.dump(-1, ' ', false, wire::Json::error_handler_t::replace);
+  return call;
+}
+
+std::error_code
+answerError(const net::HttpResult& result)
+{
+  if (result.error) {
+    return result.error == net::NetError::BadMessage
+             ? PlatformError::BadAnswer
+             : PlatformError::Unavailable;
+  }
+  const int status = result.response.status;
+  if (status / 100 == 2) {
+    return {};
+  }
+  if (status / 100 == 5) {
+    return PlatformError::Unavailable;
+  }
+  switch (status) {
+    case 404:
+      return PlatformError::NotFound;
+    case 409:
+      return PlatformError::Conflict;
+    case 429:
+      return PlatformError::RateLimited;
+    default:
+      return PlatformError::Refused;
+  }
+}
+
+std::string
+percentEncoded(std::string_view text)
+{
+  constexpr std::string_view kUnreserved = "-._~/";
+  std::string encoded;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) != 0 || kUnreserved.find(c) != kUnreserved.npos) {
+      encoded += c;
+    } else {
+      encoded += fmt::format("%{:02X}", byte);
+    }
+  }
+  return encoded;
+}
+
+} // namespace lentilrack::platform
--- /dev/null
+++ b/src/platform/kv_backoff.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <pcg_random.hpp>
+
+#include <cstdint>
+
+namespace lentilrack::platform {
+
+/// Decides when calls may go to a service that did not answer: after a failure
+/// none for a time that doubles up to a cap, with jitter, then one at a time
+/// until one is answered.
+class KvBackoff
+{
+public:
+  struct Limits
+  {
+    core::Millis first{ 100 };
+    /// An edit must be in force within 7 s also right after an outage, so the
+    /// longest pause stays below that.
+    core::Millis longest{ 5000 };
+    /// After this time a probe without result no longer holds back others.
+    core::Millis probeTime{ 1000 };
+  };
+
+  enum class Gate
+  {
+    Open,
+    /// This call finds out whether the service answers again.
+    Probe,
+    Wait,
+  };
+
+  KvBackoff(Limits limits, std::uint64_t seed);
+
+  Gate enter(core::TimePoint now);
+  void succeeded();
+  /// `wasProbe`: enter() gave Probe for this call.
+  void failed(core::TimePoint now, bool wasProbe);
+
+  bool isOpen() const { return mFailures == 0; }
+  /// No call may go before this time.
+  core::TimePoint retryAt() const { return mRetryAt; }
+
+private:
+  core::Clock::duration nextPause();
+
+  Limits mLimits;
+  pcg64 mRandom;
+  std::uint32_t mFailures = 0;
+  core::TimePoint mRetryAt{};
+  core::TimePoint mProbeEnd{};
+};
+
+} // namespace lentilrack::platform
--- /dev/null
+++ b/src/platform/kv_caller.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "net/http_client.h"
+#include "platform/kv_backoff.h"
+#include "platform/kv_budget.h"
+#include "platform/kv_client.h"
+
+namespace lentilrack::platform {
+
+/// One call to the key-value service.
+struct KvRequest
+{
+  std::string method;
+  std::string target;
+  std::string body;
+  /// May be sent again when no answer came.
+  bool repeatable = true;
+  /// How long the service may hold a watch. It is appended to the target.
+  std::optional<core::Millis> wait;
+};
+
+/// Sends calls to the endpoints of the key-value service in turn, within the
+/// call budget and the backoff.
+class KvCaller
+{
+public:
+  KvCaller(net::asio::io_context& io, KvClientOptions options);
+
+  /// The answer with any status below 500. Errors: Unavailable (a call that is
+  /// not repeatable was certainly not sent), OutcomeUnknown (it may have been),
+  /// RateLimited (own budget).
+  net::Awaitable<core::Result<net::HttpResponse>> call(KvRequest request);
+
+  /// Ends all calls.
+  void close() { mClosed->cancel(); }
+  bool available() const { return mAvailable; }
+  std::uint64_t calls() const { return mCalls; }
+
+private:
+  /// What one round over the endpoints gave.
+  struct Round
+  {
+    net::HttpResponse response;
+    std::error_code error;
+  };
+
+  net::Awaitable<KvBackoff::Gate> enter(core::TimePoint latest);
+  /// False if the budget allows no call before `latest`.
+  net::Awaitable<bool> pay(core::TimePoint latest);
+  net::Awaitable<Round> tryEndpoints(KvRequest request, core::TimePoint latest);
+  net::Awaitable<net::HttpResult> send(KvRequest request);
+  void noteAnswer(core::TimePoint now);
+
+  net::HttpClient mHttp;
+  KvClientOptions mOptions;
+  KvBudget mBudget;
+  KvBackoff mBackoff;
+  std::shared_ptr<net::CancelSignal> mClosed;
+  std::size_t mPreferred = 0;
+  bool mAvailable = false;
+  std::uint64_t mCalls = 0;
+};
+
+} // namespace lentilrack::platform
--- a/src/platform/kv_client.h
+++ b/src/platform/kv_client.h
@@ -33,10 +33,18 @@
 struct KvClientOptions
 {
   std::vector<core::Endpoint> endpoints;
+  /// Limit for one endpoint's answer, and for the time a call may wait before
+  /// it is sent.
   core::Millis timeout{ 1000 };
   /// Calls a second of this process; a waiting watch counts as one. A call
   /// over the budget waits, and fails with RateLimited after the timeout.
   double callsPerSecond = 20;
+  /// Pause after the first call without an answer; it doubles up to the
+  /// longest pause, with jitter.
+  core::Millis firstPause{ 100 };
+  core::Millis longestPause{ 5000 };
+  /// Seed of the jitter; 0 draws one.
+  std::uint64_t seed = 0;
 };
 
 /// Client of the platform's key-value service. Tries the next endpoint when
@@ -52,7 +60,8 @@
   net::Awaitable<core::Result<KvEntry>> read(std::string key);
   net::Awaitable<core::Result<std::vector<KvEntry>>> list(std::string prefix);
   /// The new revision. Errors: Conflict; OutcomeUnknown if the request was
-  /// sent and no answer came; Unavailable if it was certainly not sent.
+  /// sent and no proper answer came; Unavailable or RateLimited if it was
+  /// certainly not sent; Refused.
   net::Awaitable<core::Result<std::int64_t>> put(KvPut put);
   net::Awaitable<std::error_code> remove(std::string key);
   /// Waits until the key has a revision above `after`; nothing after `wait`.
--- /dev/null
+++ b/src/platform/scorer_client.cpp
@@ -0,0 +1,38 @@
+#include "platform/scorer_client.h"
+
+#include "platform/http_json.h"
+
+namespace lentilrack::platform {
+
+ScorerClient::ScorerClient(net::HttpClient& http)
+  : mHttp(http)
+{
+}
+
+net::Awaitable<core::Result<std::vector<double>>>
+ScorerClient::score(core::Endpoint scorer,
+                    std::vector<ScoreItem> items,
+                    core::Millis timeout)
+{
+  auto samples = wire::Json::array();
+  for (const auto& item : items) {
+    samples.push_back({ { "prompt", item.prompt }, { "text", item.text } });
+  }
+  const wire::Json body = { { "samples", std::move(samples) } };
+  auto call = jsonCall(std::move(scorer), "/score", body, timeout);
+  const auto result = co_await mHttp.call(std::move(call));
+  if (const auto error = answerError(result)) {
+    co_return error;
+  }
+  auto scores =
+    readAnswer(result.response.body, [](wire::ObjectReader& reader) {
+      return reader.required<std::vector<double>>("scores");
+    });
+  const bool isComplete = scores && scores.value().size() == items.size();
+  if (!isComplete) {
+    co_return make_error_code(PlatformError::BadAnswer);
+  }
+  co_return std::move(scores).value();
+}
+
+} // namespace lentilrack::platform
--- /dev/null
+++ b/src/platform/service_client.cpp
@@ -0,0 +1,47 @@
+#include "platform/service_client.h"
+
+#include "platform/call_outcome.h"
+
+namespace lentilrack::platform {
+
+ServiceClient::ServiceClient(net::HttpClient& http)
+  : mHttp(http)
+{
+}
+
+net::Awaitable<core::Outcome>
+ServiceClient::call(core::Endpoint service, ServiceCall call)
+{
+  net::HttpCall exchange;
+  exchange.endpoint = std::move(service);
+  exchange.timeout = call.timeout;
+  exchange.freshConnection = true;
+  exchange.beforeFirstByte = call.beforeFirstByte;
+  exchange.cancel = call.cancel;
+  exchange.request.method = call.content.method;
+  exchange.request.target = "/call/" + call.content.path;
+  exchange.request.body = std::move(call.content.body);
+  if (!call.content.contentType.empty()) {
+    exchange.request.headers.emplace_back("Content-Type",
+                                          call.content.contentType);
+  }
+  if (!call.requestId.empty()) {
+    exchange.request.headers.emplace_back("Idempotency-Key", call.requestId);
+  }
+  exchange.onData = [&call](std::string_view data) {
+    if (call.onChunk) {
+      call.onChunk({ std::string(data), 0, std::nullopt });
+    }
+  };
+  const auto result = co_await mHttp.call(std::move(exchange));
+  if (result.error) {
+    co_return failedOutcome(result);
+  }
+  core::Outcome outcome;
+  outcome.verdict = core::Verdict::Done;
+  outcome.httpStatus = result.response.status;
+  outcome.contentType = result.response.contentType;
+  co_return outcome;
+}
+
+} // namespace lentilrack::platform
--- /dev/null
+++ b/src/platform/weight_store_client.cpp
@@ -0,0 +1,94 @@
+#include "platform/weight_store_client.h"
+
+#include "platform/http_json.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <limits>
+
+namespace lentilrack::platform {
+
+namespace {
+
+constexpr std::int64_t kMost = std::numeric_limits<std::int64_t>::max();
+constexpr core::Millis kAnswerTime{ 2000 };
+/// Chunks are large and the store is shared.
+constexpr core::Millis kChunkTime{ 30'000 };
+
+WeightVersion
+readVersion(wire::ObjectReader& reader)
+{
+  return { reader.integer("version", 0, kMost),
+           reader.integer("chunks", 0, kMost),
+           reader.integer("bytes", 0, kMost) };
+}
+
+} // namespace
+
+WeightStoreClient::WeightStoreClient(net::HttpClient& http)
+  : mHttp(http)
+{
+}
+
+net::Awaitable<core::Result<std::optional<WeightVersion>>>
+WeightStoreClient::newest(core::Endpoint store,
+                          std::string model,
+                          std::int64_t after,
+                          core::Millis wait)
+{
+  using Version = std::optional<WeightVersion>;
+  auto call = plainCall(std::move(store),
+                        "GET",
+                        fmt::format("/versions/{}?after={}&timeout_ms={}",
+                                    percentEncoded(model),
+                                    after,
+                                    wait.count()),
+                        wait + kAnswerTime);
+  const auto result = co_await mHttp.call(std::move(call));
+  if (const auto error = answerError(result)) {
+    co_return error;
+  }
+  if (result.response.status == 204) {
+    co_return Version();
+  }
+  const auto version = readAnswer(result.response.body, readVersion);
+  if (!version) {
+    co_return version.error();
+  }
+  // A store that repeats an old version would make the caller spin.
+  if (version.value().version <= after) {
+    co_return make_error_code(PlatformError::BadAnswer);
+  }
+  co_return Version(version.value());
+}
+
+net::Awaitable<core::Result<std::string>>
+WeightStoreClient::chunk(core::Endpoint store,
+                         std::string model,
+                         std::int64_t version,
+                         std::int64_t number)
+{
+  auto call = plainCall(
+    std::move(store),
+    "GET",
+    fmt::format("/weights/{}/{}/{}", percentEncoded(model), version, number),
+    kChunkTime);
+  auto result = co_await mHttp.call(std::move(call));
+  if (const auto error = answerError(result)) {
+    co_return error;
+  }
+  const auto expected = net::headerValue(result.response.headers, "X-Checksum");
+  if (expected != chunkChecksum(result.response.body)) {
+    co_return make_error_code(PlatformError::BadAnswer);
+  }
+  co_return std::move(result.response.body);
+}
+
+std::string
+chunkChecksum(std::string_view data)
+{
+  return fmt::format("{:016x}", XXH64(data.data(), data.size(), 0));
+}
+
+} // namespace lentilrack::platform
