--- a/src/wire/table_codec.cpp
+++ b/src/wire/table_codec.cpp
@@ -1,40 +1,23 @@
 #include "wire/table_codec.h"
 
-#include <algorithm>
-#include <array>
+#include "core/row_fields.h"
+
 #include <limits>
 
 namespace lentilrack::wire {
 
 namespace {
 
-constexpr std::int64_t kMaxWeight = 1000;
-constexpr std::int64_t kMaxConcurrent = 1'000'000;
-constexpr double kMaxRate = 1e6;
-constexpr std::int64_t kMaxPriority = 9;
-constexpr std::int64_t kMaxDeadlineMs = 3600 * 1000;
-constexpr std::int64_t kMaxStaleness = 1'000'000;
-constexpr std::int64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
-constexpr std::size_t kMaxNameLength = 128;
-constexpr std::size_t kHashLength = 64;
+using Limits = core::RowLimits;
 
-constexpr std::array<std::pair<core::PrincipalRole, const char*>, 3> kRoles{ {
-  { core::PrincipalRole::Caller, "caller" },
-  { core::PrincipalRole::Trainer, "trainer" },
-  { core::PrincipalRole::Operator, "operator" },
-} };
+constexpr std::int64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
 
 std::string
 readName(ObjectReader& reader, const char* field)
 {
   auto name = reader.required<std::string>(field);
-  const auto isPlain = [](unsigned char c) { return c > ' ' && c != 0x7f; };
-  if (name.empty() || name.size() > kMaxNameLength ||
-      !std::ranges::all_of(name, isPlain) ||
-      name.find_first_of(",\"/") != std::string::npos) {
-    reader.fail(field,
-                "must have 1 to 128 characters without spaces, commas, quotes "
-                "and slashes");
+  if (!core::isPlainName(name)) {
+    reader.fail(field, "must have " + std::string(core::kNameRule));
   }
   return name;
 }
@@ -42,13 +25,11 @@
 core::PrincipalRole
 readRole(ObjectReader& reader)
 {
-  const auto text = reader.required<std::string>("role");
-  for (const auto& [role, name] : kRoles) {
-    if (text == name) {
-      return role;
-    }
+  const auto role = core::parseRole(reader.required<std::string>("role"));
+  if (!role) {
+    reader.fail("role", "must be caller, trainer or operator");
   }
-  reader.fail("role", "must be caller, trainer or operator");
+  return *role;
 }
 
 core::Row
@@ -58,16 +39,18 @@
   core::Row row;
   row.principal = readName(reader, "principal");
   row.kind = readName(reader, "kind");
-  row.weight = reader.integerOr("weight", 1, kMaxWeight, 1);
+  row.weight = reader.integerOr("weight", 1, Limits::kMaxWeight, 1);
   row.ratePerSecond = reader.optional<double>("ratePerSecond", 0);
-  if (!(row.ratePerSecond >= 0 && row.ratePerSecond <= kMaxRate)) {
+  if (!(row.ratePerSecond >= 0 && row.ratePerSecond <= Limits::kMaxRate)) {
     reader.fail("ratePerSecond", "must be 0 to 1000000");
   }
-  row.maxConcurrent = reader.integerOr("maxConcurrent", 0, kMaxConcurrent, 0);
-  row.priority = reader.integerOr("priority", 0, kMaxPriority, 5);
-  row.deadline =
-    core::Millis(reader.integerOr("deadlineMs", 1, kMaxDeadlineMs, 30000));
-  row.stalenessBound = reader.integerOr("stalenessBound", 0, kMaxStaleness, 1);
+  row.maxConcurrent =
+    reader.integerOr("maxConcurrent", 0, Limits::kMaxConcurrent, 0);
+  row.priority = reader.integerOr("priority", 0, Limits::kMaxPriority, 5);
+  row.deadline = core::Millis(
+    reader.integerOr("deadlineMs", 1, Limits::kMaxDeadlineMs, 30000));
+  row.stalenessBound =
+    reader.integerOr("stalenessBound", 0, Limits::kMaxStaleness, 1);
   row.hedge = reader.optional<bool>("hedge", false);
   row.version = reader.integerOr("version", 0, kMaxVersion, 0);
   reader.finish();
@@ -82,10 +65,7 @@
   principal.name = readName(reader, "name");
   principal.role = readRole(reader);
   principal.tokenHash = reader.required<std::string>("tokenHash");
-  const bool isHash = principal.tokenHash.size() == kHashLength &&
-                      principal.tokenHash.find_first_not_of(
-                        "0123456789abcdef") == std::string::npos;
-  if (!isHash) {
+  if (!core::isTokenHash(principal.tokenHash)) {
     reader.fail("tokenHash", "must be 64 lower-case hex digits");
   }
   principal.version = reader.integerOr("version", 0, kMaxVersion, 0);
@@ -127,9 +107,7 @@
 std::string
 roleName(core::PrincipalRole role)
 {
-  const auto* const found = std::ranges::find(
-    kRoles, role, &std::pair<core::PrincipalRole, const char*>::first);
-  return found == kRoles.end() ? "" : found->second;
+  return core::roleText(role);
 }
 
 Json
