--- a/src/core/edit_run.cpp
+++ b/src/core/edit_run.cpp
@@ -85,7 +85,7 @@
 }
 
 void
-EditRun::writeUnknown(std::string)
+EditRun::writeUnknown()
 {
   const auto& write = std::get<Write>(mStep);
   mPending = Pending{ write.expect, write.table.revision };
@@ -101,7 +101,8 @@
 void
 EditRun::retryRead(std::string reason)
 {
-  if (++mFailedReads < kMaxFailedReads) {
+  const int most = mPending ? kMaxFailedReadsBack : kMaxFailedReads;
+  if (++mFailedReads < most) {
     mStep = Read{};
     return;
   }
--- a/src/core/edit_run.h
+++ b/src/core/edit_run.h
@@ -37,7 +37,10 @@
 {
 public:
   /// Reads that fail or are too old, one after the other, before it gives up.
-  static constexpr int kMaxFailedReads = 5;
+  static constexpr int kMaxFailedReads = 2;
+  /// The same while a write may have taken effect. Higher, since the answer
+  /// would be "unknown".
+  static constexpr int kMaxFailedReadsBack = 8;
   /// Writes that meet another edit. More than the operators that could ever
   /// edit at once: each of them wins one round.
   static constexpr int kMaxWrites = 40;
@@ -68,7 +71,7 @@
   void writeDone();
   void writeConflict();
   /// The write may or may not have taken effect, now or later.
-  void writeUnknown(std::string reason);
+  void writeUnknown();
   /// The write certainly has no effect.
   void writeFailed(std::string reason);
 
--- /dev/null
+++ b/src/entry/admin_answer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/edit_run.h"
+#include "net/http_types.h"
+#include "wire/object_reader.h"
+
+#include <string>
+
+namespace lentilrack::entry {
+
+net::HttpResponse
+jsonAnswer(const wire::Json& body, int status = 200);
+
+/// The error form of every answer: nothing of the request took effect.
+net::HttpResponse
+refusal(int status, const std::string& code, const std::string& message);
+
+/// 200 accepted, 409 conflict with the current row, 400 invalid, 503
+/// unavailable, and 503 unknown with the verdict "unknown".
+net::HttpResponse
+outcomeAnswer(const core::EditOutcome& outcome);
+
+/// "accepted", "conflict", "invalid", "unavailable", "unknown".
+std::string
+outcomeName(const core::EditOutcome& outcome);
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/admin_api.cpp
@@ -0,0 +1,190 @@
+#include "entry/admin_api.h"
+
+#include "core/table_csv.h"
+#include "entry/admin_answer.h"
+#include "entry/admin_views.h"
+#include "platform/error.h"
+#include "wire/table_codec.h"
+
+#include <charconv>
+#include <optional>
+
+namespace lentilrack::entry {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kForbidden = 403;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+/// A revision from a query parameter; nothing if it is none.
+std::optional<std::int64_t>
+parseRevision(const std::string& text)
+{
+  std::int64_t revision = 0;
+  const auto* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, revision);
+  return error == std::errc{} && rest == end && revision >= 1
+           ? std::optional(revision)
+           : std::nullopt;
+}
+
+net::HttpResponse
+badRevision(const std::string& text)
+{
+  return refusal(kBadRequest,
+                 "bad_parameter",
+                 "revision must be an integer of at least 1, not \"" + text +
+                   "\"");
+}
+
+net::HttpResponse
+storeFailure(std::error_code error)
+{
+  return refusal(kUnavailable,
+                 "unavailable",
+                 "the history cannot be read: " + error.message());
+}
+
+} // namespace
+
+AdminApi::AdminApi(AdminParts parts)
+  : mParts(std::move(parts))
+  , mEditor(mParts.io,
+            mParts.kv,
+            mParts.table,
+            mParts.log,
+            mParts.self.incarnation)
+{
+}
+
+void
+AdminApi::addRoutes(net::HttpRouter& router)
+{
+  add(router, "GET", "/admin/table", &AdminApi::showTable);
+  add(router, "GET", "/admin/status", &AdminApi::showStatus);
+  add(router, "GET", "/admin/members", &AdminApi::showMembers);
+  add(router, "GET", "/admin/force", &AdminApi::showForce);
+  add(router, "GET", "/admin/history", &AdminApi::showHistory);
+  add(router, "GET", "/admin/export", &AdminApi::exportRows);
+  add(router, "POST", "/admin/edits", &AdminApi::postEdit);
+  add(router, "POST", "/admin/import", &AdminApi::importRows);
+}
+
+void
+AdminApi::add(net::HttpRouter& router,
+              const char* method,
+              const char* path,
+              Handler handler)
+{
+  router.add(method, path, [this, handler](net::HttpExchange& exchange) {
+    return guard(exchange, handler);
+  });
+}
+
+net::Awaitable<void>
+AdminApi::guard(net::HttpExchange& exchange, Handler handler)
+{
+  const auto table = mParts.table.snapshot();
+  const auto token = exchange.request().bearerToken();
+  net::HttpResponse response;
+  const auto* principal = token.empty() ? nullptr : table->authenticate(token);
+  if (table->revision == 0) {
+    response = refusal(kUnavailable,
+                       "no_table",
+                       "this instance has no table yet; if there is none at "
+                       "all, use lentilrackctl bootstrap");
+  } else if (principal == nullptr) {
+    response = refusal(kUnauthorized,
+                       "unauthorized",
+                       "the header \"Authorization: Bearer TOKEN\" with the "
+                       "token of an operator is needed");
+  } else if (principal->role != core::PrincipalRole::Operator) {
+    response = refusal(kForbidden,
+                       "forbidden",
+                       "principal " + principal->name + " is no operator");
+  } else {
+    Request request{ exchange, principal->name };
+    response = co_await (this->*handler)(std::move(request));
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+net::Awaitable<net::HttpResponse>
+AdminApi::showTable(Request)
+{
+  co_return jsonAnswer(wire::encode(mParts.table.table()));
+}
+
+net::Awaitable<net::HttpResponse>
+AdminApi::showStatus(Request)
+{
+  const auto& table = mParts.table.table();
+  auto status = memberSummary(mParts.members, table.revision);
+  status["name"] = mParts.self.name;
+  status["table_revision"] = table.revision;
+  status["rows"] = table.rows.size();
+  status["principals"] = table.principals.size();
+  status["kv_available"] = mParts.kv.available();
+  status["cut_off"] = mParts.cutOff();
+  co_return jsonAnswer(status);
+}
+
+net::Awaitable<net::HttpResponse>
+AdminApi::showMembers(Request)
+{
+  co_return jsonAnswer(membersView(mParts.members));
+}
+
+net::Awaitable<net::HttpResponse>
+AdminApi::showForce(Request request)
+{
+  const auto text = request.exchange.request().query("revision");
+  const auto revision = parseRevision(text);
+  if (!revision) {
+    co_return badRevision(text);
+  }
+  co_return jsonAnswer(forceView(mParts.members, *revision));
+}
+
+net::Awaitable<net::HttpResponse>
+AdminApi::showHistory(Request request)
+{
+  const auto text = request.exchange.request().query("revision");
+  if (text.empty()) {
+    const auto tables = co_await mEditor.history();
+    if (!tables) {
+      co_return storeFailure(tables.error());
+    }
+    co_return jsonAnswer(historyView(tables.value()));
+  }
+  const auto revision = parseRevision(text);
+  if (!revision) {
+    co_return badRevision(text);
+  }
+  const auto table = co_await mEditor.historyEntry(*revision);
+  if (table) {
+    co_return jsonAnswer(wire::encode(table.value()));
+  }
+  if (table.error() != platform::PlatformError::NotFound) {
+    co_return storeFailure(table.error());
+  }
+  co_return refusal(kNotFound,
+                    "unknown_revision",
+                    "revision " + text +
+                      " is not in the history, which holds the last " +
+                      std::to_string(node::kHistoryLength) + " revisions");
+}
+
+net::Awaitable<net::HttpResponse>
+AdminApi::exportRows(Request)
+{
+  net::HttpResponse response;
+  response.contentType = "text/csv";
+  response.body = core::CsvFormat().writeRows(mParts.table.table());
+  co_return response;
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/admin_api.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/membership.h"
+#include "core/table_replica.h"
+#include "net/http_router.h"
+#include "net/log.h"
+#include "net/metrics.h"
+#include "node/table_editor.h"
+
+#include <functional>
+#include <string>
+
+namespace lentilrack::node {
+class Node;
+} // namespace lentilrack::node
+
+namespace lentilrack::entry {
+
+/// What the administration API works on; all of it must outlive the API.
+struct AdminParts
+{
+  net::asio::io_context& io;
+  core::ProcessId self;
+  core::TableReplica& table;
+  core::Membership& members;
+  platform::KvClient& kv;
+  net::Metrics& metrics;
+  net::Logger log;
+  /// Node::cutOff().
+  std::function<bool()> cutOff;
+};
+
+/// HTTP for operators: everything under /admin. Every request needs the token
+/// of a principal with the role "operator".
+class AdminApi
+{
+public:
+  explicit AdminApi(node::Node& node);
+  explicit AdminApi(AdminParts parts);
+
+  void addRoutes(net::HttpRouter& router);
+
+private:
+  /// A request of an operator who has been recognized.
+  struct Request
+  {
+    net::HttpExchange& exchange;
+    std::string operatorName;
+  };
+  using Handler = net::Awaitable<net::HttpResponse> (AdminApi::*)(Request);
+
+  void add(net::HttpRouter& router,
+           const char* method,
+           const char* path,
+           Handler handler);
+  net::Awaitable<void> guard(net::HttpExchange& exchange, Handler handler);
+
+  net::Awaitable<net::HttpResponse> showTable(Request request);
+  net::Awaitable<net::HttpResponse> showStatus(Request request);
+  net::Awaitable<net::HttpResponse> showMembers(Request request);
+  net::Awaitable<net::HttpResponse> showForce(Request request);
+  net::Awaitable<net::HttpResponse> showHistory(Request request);
+  net::Awaitable<net::HttpResponse> exportRows(Request request);
+
+  net::Awaitable<net::HttpResponse> postEdit(Request request);
+  net::Awaitable<net::HttpResponse> importRows(Request request);
+  net::Awaitable<net::HttpResponse> runEdit(core::Edit edit,
+                                            std::string operatorName);
+
+  AdminParts mParts;
+  node::TableEditor mEditor;
+};
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/admin_node.cpp
@@ -0,0 +1,28 @@
+#include "entry/admin_api.h"
+#include "node/node.h"
+
+namespace lentilrack::entry {
+
+namespace {
+
+AdminParts
+partsOf(node::Node& node)
+{
+  return { node.io(),
+           node.self(),
+           node.table(),
+           node.members(),
+           node.kv(),
+           node.metrics(),
+           node.log().part("admin"),
+           [&node] { return node.cutOff(); } };
+}
+
+} // namespace
+
+AdminApi::AdminApi(node::Node& node)
+  : AdminApi(partsOf(node))
+{
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/node/table_editor.cpp
@@ -0,0 +1,217 @@
+#include "node/table_editor.h"
+
+#include "platform/error.h"
+#include "wire/table_codec.h"
+
+#include <pcg_random.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace lentilrack::node {
+
+namespace {
+
+using platform::PlatformError;
+
+/// The first wait after a failed or lost call; doubled for each further one.
+/// Waits of one edit sum to at most 5 s, so that an operator gets an answer
+/// while the client still waits.
+constexpr core::Millis kFirstPause{ 50 };
+constexpr core::Millis kLongestPause{ 1000 };
+
+std::string
+historyKey(std::int64_t revision)
+{
+  return kHistoryPrefix + std::to_string(revision);
+}
+
+core::Result<core::Table>
+decoded(const wire::Json& value, const net::Logger& log)
+{
+  auto table = wire::decodeTable(value);
+  if (!table) {
+    log.error("Malformed table in the key-value service: {}",
+              table.error().text());
+    return make_error_code(PlatformError::BadAnswer);
+  }
+  return std::move(table.value());
+}
+
+} // namespace
+
+struct TableEditor::State
+{
+  platform::KvClient& kv;
+  core::TableReplica& replica;
+  net::Logger log;
+  pcg32 random;
+
+  net::Awaitable<void> read(core::EditRun& run);
+  net::Awaitable<void> write(core::EditRun& run);
+  net::Awaitable<void> pause(int attempt);
+  net::Awaitable<void> keep(core::Table table);
+  net::Awaitable<void> prune(std::vector<std::int64_t> revisions);
+};
+
+net::Awaitable<void>
+TableEditor::State::read(core::EditRun& run)
+{
+  const auto entry = co_await kv.read(kTableKey);
+  if (!entry) {
+    if (entry.error() == PlatformError::NotFound) {
+      run.readMissing();
+    } else {
+      run.readFailed(entry.error().message());
+    }
+    co_return;
+  }
+  const auto table = decoded(entry.value().value, log);
+  if (table) {
+    run.readDone(table.value(), entry.value().revision);
+  } else {
+    run.readFailed("the table in the key-value service is malformed");
+  }
+}
+
+net::Awaitable<void>
+TableEditor::State::write(core::EditRun& run)
+{
+  const auto& step = std::get<core::EditRun::Write>(run.step());
+  platform::KvPut put;
+  put.key = kTableKey;
+  put.value = wire::encode(step.table);
+  put.expect = step.expect;
+  const auto written = co_await kv.put(std::move(put));
+  if (written) {
+    run.writeDone();
+  } else if (written.error() == PlatformError::Conflict) {
+    run.writeConflict();
+  } else if (written.error() == PlatformError::OutcomeUnknown) {
+    run.writeUnknown();
+  } else {
+    run.writeFailed(written.error().message());
+  }
+}
+
+net::Awaitable<void>
+TableEditor::State::pause(int attempt)
+{
+  const auto longest =
+    std::min(kLongestPause, kFirstPause * (1 << std::min(attempt, 10)));
+  std::uniform_int_distribution<std::int64_t> milliseconds(longest.count() / 2,
+                                                           longest.count());
+  co_await net::sleepFor(core::Millis(milliseconds(random)));
+}
+
+net::Awaitable<void>
+TableEditor::State::keep(core::Table table)
+{
+  const auto revision = table.revision;
+  platform::KvPut put;
+  put.key = historyKey(revision);
+  put.value = wire::encode(table);
+  const auto written = co_await kv.put(std::move(put));
+  if (!written) {
+    log.warning("Revision {} is missing in the history: {}",
+                revision,
+                written.error().message());
+  }
+  if (revision > kHistoryLength) {
+    co_await kv.remove(historyKey(revision - kHistoryLength));
+  }
+}
+
+net::Awaitable<void>
+TableEditor::State::prune(std::vector<std::int64_t> revisions)
+{
+  for (const auto revision : revisions) {
+    co_await kv.remove(historyKey(revision));
+  }
+}
+
+TableEditor::TableEditor(net::asio::io_context& io,
+                         platform::KvClient& kv,
+                         core::TableReplica& replica,
+                         net::Logger log,
+                         std::uint64_t seed)
+  : mIo(io)
+  , mState(std::make_shared<State>(
+      State{ kv, replica, std::move(log), pcg32(seed) }))
+{
+}
+
+TableEditor::~TableEditor() = default;
+
+net::Awaitable<core::EditOutcome>
+TableEditor::run(core::Edit edit)
+{
+  const auto state = mState;
+  core::EditRun run(std::move(edit), state->replica.revision());
+  int attempt = 0;
+  while (!run.finished()) {
+    const bool isWrite =
+      std::holds_alternative<core::EditRun::Write>(run.step());
+    if (isWrite) {
+      co_await state->write(run);
+    } else {
+      co_await state->read(run);
+    }
+    // Another read is due after a failed read and after a write that met
+    // another edit or got no reply.
+    const bool isRetry =
+      std::holds_alternative<core::EditRun::Read>(run.step());
+    if (isRetry) {
+      co_await state->pause(attempt++);
+    }
+  }
+  auto outcome = std::get<core::EditOutcome>(run.step());
+  if (const auto* accepted = std::get_if<core::EditAccepted>(&outcome)) {
+    state->replica.offer(accepted->table);
+    if (accepted->revision == accepted->table.revision) {
+      net::spawn(mIo, state->keep(accepted->table), state);
+    }
+  }
+  co_return outcome;
+}
+
+net::Awaitable<core::Result<std::vector<core::Table>>>
+TableEditor::history()
+{
+  const auto state = mState;
+  const auto entries = co_await state->kv.list(kHistoryPrefix);
+  if (!entries) {
+    co_return entries.error();
+  }
+  std::vector<core::Table> tables;
+  for (const auto& entry : entries.value()) {
+    auto table = decoded(entry.value, state->log);
+    if (table) {
+      tables.push_back(std::move(table.value()));
+    }
+  }
+  std::ranges::sort(tables, std::greater(), &core::Table::revision);
+  const auto length = static_cast<std::size_t>(kHistoryLength);
+  std::vector<std::int64_t> surplus;
+  while (tables.size() > length) {
+    surplus.push_back(tables.back().revision);
+    tables.pop_back();
+  }
+  if (!surplus.empty()) {
+    net::spawn(mIo, state->prune(std::move(surplus)), state);
+  }
+  co_return tables;
+}
+
+net::Awaitable<core::Result<core::Table>>
+TableEditor::historyEntry(std::int64_t revision)
+{
+  const auto state = mState;
+  const auto entry = co_await state->kv.read(historyKey(revision));
+  if (!entry) {
+    co_return entry.error();
+  }
+  co_return decoded(entry.value().value, state->log);
+}
+
+} // namespace lentilrack::node
