--- /dev/null
+++ b/src/core/step.cpp
@@ -0,0 +1,358 @@
+#include "core/step.h"
+
+#include "core/version_track.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace lentilrack::core {
+
+namespace {
+
+StepError
+badInput(std::string message)
+{
+  return { StepFault::BadInput, std::move(message) };
+}
+
+std::string
+slotText(Slot slot)
+{
+  return "group " + std::to_string(slot.group) + ", index " +
+         std::to_string(slot.index);
+}
+
+} // namespace
+
+Step::Step(StepSpec spec,
+           std::int64_t opening,
+           StepPolicy policy,
+           Limits limits)
+  : mSpec(std::move(spec))
+  , mOpening(opening)
+  , mPolicy(std::move(policy))
+  , mLimits(limits)
+  , mGroups(mSpec.prompts.size())
+{
+  for (auto& group : mGroups) {
+    group.slots.resize(static_cast<std::size_t>(mSpec.groupSize));
+  }
+}
+
+std::optional<StepError>
+Step::checkSpec(const StepSpec& spec,
+                std::int64_t opening,
+                const Limits& limits)
+{
+  if (spec.name.empty()) {
+    return badInput("the step has no name");
+  }
+  if (opening < 1) {
+    return badInput("the opening number must be at least 1");
+  }
+  if (spec.prompts.empty()) {
+    return badInput("the step has no prompts");
+  }
+  const auto groups = static_cast<std::int64_t>(spec.prompts.size());
+  if (spec.groupSize < 1 || spec.groupSize > limits.slots / groups) {
+    return badInput("the group size must be at least 1 and the step must have "
+                    "at most " +
+                    std::to_string(limits.slots) + " samples");
+  }
+  if (spec.quorum < 1 || spec.quorum > spec.groupSize) {
+    return badInput("the quorum must be between 1 and the group size " +
+                    std::to_string(spec.groupSize) + ", not " +
+                    std::to_string(spec.quorum));
+  }
+  if (spec.maxTokens < 1) {
+    return badInput("max_tokens must be at least 1");
+  }
+  return std::nullopt;
+}
+
+Result<Step, StepError>
+Step::open(StepSpec spec,
+           std::int64_t opening,
+           const std::vector<Slot>& have,
+           StepPolicy policy,
+           Limits limits)
+{
+  if (auto error = checkSpec(spec, opening, limits)) {
+    return std::move(*error);
+  }
+  Step step(std::move(spec), opening, std::move(policy), limits);
+  if (auto error = step.checkSlots(have)) {
+    return std::move(*error);
+  }
+  step.applyHave(have);
+  return step;
+}
+
+Result<void, StepError>
+Step::reopen(const StepSpec& spec,
+             std::int64_t opening,
+             const std::vector<Slot>& have)
+{
+  if (opening < mOpening) {
+    return StepError{ StepFault::OldOpening,
+                      "the step is open with opening " +
+                        std::to_string(mOpening) };
+  }
+  if (spec != mSpec) {
+    return StepError{ StepFault::DifferentStep,
+                      "the step is open with other prompts or sizes; close it "
+                      "or use another name" };
+  }
+  if (opening == mOpening) {
+    return acknowledge(opening, have);
+  }
+  if (auto error = checkSlots(have)) {
+    return std::move(*error);
+  }
+  mOpening = opening;
+  for (auto& group : mGroups) {
+    for (auto& slot : group.slots) {
+      slot.acknowledged = false;
+      slot.handedOver = false;
+    }
+  }
+  applyHave(have);
+  return outcome::success();
+}
+
+Result<void, StepError>
+Step::setStalenessBound(std::int64_t versions)
+{
+  if (versions < 0) {
+    return badInput("the staleness bound must not be negative");
+  }
+  mBound = versions;
+  return outcome::success();
+}
+
+void
+Step::observeVersion(std::int64_t version)
+{
+  mNewest = std::max(mNewest, version);
+}
+
+std::optional<StepError>
+Step::checkSlots(const std::vector<Slot>& have) const
+{
+  const auto groups = static_cast<std::int64_t>(mGroups.size());
+  for (const auto slot : have) {
+    const bool exists = slot.group >= 0 && slot.group < groups &&
+                        slot.index >= 0 && slot.index < mSpec.groupSize;
+    if (!exists) {
+      return badInput("the step has no slot " + slotText(slot));
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<StepError>
+Step::checkMessage(std::int64_t opening, const std::vector<Slot>& have) const
+{
+  if (opening < mOpening) {
+    return StepError{ StepFault::OldOpening,
+                      "the step has been opened again with opening " +
+                        std::to_string(mOpening) };
+  }
+  if (opening > mOpening) {
+    return StepError{ StepFault::UnknownOpening,
+                      "the step is open with opening " +
+                        std::to_string(mOpening) + " only" };
+  }
+  if (auto error = checkSlots(have)) {
+    return error;
+  }
+  for (const auto slot : have) {
+    const auto& state = at(slot);
+    if (!state.acknowledged && !state.handedOver) {
+      return StepError{ StepFault::NeverSent,
+                        "no sample was handed over in this opening for " +
+                          slotText(slot) };
+    }
+  }
+  return std::nullopt;
+}
+
+void
+Step::applyHave(const std::vector<Slot>& have)
+{
+  for (const auto slot : have) {
+    auto& state = at(slot);
+    state.acknowledged = true;
+    state.fixed.reset();
+    state.partial.reset();
+    cancelCopies(state);
+    cancelGroupIfComplete(slot.group);
+  }
+}
+
+Step::SlotState&
+Step::at(Slot slot)
+{
+  return mGroups[static_cast<std::size_t>(slot.group)]
+    .slots[static_cast<std::size_t>(slot.index)];
+}
+
+const Step::SlotState&
+Step::at(Slot slot) const
+{
+  return mGroups[static_cast<std::size_t>(slot.group)]
+    .slots[static_cast<std::size_t>(slot.index)];
+}
+
+const Step::Copy*
+Step::findCopy(CopyId id) const
+{
+  const auto slot = mCopies.find(id);
+  if (slot == mCopies.end()) {
+    return nullptr;
+  }
+  const auto& copies = at(slot->second).copies;
+  const auto found = std::ranges::find(copies, id, &Copy::id);
+  return found == copies.end() ? nullptr : &*found;
+}
+
+Step::Copy*
+Step::findCopy(CopyId id)
+{
+  return const_cast<Copy*>(std::as_const(*this).findCopy(id));
+}
+
+bool
+Step::groupComplete(const Group& group) const
+{
+  return std::ranges::count_if(group.slots, &SlotState::ready) >= mSpec.quorum;
+}
+
+bool
+Step::complete() const
+{
+  return std::ranges::all_of(
+    mGroups, [this](const Group& group) { return groupComplete(group); });
+}
+
+bool
+Step::fresh(const std::vector<Segment>& segments) const
+{
+  const auto age = sampleAge(segments, mNewest);
+  return age.has_value() && *age <= mBound;
+}
+
+std::int64_t
+Step::inFlight() const
+{
+  return static_cast<std::int64_t>(mCopies.size());
+}
+
+std::int64_t
+Step::unacknowledged() const
+{
+  std::int64_t count = 0;
+  for (const auto& group : mGroups) {
+    count += std::ranges::count_if(group.slots, [](const SlotState& slot) {
+      return slot.fixed.has_value();
+    });
+  }
+  return count;
+}
+
+// Hand-over.
+
+Result<HandOver, StepError>
+Step::pull(std::int64_t opening,
+           const std::vector<Slot>& have,
+           std::int64_t version)
+{
+  if (version < 0) {
+    return badInput("the version must not be negative");
+  }
+  if (auto error = checkMessage(opening, have)) {
+    return std::move(*error);
+  }
+  observeVersion(version);
+  applyHave(have);
+  dropStale(true);
+  HandOver result;
+  result.complete = true;
+  std::size_t bytes = 0;
+  for (auto& group : mGroups) {
+    if (!groupComplete(group) || bytes >= mLimits.handOverBytes) {
+      result.complete = false;
+      continue;
+    }
+    for (auto& slot : group.slots) {
+      if (slot.fixed) {
+        slot.handedOver = true;
+        bytes += slot.fixed->text.size();
+        result.samples.push_back(*slot.fixed);
+      }
+    }
+  }
+  mCounters.handedOver += static_cast<std::int64_t>(result.samples.size());
+  return result;
+}
+
+Result<void, StepError>
+Step::acknowledge(std::int64_t opening, const std::vector<Slot>& have)
+{
+  if (auto error = checkMessage(opening, have)) {
+    return std::move(*error);
+  }
+  applyHave(have);
+  return outcome::success();
+}
+
+bool
+Step::readyForPull()
+{
+  dropStale(false);
+  bool ready = false;
+  bool allComplete = true;
+  for (const auto& group : mGroups) {
+    if (!groupComplete(group)) {
+      allComplete = false;
+      continue;
+    }
+    ready = ready || std::ranges::any_of(group.slots, [](const auto& slot) {
+              return slot.fixed.has_value();
+            });
+  }
+  return ready || allComplete;
+}
+
+void
+Step::dropStale(bool handedOverToo)
+{
+  for (auto& group : mGroups) {
+    for (auto& slot : group.slots) {
+      const bool eligible = handedOverToo || !slot.handedOver;
+      if (eligible && slot.fixed && !fresh(slot.fixed->segments)) {
+        slot.fixed.reset();
+        // The trainer has said that it does not have it, or was never sent it.
+        slot.handedOver = false;
+        ++mCounters.stale;
+      }
+      dropStaleAnswers(slot);
+    }
+  }
+}
+
+void
+Step::dropStaleAnswers(SlotState& slot)
+{
+  std::erase_if(slot.copies, [this](const Copy& copy) {
+    const bool drop = copy.scoring && !fresh(copy.segments);
+    if (drop) {
+      mCopies.erase(copy.id);
+      mCancelled.push_back(copy.id);
+      ++mCounters.stale;
+    }
+    return drop;
+  });
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/step_copies.cpp
@@ -0,0 +1,309 @@
+// The rollouts of a step: start, tokens, end and score of copies.
+#include "core/step.h"
+#include "core/version_track.h"
+
+#include <algorithm>
+
+namespace lentilrack::core {
+
+SlotView
+Step::groupView(std::int64_t index) const
+{
+  const auto& group = mGroups[static_cast<std::size_t>(index)];
+  SlotView result;
+  result.slot.group = index;
+  result.quorum = mSpec.quorum;
+  for (const auto& slot : group.slots) {
+    result.groupReady += slot.ready() ? 1 : 0;
+    result.groupRunning += static_cast<std::int64_t>(slot.copies.size());
+  }
+  result.estimate = mPolicy.estimate({ group.lengthCount,
+                                       group.lengthSum,
+                                       mLengthCount,
+                                       mLengthSum,
+                                       mSpec.maxTokens });
+  return result;
+}
+
+std::optional<CopyStart>
+Step::start(TimePoint now, std::int64_t idleSlots)
+{
+  dropStale(false);
+  std::optional<SlotView> best;
+  bool waiting = false;
+  for (std::size_t g = 0; g < mGroups.size(); ++g) {
+    const auto& group = mGroups[g];
+    auto candidate = groupView(static_cast<std::int64_t>(g));
+    if (candidate.groupReady >= mSpec.quorum) {
+      continue;
+    }
+    for (std::size_t i = 0; i < group.slots.size(); ++i) {
+      const auto& state = group.slots[i];
+      if (state.ready() || !state.copies.empty()) {
+        continue;
+      }
+      if (state.notBefore > now) {
+        waiting = true;
+        continue;
+      }
+      candidate.slot.index = static_cast<std::int64_t>(i);
+      if (!best || mPolicy.startsBefore(candidate, *best)) {
+        best = candidate;
+      }
+    }
+  }
+  if (best) {
+    return startSlot(best->slot, now, false);
+  }
+  return waiting ? std::nullopt : startExtra(now, idleSlots);
+}
+
+std::optional<CopyStart>
+Step::startExtra(TimePoint now, std::int64_t idleSlots)
+{
+  std::vector<SlotView> views;
+  for (const auto& [id, slot] : mCopies) {
+    const auto& copies = at(slot).copies;
+    const bool first = copies.front().id == id;
+    const bool scoring = std::ranges::any_of(copies, &Copy::scoring);
+    if (first && !scoring) {
+      auto view = groupView(slot.group);
+      view.slot = slot;
+      view.running = static_cast<std::int64_t>(copies.size());
+      view.runningFor =
+        std::chrono::duration_cast<Millis>(now - copies.front().started);
+      views.push_back(view);
+    }
+  }
+  const ExtraCopyBudget budget{ static_cast<std::int64_t>(mGroups.size()) *
+                                  mSpec.groupSize,
+                                mCounters.extraCopies,
+                                idleSlots };
+  const auto chosen = mPolicy.extraCopy(views, budget);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  ++mCounters.extraCopies;
+  return startSlot(*chosen, now, true);
+}
+
+CopyStart
+Step::startSlot(Slot slot, TimePoint now, bool extra)
+{
+  auto& state = at(slot);
+  Copy copy;
+  copy.id = ++mLastCopy;
+  copy.extra = extra;
+  copy.started = now;
+  CopyStart result{ copy.id, slot, 0, std::nullopt, extra };
+  if (state.partial && !extra) {
+    const auto& partial = *state.partial;
+    const auto choice = mPolicy.resume({ *oldestVersion(partial.segments),
+                                         partial.segments.back().version,
+                                         mNewest,
+                                         mBound,
+                                         partial.failures });
+    if (choice == ResumeChoice::Restart) {
+      state.partial.reset();
+    } else {
+      copy.offset = partial.tokens;
+      copy.text = partial.text;
+      copy.tokens = partial.tokens;
+      copy.segments = partial.segments;
+      result.offset = partial.tokens;
+      if (choice == ResumeChoice::SameVersion) {
+        result.version = partial.segments.back().version;
+      }
+      ++mCounters.resumed;
+    }
+  }
+  mCopies[copy.id] = slot;
+  state.copies.push_back(std::move(copy));
+  ++mRunning;
+  return result;
+}
+
+std::optional<TimePoint>
+Step::nextStart() const
+{
+  std::optional<TimePoint> earliest;
+  for (const auto& group : mGroups) {
+    if (groupComplete(group)) {
+      continue;
+    }
+    for (const auto& slot : group.slots) {
+      if (slot.ready() || !slot.copies.empty()) {
+        continue;
+      }
+      if (!earliest || slot.notBefore < *earliest) {
+        earliest = slot.notBefore;
+      }
+    }
+  }
+  return earliest;
+}
+
+bool
+Step::chunk(CopyId id, const Chunk& chunk)
+{
+  auto* copy = findCopy(id);
+  if (copy == nullptr || copy->scoring) {
+    return false;
+  }
+  copy->text += chunk.text;
+  if (chunk.tokens > 0) {
+    copy->tokens += chunk.tokens;
+    if (chunk.version) {
+      observeVersion(*chunk.version);
+      appendSegment(copy->segments, *chunk.version, chunk.tokens);
+    } else {
+      copy->unknownVersion = true;
+    }
+  }
+  return copy->segments.empty() || fresh(copy->segments);
+}
+
+CopyEnd
+Step::finish(CopyId id, const Outcome& outcome, TimePoint now, double random)
+{
+  auto* copy = findCopy(id);
+  if (copy == nullptr || copy->scoring) {
+    ++mCounters.unwanted;
+    return CopyEnd::Unwanted;
+  }
+  auto& slot = at(mCopies.at(id));
+  const bool known = !copy->unknownVersion && !copy->segments.empty() &&
+                     coversTokens(copy->segments, copy->tokens);
+  if (outcome.verdict != Verdict::Done) {
+    ++mCounters.failed;
+    auto cut = removeCopy(id);
+    if (known && fresh(cut.segments)) {
+      keepPartial(slot, std::move(cut));
+    } else if (!cut.segments.empty()) {
+      slot.partial.reset();
+    }
+    delay(slot, now, random);
+    return CopyEnd::Again;
+  }
+  const bool whole = copy->tokens == outcome.totalTokens;
+  if (whole && known && fresh(copy->segments)) {
+    copy->scoring = true;
+    --mRunning;
+    return CopyEnd::Score;
+  }
+  if (!whole) {
+    ++mCounters.wrongLength;
+  } else if (!known) {
+    ++mCounters.unknownVersion;
+  } else {
+    ++mCounters.stale;
+  }
+  removeCopy(id);
+  slot.partial.reset();
+  delay(slot, now, random);
+  return CopyEnd::Again;
+}
+
+void
+Step::keepPartial(SlotState& slot, Copy&& copy)
+{
+  const bool progress = copy.tokens > copy.offset;
+  if (!progress) {
+    if (slot.partial) {
+      ++slot.partial->failures;
+    }
+    return;
+  }
+  slot.failures = 0;
+  if (!slot.partial || slot.partial->tokens < copy.tokens) {
+    slot.partial =
+      Partial{ std::move(copy.text), copy.tokens, std::move(copy.segments), 0 };
+  }
+}
+
+void
+Step::delay(SlotState& slot, TimePoint now, double random)
+{
+  ++slot.failures;
+  slot.notBefore = now + mPolicy.backoff(slot.failures, random);
+}
+
+Step::Copy
+Step::removeCopy(CopyId id)
+{
+  auto& copies = at(mCopies.at(id)).copies;
+  const auto found = std::ranges::find(copies, id, &Copy::id);
+  Copy copy = std::move(*found);
+  copies.erase(found);
+  mCopies.erase(id);
+  mRunning -= copy.scoring ? 0 : 1;
+  return copy;
+}
+
+const std::string*
+Step::answer(CopyId id) const
+{
+  const auto* copy = findCopy(id);
+  return copy != nullptr && copy->scoring ? &copy->text : nullptr;
+}
+
+bool
+Step::score(CopyId id, double score)
+{
+  const auto* found = findCopy(id);
+  if (found == nullptr || !found->scoring) {
+    ++mCounters.unwanted;
+    return false;
+  }
+  const auto slot = mCopies.at(id);
+  auto& state = at(slot);
+  Copy copy = removeCopy(id);
+  if (!fresh(copy.segments)) {
+    ++mCounters.stale;
+    return false;
+  }
+  auto& group = mGroups[static_cast<std::size_t>(slot.group)];
+  ++group.lengthCount;
+  group.lengthSum += static_cast<double>(copy.tokens);
+  ++mLengthCount;
+  mLengthSum += static_cast<double>(copy.tokens);
+  state.fixed = Sample{
+    slot, std::move(copy.text), copy.tokens, score, std::move(copy.segments)
+  };
+  state.partial.reset();
+  state.failures = 0;
+  cancelCopies(state);
+  cancelGroupIfComplete(slot.group);
+  return true;
+}
+
+void
+Step::cancelCopies(SlotState& slot)
+{
+  for (const auto& copy : slot.copies) {
+    mCopies.erase(copy.id);
+    mCancelled.push_back(copy.id);
+    mRunning -= copy.scoring ? 0 : 1;
+  }
+  slot.copies.clear();
+}
+
+void
+Step::cancelGroupIfComplete(std::int64_t group)
+{
+  auto& state = mGroups[static_cast<std::size_t>(group)];
+  if (!groupComplete(state)) {
+    return;
+  }
+  for (auto& slot : state.slots) {
+    cancelCopies(slot);
+  }
+}
+
+std::vector<CopyId>
+Step::takeCancelled()
+{
+  return std::exchange(mCancelled, {});
+}
+
+} // namespace lentilrack::core
