--- /dev/null
+++ b/src/core/retry_budget.cpp
@@ -0,0 +1,41 @@
+#include "core/retry_budget.h"
+
+#include <algorithm>
+#include <random>
+
+namespace lentilrack::core {
+
+RetryBudget::RetryBudget(RetryBudgetOptions options)
+  : mOptions(options)
+  , mAvailable(options.initial)
+{
+}
+
+void
+RetryBudget::succeeded()
+{
+  mAvailable = std::min(mOptions.most, mAvailable + mOptions.perSuccess);
+}
+
+bool
+RetryBudget::take()
+{
+  // Sums of the fraction may fall short of 1 by rounding.
+  if (mAvailable < 1 - 1e-9) {
+    return false;
+  }
+  mAvailable = std::max(0.0, mAvailable - 1);
+  return true;
+}
+
+Millis
+RetryBudget::backoff(int attempt, pcg32& random) const
+{
+  const auto most =
+    std::min(mOptions.longestBackoff,
+             mOptions.firstBackoff * (1 << std::clamp(attempt - 1, 0, 20)));
+  std::uniform_int_distribution<std::int64_t> distribution(0, most.count());
+  return Millis(distribution(random));
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/server_health.cpp
@@ -0,0 +1,186 @@
+#include "core/server_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilrack::core {
+
+namespace {
+
+double
+seconds(Clock::duration duration)
+{
+  return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+ServerHealth::ServerHealth(ServerHealthOptions options)
+  : mOptions(options)
+{
+}
+
+void
+ServerHealth::settle(Server& server, TimePoint now) const
+{
+  const double elapsed = std::max(0.0, seconds(now - server.updated));
+  const double window = seconds(mOptions.rateWindow);
+  const double decay = std::exp(-elapsed / window);
+  server.tokens *= decay;
+  // Exact integral of the running count over the elapsed time, decayed.
+  server.slotSeconds =
+    server.slotSeconds * decay +
+    static_cast<double>(server.running) * window * (1 - decay);
+  server.updated = now;
+}
+
+void
+ServerHealth::started(const std::string& server, TimePoint now)
+{
+  auto& state = mServers[server];
+  settle(state, now);
+  ++state.running;
+  if (state.failures >= mOptions.failuresUntilDown) {
+    ++state.probes;
+  }
+}
+
+void
+ServerHealth::progress(const std::string& server, double tokens, TimePoint now)
+{
+  auto& state = mServers[server];
+  settle(state, now);
+  state.tokens += tokens;
+}
+
+void
+ServerHealth::finished(const std::string& server, TimePoint now)
+{
+  auto& state = mServers[server];
+  settle(state, now);
+  state.running = std::max<std::int64_t>(state.running - 1, 0);
+  state.probes = std::max<std::int64_t>(state.probes - 1, 0);
+}
+
+void
+ServerHealth::succeeded(const std::string& server)
+{
+  mServers[server].failures = 0;
+}
+
+void
+ServerHealth::failed(const std::string& server, TimePoint now)
+{
+  auto& state = mServers[server];
+  // Work that ran at the same time fails at the same time. It counts once.
+  if (state.failures >= mOptions.failuresUntilDown && now < state.retryAt) {
+    return;
+  }
+  ++state.failures;
+  const int doublings =
+    std::clamp(state.failures - mOptions.failuresUntilDown, 0, 10);
+  state.retryAt = now + std::min(mOptions.longestBackoff,
+                                 mOptions.firstBackoff * (1 << doublings));
+}
+
+void
+ServerHealth::forget(const std::string& server)
+{
+  mServers.erase(server);
+}
+
+double
+ServerHealth::rateOf(const Server& server, TimePoint now) const
+{
+  auto copy = server;
+  settle(copy, now);
+  return copy.slotSeconds < mOptions.enough ? 0
+                                            : copy.tokens / copy.slotSeconds;
+}
+
+void
+ServerHealth::compare(const std::vector<std::string>& peers, TimePoint now)
+{
+  std::vector<std::pair<double, Server*>> rates;
+  std::size_t ejected = 0;
+  for (const auto& name : peers) {
+    auto& server = mServers[name];
+    if (server.failures >= mOptions.failuresUntilDown) {
+      ++ejected;
+    }
+    settle(server, now);
+    if (server.slotSeconds >= mOptions.enough) {
+      rates.emplace_back(server.tokens / server.slotSeconds, &server);
+    }
+  }
+  // Two servers have no majority that could tell which one is slow.
+  if (rates.size() < 3) {
+    for (const auto& [rate, server] : rates) {
+      server->peerRate = rate;
+    }
+    return;
+  }
+  std::ranges::sort(rates, {}, [](const auto& entry) { return entry.first; });
+  const double median = rates[rates.size() / 2].first;
+  const auto most = static_cast<std::size_t>(
+    std::floor(mOptions.mostEjected * static_cast<double>(peers.size())));
+  for (const auto& name : peers) {
+    mServers[name].peerRate = median;
+  }
+  if (median <= 0) {
+    return;
+  }
+  for (const auto& [rate, server] : rates) {
+    const double ratio = rate / median;
+    server->slow = ratio < (server->slow ? mOptions.recovered : mOptions.slow);
+    // The slowest come first, so the bound leaves out the less slow ones.
+    const bool mayEject = server->slow && ejected < most;
+    ejected += mayEject ? 1 : 0;
+    server->share = mayEject ? std::max(ratio, mOptions.probeFloor) : 1;
+  }
+}
+
+double
+ServerHealth::share(const std::string& server) const
+{
+  const auto* state = find(server);
+  return state == nullptr ? 1 : state->share;
+}
+
+bool
+ServerHealth::available(const std::string& server, TimePoint now) const
+{
+  const auto* state = find(server);
+  return state == nullptr || state->failures < mOptions.failuresUntilDown ||
+         (now >= state->retryAt && state->probes == 0);
+}
+
+bool
+ServerHealth::down(const std::string& server) const
+{
+  const auto* state = find(server);
+  return state != nullptr && state->failures >= mOptions.failuresUntilDown;
+}
+
+double
+ServerHealth::streamRate(const std::string& server, TimePoint now) const
+{
+  const auto* state = find(server);
+  return state == nullptr ? 0 : rateOf(*state, now);
+}
+
+double
+ServerHealth::peerRate(const std::string& server) const
+{
+  const auto* state = find(server);
+  return state == nullptr ? 0 : state->peerRate;
+}
+
+const ServerHealth::Server*
+ServerHealth::find(const std::string& server) const
+{
+  const auto found = mServers.find(server);
+  return found == mServers.end() ? nullptr : &found->second;
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/server_set.cpp
@@ -0,0 +1,304 @@
+#include "core/server_set.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilrack::core {
+
+std::int64_t
+ServerState::limit() const
+{
+  return std::min(server.slots, static_cast<std::int64_t>(std::floor(window)));
+}
+
+bool
+ServerState::leaving(TimePoint now) const
+{
+  return server.leaving || !inList || reportedLeaving || refusedUntil > now;
+}
+
+bool
+ServerState::open(TimePoint now) const
+{
+  return owned && holds == 0 && !leaving(now);
+}
+
+bool
+ServerState::serves(const std::string& target) const
+{
+  if (server.role == ServerRole::Service) {
+    return server.service == target;
+  }
+  return server.role == ServerRole::Engine &&
+         std::ranges::find(server.models, target) != server.models.end();
+}
+
+ServerSet::ServerSet(ServerSetOptions options)
+  : mOptions(options)
+{
+}
+
+void
+ServerSet::update(const std::vector<BackendServer>& list,
+                  const Owned& owned,
+                  TimePoint now)
+{
+  for (auto& state : mServers) {
+    state.inList = false;
+  }
+  for (const auto& server : list) {
+    if (server.role != ServerRole::Engine &&
+        server.role != ServerRole::Service) {
+      continue;
+    }
+    const bool mine = owned(server);
+    auto* state = get(server.id);
+    if (state == nullptr) {
+      if (!mine) {
+        continue;
+      }
+      mIndex[server.id] = mServers.size();
+      state = &mServers.emplace_back();
+    }
+    if (state->server.endpoint != server.endpoint) {
+      // Another process under the same identifier; signs of the old one do
+      // not apply to it.
+      state->reportedLeaving = false;
+      state->report.reset();
+      state->versions.clear();
+    }
+    state->server = server;
+    state->server.slots = std::max<std::int64_t>(server.slots, 1);
+    state->inList = true;
+    if (mine && !state->owned) {
+      state->window = mOptions.firstWindow;
+      state->ownedSince = now;
+    }
+    state->owned = mine;
+  }
+  for (auto& state : mServers) {
+    state.owned = state.owned && state.inList;
+  }
+  reindex();
+  advance(now);
+}
+
+void
+ServerSet::report(const std::string& id, ServerReport report)
+{
+  auto* state = get(id);
+  if (state == nullptr ||
+      (state->report && state->report->observed > report.observed)) {
+    return;
+  }
+  state->reportedLeaving = report.leaving;
+  if (report.observed >= state->versionsSet) {
+    state->versions = report.models;
+  }
+  state->report = std::move(report);
+  refresh(*state);
+}
+
+void
+ServerSet::refused(const std::string& id, TimePoint now)
+{
+  if (auto* state = get(id)) {
+    state->refusedUntil = now + mOptions.refusalPause;
+    refresh(*state);
+  }
+}
+
+void
+ServerSet::markLeaving(const std::string& id)
+{
+  if (auto* state = get(id)) {
+    state->reportedLeaving = true;
+    refresh(*state);
+  }
+}
+
+void
+ServerSet::setVersion(const std::string& id,
+                      const std::string& model,
+                      std::int64_t version,
+                      TimePoint now)
+{
+  if (auto* state = get(id)) {
+    auto& current = state->versions[model];
+    current = std::max(current, version);
+    state->versionsSet = now;
+  }
+}
+
+bool
+ServerSet::hold(const std::string& id)
+{
+  auto* state = get(id);
+  if (state == nullptr) {
+    return false;
+  }
+  ++state->holds;
+  refresh(*state);
+  return true;
+}
+
+void
+ServerSet::release(const std::string& id)
+{
+  auto* state = get(id);
+  if (state != nullptr && state->holds > 0) {
+    --state->holds;
+    refresh(*state);
+  }
+}
+
+void
+ServerSet::started(const std::string& id, bool isLong)
+{
+  if (auto* state = get(id)) {
+    ++state->running;
+    state->runningLong += isLong ? 1 : 0;
+    refresh(*state);
+  }
+}
+
+void
+ServerSet::becameLong(const std::string& id)
+{
+  if (auto* state = get(id)) {
+    ++state->runningLong;
+    refresh(*state);
+  }
+}
+
+void
+ServerSet::finished(const std::string& id, bool wasLong, bool succeeded)
+{
+  auto* state = get(id);
+  if (state == nullptr) {
+    return;
+  }
+  state->running = std::max<std::int64_t>(state->running - 1, 0);
+  if (wasLong) {
+    state->runningLong = std::max<std::int64_t>(state->runningLong - 1, 0);
+  }
+  if (succeeded) {
+    state->window += 1;
+  }
+  refresh(*state);
+}
+
+void
+ServerSet::advance(TimePoint now)
+{
+  for (auto& state : mServers) {
+    if (now - state.ownedSince >= mOptions.windowGrowth) {
+      state.window =
+        std::max(state.window, static_cast<double>(state.server.slots));
+      refresh(state);
+    }
+  }
+  const auto removed = std::erase_if(mServers, [](const ServerState& state) {
+    return !state.owned && state.running == 0;
+  });
+  if (removed > 0) {
+    reindex();
+  }
+}
+
+void
+ServerSet::reindex()
+{
+  mIndex.clear();
+  mServing.clear();
+  mSlots.assign(mServers.size(), {});
+  for (std::size_t i = 0; i < mServers.size(); ++i) {
+    const auto& server = mServers[i].server;
+    mIndex[server.id] = i;
+    refresh(mServers[i]);
+    if (server.role == ServerRole::Service) {
+      mServing[server.service].push_back(i);
+    }
+    for (const auto& model : server.models) {
+      mServing[model].push_back(i);
+    }
+  }
+  ++mGeneration;
+}
+
+void
+ServerSet::refresh(const ServerState& state)
+{
+  const auto index = static_cast<std::size_t>(&state - mServers.data());
+  auto& slots = mSlots[index];
+  slots.refusedUntil = state.refusedUntil;
+  slots.limit = static_cast<std::int32_t>(state.limit());
+  slots.running = static_cast<std::int32_t>(state.running);
+  slots.runningLong = static_cast<std::int32_t>(state.runningLong);
+  slots.usable = state.owned && state.holds == 0 && !state.server.leaving &&
+                 state.inList && !state.reportedLeaving;
+}
+
+std::optional<std::size_t>
+ServerSet::indexOf(const std::string& id) const
+{
+  const auto found = mIndex.find(id);
+  return found == mIndex.end() ? std::nullopt
+                               : std::optional<std::size_t>(found->second);
+}
+
+ServerState*
+ServerSet::get(const std::string& id)
+{
+  const auto found = mIndex.find(id);
+  return found == mIndex.end() ? nullptr : &mServers[found->second];
+}
+
+const ServerState*
+ServerSet::find(const std::string& id) const
+{
+  const auto found = mIndex.find(id);
+  return found == mIndex.end() ? nullptr : &mServers[found->second];
+}
+
+const std::vector<std::size_t>&
+ServerSet::serving(const std::string& target) const
+{
+  static const std::vector<std::size_t> kNone;
+  const auto found = mServing.find(target);
+  return found == mServing.end() ? kNone : found->second;
+}
+
+std::vector<const ServerState*>
+ServerSet::owned() const
+{
+  std::vector<const ServerState*> result;
+  for (const auto& state : mServers) {
+    if (state.owned) {
+      result.push_back(&state);
+    }
+  }
+  return result;
+}
+
+std::vector<const ServerState*>
+ServerSet::ownedEngines() const
+{
+  auto result = owned();
+  std::erase_if(result, [](const ServerState* state) {
+    return state->server.role != ServerRole::Engine;
+  });
+  return result;
+}
+
+std::vector<std::string>
+ServerSet::targets() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, servers] : mServing) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/slot_policy.cpp
@@ -0,0 +1,59 @@
+#include "core/slot_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilrack::core {
+
+SlotPolicy::SlotPolicy(SlotPolicyOptions options)
+  : mOptions(options)
+{
+}
+
+bool
+SlotPolicy::isLong(double tokens, double typicalTokens) const
+{
+  return typicalTokens > 0 && tokens > mOptions.longFactor * typicalTokens;
+}
+
+std::int64_t
+SlotPolicy::longSlots(std::int64_t slots) const
+{
+  if (slots <= 1) {
+    return slots;
+  }
+  const auto part = static_cast<std::int64_t>(
+    std::floor(mOptions.longPart * static_cast<double>(slots)));
+  return std::clamp<std::int64_t>(part, 1, slots - 1);
+}
+
+bool
+SlotPolicy::mayPreempt(const WaitingWork& waiting,
+                       const RunningWork& running,
+                       TimePoint now) const
+{
+  return !waiting.isLong && running.isLong &&
+         running.type == WorkType::Rollout &&
+         waiting.priority < running.priority &&
+         running.preemptions < mOptions.mostPreemptions &&
+         now - running.startedAt >= mOptions.shortestRun &&
+         now - waiting.queuedAt >= mOptions.patience;
+}
+
+const RunningWork*
+SlotPolicy::victim(const WaitingWork& waiting,
+                   const std::vector<RunningWork>& running,
+                   TimePoint now) const
+{
+  const RunningWork* best = nullptr;
+  for (const auto& candidate : running) {
+    if (mayPreempt(waiting, candidate, now) &&
+        (best == nullptr ||
+         candidate.remainingTokens > best->remainingTokens)) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/server_set_test.cpp
@@ -0,0 +1,165 @@
+#include "core/server_set.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+const TimePoint kStart{ Millis(1'000'000) };
+
+BackendServer
+engine(std::string id, std::int64_t slots = 8)
+{
+  BackendServer server;
+  server.id = std::move(id);
+  server.models = { "m" };
+  server.slots = slots;
+  return server;
+}
+
+bool
+all(const BackendServer& /*server*/)
+{
+  return true;
+}
+
+bool
+none(const BackendServer& /*server*/)
+{
+  return false;
+}
+
+ServerReport
+reportAt(TimePoint observed, bool leaving)
+{
+  ServerReport report;
+  report.observed = observed;
+  report.leaving = leaving;
+  return report;
+}
+
+} // namespace
+
+// Guards against new work on a server whose own report says that it leaves,
+// while the lagging list still shows it as live.
+TEST(ServerSet, LoadReportStopsNewWorkBeforeTheList)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  EXPECT_TRUE(set.find("a")->open(kStart));
+  set.report("a", reportAt(kStart, true));
+  EXPECT_FALSE(set.find("a")->open(kStart));
+  set.update({ engine("a") }, all, kStart + Millis(1000));
+  EXPECT_FALSE(set.find("a")->open(kStart + Millis(1000)));
+}
+
+TEST(ServerSet, ListStopsNewWorkBeforeAnyReport)
+{
+  ServerSet set;
+  auto server = engine("a");
+  set.update({ server }, all, kStart);
+  server.leaving = true;
+  set.update({ server }, all, kStart);
+  set.report("a", reportAt(kStart, false));
+  EXPECT_FALSE(set.find("a")->open(kStart));
+}
+
+TEST(ServerSet, RefusalPausesNewWork)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  set.refused("a", kStart);
+  EXPECT_FALSE(set.find("a")->open(kStart + Millis(2999)));
+  EXPECT_TRUE(set.find("a")->open(kStart + Millis(3000)));
+}
+
+// Guards against a delayed report that takes back a newer sign of leaving.
+TEST(ServerSet, OlderReportDoesNotReplaceANewerOne)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  set.report("a", reportAt(kStart, true));
+  set.report("a", reportAt(kStart - Millis(5000), false));
+  EXPECT_FALSE(set.find("a")->open(kStart));
+  set.report("a", reportAt(kStart + Millis(1), false));
+  EXPECT_TRUE(set.find("a")->open(kStart));
+}
+
+TEST(ServerSet, RestartAtAnotherAddressIsANewServer)
+{
+  ServerSet set;
+  auto server = engine("a");
+  set.update({ server }, all, kStart);
+  set.report("a", reportAt(kStart, true));
+  server.endpoint.port = 99;
+  set.update({ server }, all, kStart);
+  EXPECT_TRUE(set.find("a")->open(kStart));
+}
+
+// Guards against losing count of running work when the owner changes.
+TEST(ServerSet, KeepsAServerUntilItsWorkHasEnded)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  set.started("a", false);
+  set.update({ engine("a") }, none, kStart);
+  ASSERT_NE(set.find("a"), nullptr);
+  EXPECT_FALSE(set.find("a")->open(kStart));
+  set.finished("a", false, true);
+  set.advance(kStart);
+  EXPECT_EQ(set.find("a"), nullptr);
+}
+
+TEST(ServerSet, ServerThatVanishesFromTheListGetsNoNewWork)
+{
+  ServerSet set;
+  set.update({ engine("a"), engine("b") }, all, kStart);
+  set.started("a", false);
+  set.update({ engine("b") }, all, kStart);
+  EXPECT_FALSE(set.find("a")->open(kStart));
+  EXPECT_EQ(set.owned().size(), 1U);
+}
+
+// Guards against two owners that together overload a server for long.
+TEST(ServerSet, NewOwnerStartsWithASmallWindow)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  EXPECT_EQ(set.find("a")->freeSlots(), 1);
+  set.started("a", false);
+  EXPECT_EQ(set.find("a")->freeSlots(), 0);
+  set.finished("a", false, true);
+  EXPECT_EQ(set.find("a")->freeSlots(), 2);
+  set.advance(kStart + Millis(5000));
+  EXPECT_EQ(set.find("a")->freeSlots(), 8);
+}
+
+TEST(ServerSet, HoldsAreCounted)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  EXPECT_TRUE(set.hold("a"));
+  EXPECT_TRUE(set.hold("a"));
+  set.release("a");
+  EXPECT_FALSE(set.find("a")->open(kStart));
+  set.release("a");
+  set.release("a");
+  EXPECT_TRUE(set.find("a")->open(kStart));
+  EXPECT_FALSE(set.hold("missing"));
+}
+
+TEST(ServerSet, VersionsOnlyGoUpOutsideReports)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  set.setVersion("a", "m", 5, kStart);
+  set.setVersion("a", "m", 4, kStart);
+  EXPECT_EQ(set.find("a")->versions.at("m"), 5);
+  auto late = reportAt(kStart - Millis(1000), false);
+  late.models = { { "m", 3 } };
+  set.report("a", late);
+  EXPECT_EQ(set.find("a")->versions.at("m"), 5);
+}
+
+} // namespace lentilrack::core
