--- /dev/null
+++ b/tests/core/membership_test.cpp
@@ -0,0 +1,114 @@
+#include "core/drain.h"
+#include "core/membership.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+const TimePoint kStart{ std::chrono::hours(1) };
+
+Member
+member(const std::string& name,
+       Incarnation incarnation,
+       std::uint64_t report,
+       MemberState state = MemberState::Alive)
+{
+  Member m;
+  m.id = { name, incarnation };
+  m.role = MemberRole::Dispatch;
+  m.failureDomain = "etna";
+  m.link = { "127.0.0.1", 1 };
+  m.state = state;
+  m.reportNumber = report;
+  return m;
+}
+
+class MembershipTest : public ::testing::Test
+{
+protected:
+  MemberState stateOf(const std::string& name) const
+  {
+    const auto* found = mMembers.find(name);
+    return found == nullptr ? MemberState::Dead : found->state;
+  }
+
+  Membership mMembers{ member("self", 1, 5), {} };
+};
+
+} // namespace
+
+// Guards against a late report that brings an older state back.
+TEST_F(MembershipTest, OlderReportNeverReplacesNewer)
+{
+  mMembers.heard(member("a", 7, 4, MemberState::Leaving), kStart);
+  EXPECT_FALSE(mMembers.reported(member("a", 7, 3), kStart));
+  EXPECT_EQ(stateOf("a"), MemberState::Leaving);
+}
+
+// Guards against a dead process that is reported alive for ever.
+TEST_F(MembershipTest, FailedProbeLeadsToDeathUnlessRefuted)
+{
+  mMembers.heard(member("a", 7, 4), kStart);
+  mMembers.heard(member("b", 8, 4), kStart);
+  mMembers.probeFailed("a", kStart);
+  mMembers.probeFailed("b", kStart);
+  EXPECT_EQ(stateOf("a"), MemberState::Suspect);
+  EXPECT_TRUE(mMembers.reported(member("b", 8, 5), kStart));
+  mMembers.advance(kStart + std::chrono::seconds(3));
+  EXPECT_EQ(stateOf("a"), MemberState::Dead);
+  EXPECT_EQ(stateOf("b"), MemberState::Alive);
+}
+
+// Guards against an old report by others that replaces a restarted process.
+TEST_F(MembershipTest, RestartIsBelievedOnlyFromTheProcessItself)
+{
+  mMembers.heard(member("a", 7, 400), kStart);
+  mMembers.heard(member("a", 9, 1), kStart);
+  EXPECT_EQ(mMembers.find("a")->id.incarnation, 9U);
+  EXPECT_FALSE(mMembers.reported(member("a", 7, 500), kStart));
+  EXPECT_EQ(mMembers.find("a")->id.incarnation, 9U);
+}
+
+// Guards against a paused process that stays suspected after it woke up.
+TEST_F(MembershipTest, SuspectedProcessRefutesWithNewerReport)
+{
+  mMembers.reported(member("self", 1, 9, MemberState::Suspect), kStart);
+  EXPECT_GT(mMembers.self().reportNumber, 9U);
+}
+
+TEST_F(MembershipTest, LeavingMembersAreReachableButNotLive)
+{
+  mMembers.heard(member("a", 7, 4, MemberState::Leaving), kStart);
+  EXPECT_EQ(mMembers.live(MemberRole::Dispatch).size(), 1U);
+  EXPECT_EQ(mMembers.reachable(MemberRole::Dispatch).size(), 2U);
+  mMembers.probeFailed("a", kStart);
+  EXPECT_EQ(mMembers.reachable(MemberRole::Dispatch).size(), 1U);
+}
+
+// Guards against a report that revives a member after it was declared dead.
+TEST_F(MembershipTest, DeadMemberIsForgottenOnlyLater)
+{
+  mMembers.heard(member("a", 7, 4), kStart);
+  mMembers.reported(member("a", 7, 4, MemberState::Dead), kStart);
+  EXPECT_FALSE(mMembers.reported(member("a", 7, 4), kStart));
+  mMembers.advance(kStart + std::chrono::seconds(30));
+  EXPECT_NE(mMembers.find("a"), nullptr);
+  mMembers.advance(kStart + std::chrono::seconds(61));
+  EXPECT_EQ(mMembers.find("a"), nullptr);
+}
+
+// Guards against a shutdown that cuts work off or ends before the others know.
+TEST(DrainTest, EndsOnlyWithNothingInFlightAndAfterNotice)
+{
+  Drain drain(Millis(1000));
+  EXPECT_FALSE(drain.mayEnd(0, kStart));
+  drain.begin(kStart);
+  EXPECT_TRUE(drain.refusesWork());
+  EXPECT_FALSE(drain.mayEnd(0, kStart + Millis(999)));
+  EXPECT_FALSE(drain.mayEnd(1, kStart + std::chrono::hours(1)));
+  EXPECT_TRUE(drain.mayEnd(0, kStart + Millis(1000)));
+}
+
+} // namespace lentilrack::core
