--- /dev/null
+++ b/src/entry/address_api.cpp
@@ -0,0 +1,147 @@
+#include "entry/address_api.h"
+
+#include "entry/request_guard.h"
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+
+namespace lentilrack::entry {
+
+using core::Millis;
+using wire::Json;
+
+namespace {
+
+constexpr Millis kObservePeriod{ 500 };
+
+/// The addresses of one answer while their tickets are fetched.
+struct Answer
+{
+  explicit Answer(net::asio::io_context& io)
+    : wake(io)
+  {
+  }
+
+  std::vector<core::AddressShare> shares;
+  std::vector<std::optional<std::string>> tickets;
+  std::size_t missing = 0;
+  net::asio::steady_timer wake;
+};
+
+net::Awaitable<void>
+fetchTicket(TicketIssuer& issuer,
+            std::shared_ptr<Answer> answer,
+            std::size_t index,
+            std::string caller,
+            std::string target)
+{
+  const auto& share = answer->shares[index];
+  answer->tickets[index] = co_await issuer.ask(
+    share.id, share.link, std::move(caller), std::move(target));
+  if (--answer->missing == 0) {
+    answer->wake.cancel();
+  }
+}
+
+Json
+bodyOf(const Answer& answer)
+{
+  double total = 0;
+  for (std::size_t i = 0; i < answer.shares.size(); ++i) {
+    total += answer.tickets[i] ? answer.shares[i].weight : 0;
+  }
+  auto addresses = Json::array();
+  for (std::size_t i = 0; i < answer.shares.size(); ++i) {
+    if (const auto& ticket = answer.tickets[i]) {
+      const auto& share = answer.shares[i];
+      addresses.push_back({ { "endpoint", share.endpoint.text() },
+                            { "failure_domain", share.failureDomain },
+                            { "weight", share.weight / total },
+                            { "ticket", *ticket } });
+    }
+  }
+  return { { "addresses", std::move(addresses) },
+           { "ttl_ms", core::kAddressTimeToLive.count() } };
+}
+
+} // namespace
+
+AddressApi::AddressApi(node::Node& node, TicketIssuer& issuer)
+  : mNode(node)
+  , mIssuer(issuer)
+  , mEngine(pcg_extras::seed_seq_from<std::random_device>{})
+{
+}
+
+void
+AddressApi::addRoutes(net::HttpRouter& router)
+{
+  router.add("GET", "/v1/addresses", [this](net::HttpExchange& exchange) {
+    return get(exchange);
+  });
+}
+
+void
+AddressApi::start()
+{
+  net::spawn(mNode.io(), observe());
+}
+
+net::Awaitable<void>
+AddressApi::observe()
+{
+  for (;;) {
+    mPlan.update(mNode.members().live(core::MemberRole::Entry),
+                 core::Clock::now());
+    co_await net::sleepFor(kObservePeriod);
+  }
+}
+
+net::Awaitable<void>
+AddressApi::get(net::HttpExchange& exchange)
+{
+  const auto& request = exchange.request();
+  const auto caller = authenticate(mNode, request);
+  if (!caller) {
+    auto response = errorResponse(caller.error());
+    co_await exchange.respond(std::move(response));
+    co_return;
+  }
+  const auto now = core::Clock::now();
+  mPlan.update(mNode.members().live(core::MemberRole::Entry), now);
+  const auto answer = std::make_shared<Answer>(mNode.io());
+  answer->shares = mPlan.choose(request.query("failure_domain"), mRandom, now);
+  answer->tickets.resize(answer->shares.size());
+  const auto target = request.query("target");
+  for (std::size_t i = 0; i < answer->shares.size(); ++i) {
+    if (answer->shares[i].id == mNode.self()) {
+      if (!mIssuer.refusesNewWork()) {
+        answer->tickets[i] = mIssuer.issue(caller.value().name, target);
+      }
+    } else {
+      ++answer->missing;
+      net::spawn(mNode.io(),
+                 fetchTicket(mIssuer, answer, i, caller.value().name, target));
+    }
+  }
+  while (answer->missing > 0) {
+    answer->wake.expires_at(core::TimePoint::max());
+    boost::system::error_code ignored;
+    co_await answer->wake.async_wait(
+      net::asio::redirect_error(net::asio::use_awaitable, ignored));
+  }
+  const auto body = bodyOf(*answer);
+  net::HttpResponse response;
+  response.body = body.dump();
+  if (body["addresses"].empty()) {
+    CallerError error;
+    error.status = 503;
+    error.code = "no_instance";
+    error.message = "no instance takes new work";
+    response = errorResponse(error);
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/address_api.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/address_plan.h"
+#include "entry/ticket_issuer.h"
+#include "net/http_router.h"
+
+#include <pcg_random.hpp>
+
+#include <memory>
+
+namespace lentilrack::entry {
+
+/// HTTP for addresses: GET /v1/addresses, with the optional parameters
+/// `failure_domain` (the caller's) and `target` (model or service that the
+/// caller will use).
+class AddressApi
+{
+public:
+  AddressApi(node::Node& node, TicketIssuer& issuer);
+
+  void addRoutes(net::HttpRouter& router);
+  /// Keeps the plan up to date, so that new instances are noticed in time.
+  void start();
+
+private:
+  net::Awaitable<void> get(net::HttpExchange& exchange);
+  net::Awaitable<void> observe();
+
+  node::Node& mNode;
+  TicketIssuer& mIssuer;
+  core::AddressPlan mPlan;
+  pcg64 mEngine;
+  core::RandomBelow mRandom = [this](std::uint64_t bound) {
+    return mEngine(bound);
+  };
+};
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/call_api.cpp
@@ -0,0 +1,171 @@
+#include "entry/call_api.h"
+
+#include "entry/request_guard.h"
+
+#include <charconv>
+
+namespace lentilrack::entry {
+
+using core::Verdict;
+
+namespace {
+
+/// Largest answer of a service that is passed through.
+constexpr std::size_t kMaxAnswerBytes = 16UL * 1024 * 1024;
+
+CallerError
+badHeader(const std::string& message)
+{
+  CallerError error;
+  error.code = "bad_request";
+  error.message = message;
+  return error;
+}
+
+struct CallHeaders
+{
+  std::string kind;
+  bool idempotent = false;
+  std::optional<std::int64_t> deadlineMs;
+};
+
+core::Result<CallHeaders, CallerError>
+readHeaders(const net::HttpRequest& request)
+{
+  CallHeaders headers;
+  headers.kind = request.header("X-Kind");
+  if (headers.kind.empty()) {
+    return badHeader("the header X-Kind is missing");
+  }
+  const auto idempotent = request.header("X-Idempotent");
+  if (idempotent != "true" && idempotent != "false") {
+    return badHeader("the header X-Idempotent must be true or false");
+  }
+  headers.idempotent = idempotent == "true";
+  const auto deadline = request.header("X-Deadline-Ms");
+  if (!deadline.empty()) {
+    std::int64_t value = 0;
+    const auto* const end = deadline.data() + deadline.size();
+    const auto [parsed, error] = std::from_chars(deadline.data(), end, value);
+    if (error != std::errc{} || parsed != end || value < 1) {
+      return badHeader("the header X-Deadline-Ms must be a positive integer");
+    }
+    headers.deadlineMs = value;
+  }
+  return headers;
+}
+
+core::Work
+workOf(const net::HttpExchange& exchange,
+       const CallHeaders& headers,
+       const core::Principal& caller)
+{
+  const auto& request = exchange.request();
+  core::Work work;
+  work.type = core::WorkType::Call;
+  work.principal = caller.name;
+  work.kind = headers.kind;
+  work.target = exchange.parameter("service");
+  work.idempotent = headers.idempotent;
+  work.call.method = request.method;
+  work.call.path = exchange.parameter("*");
+  const auto query = request.target.find('?');
+  if (query != std::string::npos) {
+    work.call.path += request.target.substr(query);
+  }
+  work.call.body = request.body;
+  const auto type = request.header("Content-Type");
+  if (!type.empty()) {
+    work.call.contentType = type;
+  }
+  return work;
+}
+
+net::Awaitable<void>
+sendAnswer(net::HttpExchange& exchange,
+           std::shared_ptr<AnswerStream> stream,
+           const core::Membership& members)
+{
+  exchange.onClientGone([stream] { stream->close(); });
+  net::HttpResponse response;
+  for (;;) {
+    const auto chunk = co_await stream->next();
+    if (!chunk) {
+      break;
+    }
+    response.body += chunk->text;
+    if (response.body.size() > kMaxAnswerBytes) {
+      break;
+    }
+  }
+  if (stream->isClosed()) {
+    co_return;
+  }
+  if (response.body.size() > kMaxAnswerBytes) {
+    core::Outcome tooLarge;
+    tooLarge.reason = "answer_too_large";
+    response = errorResponse(errorOf(tooLarge, members));
+  } else if (stream->outcome()->verdict == Verdict::Done &&
+             stream->outcome()->reason.empty()) {
+    response.status = stream->outcome()->httpStatus;
+    response.contentType = stream->outcome()->contentType;
+  } else {
+    response = errorResponse(errorOf(*stream->outcome(), members));
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+} // namespace
+
+CallApi::CallApi(node::Node& node,
+                 std::shared_ptr<Relay> relay,
+                 const core::TicketSealer& sealer)
+  : mNode(node)
+  , mRelay(std::move(relay))
+  , mSealer(sealer)
+{
+}
+
+void
+CallApi::addRoutes(net::HttpRouter& router)
+{
+  router.add("*", "/v1/calls/:service/*", [this](net::HttpExchange& exchange) {
+    return call(exchange);
+  });
+}
+
+net::Awaitable<void>
+CallApi::call(net::HttpExchange& exchange)
+{
+  const auto& request = exchange.request();
+  const auto caller = authenticate(mNode, request);
+  if (!caller) {
+    auto response = errorResponse(caller.error());
+    co_await exchange.respond(std::move(response));
+    co_return;
+  }
+  const auto headers = readHeaders(request);
+  if (!headers) {
+    auto response = errorResponse(headers.error());
+    co_await exchange.respond(std::move(response));
+    co_return;
+  }
+  auto admitted =
+    admitIdentifier(mSealer, request.header("X-Request-Id"), caller.value());
+  if (!admitted) {
+    auto response = errorResponse(admitted.error());
+    co_await exchange.respond(std::move(response));
+    co_return;
+  }
+  auto work = workOf(exchange, headers.value(), caller.value());
+  const auto* row = mNode.table().table().findRow(work.principal, work.kind);
+  const auto remaining = deadlineFor(row != nullptr ? *row : core::Row{},
+                                     headers.value().deadlineMs);
+  const auto stream = mRelay->submit(std::move(admitted.value().id),
+                                     std::move(admitted.value().ticket),
+                                     std::move(work),
+                                     remaining);
+  co_await sendAnswer(exchange, stream, mNode.members());
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/entry_app.cpp
@@ -0,0 +1,84 @@
+#include "entry/entry_app.h"
+
+namespace lentilrack::entry {
+
+EntryApp::EntryApp(node::Node& node, EntryOptions options)
+  : mNode(node)
+  , mOptions(std::move(options))
+  , mSealer(node.settings().linkSecret)
+  , mClient(node,
+            mOptions.policy == Policy::Baseline ? core::chooseRandomDispatcher
+                                                : core::chooseDispatcher)
+  , mOrders(std::make_shared<OrderService>(
+      node,
+      mClient,
+      OrderServiceOptions{ retryHooks(), mOptions.ledger, mStart }))
+  , mRelay(std::make_shared<Relay>(node, mClient, mOrders, mSealer))
+  , mIssuer(node, mSealer, mStart)
+  , mOrderApi(node, mRelay, mSealer)
+  , mCallApi(node, mRelay, mSealer)
+  , mAddressApi(node, mIssuer)
+  , mAdminApi(node)
+{
+  mIssuer.refusesNewWork = [this] { return mOrders->refusesNewWork(); };
+  mOrderApi.addRoutes(node.router());
+  mCallApi.addRoutes(node.router());
+  mAddressApi.addRoutes(node.router());
+  mAdminApi.addRoutes(node.router());
+  mRelay->addHandler(node.linkServer());
+  mIssuer.addHandler(node.linkServer());
+  node.setInFlight(
+    [this] { return static_cast<std::int64_t>(mOrders->inFlight()); });
+  addDump();
+}
+
+RetryHooks
+EntryApp::retryHooks()
+{
+  if (mOptions.retries) {
+    return *mOptions.retries;
+  }
+  RetryHooks hooks;
+  hooks.mayTryAgain = [this] { return mBudget.take(); };
+  hooks.succeeded = [this] { mBudget.succeeded(); };
+  hooks.hedges = mOptions.policy == Policy::Default;
+  return hooks;
+}
+
+void
+EntryApp::addDump()
+{
+  mNode.addDump("orders", [this] {
+    const auto& ledger = mOrders->ledger();
+    return wire::Json{ { "recorded", ledger.size() },
+                       { "in_flight", mOrders->inFlight() },
+                       { "answer_bytes", ledger.answerBytes() },
+                       { "retry_budget", mBudget.available() } };
+  });
+  auto& metrics = mNode.metrics();
+  metrics.gauge("orders_in_flight",
+                [this] { return static_cast<double>(mOrders->inFlight()); });
+  metrics.gauge("ledger_records", [this] {
+    return static_cast<double>(mOrders->ledger().size());
+  });
+}
+
+void
+EntryApp::start()
+{
+  mAddressApi.start();
+}
+
+void
+EntryApp::beginDrain()
+{
+  mOrders->beginDrain();
+}
+
+std::vector<std::string>
+EntryApp::inFlight() const
+{
+  return mOrders->describeInFlight();
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/order_api.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/ticket.h"
+#include "entry/relay.h"
+#include "net/http_router.h"
+
+#include <memory>
+
+namespace lentilrack::entry {
+
+/// HTTP for orders: POST /v1/orders.
+class OrderApi
+{
+public:
+  OrderApi(node::Node& node,
+           std::shared_ptr<Relay> relay,
+           const core::TicketSealer& sealer);
+
+  void addRoutes(net::HttpRouter& router);
+
+private:
+  net::Awaitable<void> post(net::HttpExchange& exchange);
+
+  node::Node& mNode;
+  std::shared_ptr<Relay> mRelay;
+  const core::TicketSealer& mSealer;
+};
+
+} // namespace lentilrack::entry
--- a/src/entry/order_service.cpp
+++ b/src/entry/order_service.cpp
@@ -242,6 +242,20 @@
   run->end(outcome);
 }
 
+std::vector<std::string>
+OrderService::describeInFlight() const
+{
+  std::vector<std::string> lines(mForOthers, "request of a lost home");
+  for (const auto& [id, run] : mRunning) {
+    // The ticket in an identifier is a credential; its end tells runs apart.
+    const auto tail =
+      id.substr(id.size() - std::min<std::size_t>(id.size(), 12));
+    lines.push_back(run->work().principal + "/" + run->work().kind +
+                    " request ..." + tail);
+  }
+  return lines;
+}
+
 void
 OrderService::count(const Outcome& outcome)
 {
--- a/src/entry/order_service.h
+++ b/src/entry/order_service.h
@@ -49,6 +49,8 @@
   bool refusesNewWork() const;
 
   std::size_t inFlight() const { return mRunning.size() + mForOthers; }
+  /// One line for each request in flight.
+  std::vector<std::string> describeInFlight() const;
   const core::OrderLedger& ledger() const { return mLedger; }
 
 private:
--- /dev/null
+++ b/src/entry/relay.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/ticket.h"
+#include "entry/dispatch_client.h"
+#include "entry/order_service.h"
+
+#include <memory>
+
+namespace lentilrack::entry {
+
+/// Brings requests to their homes, and decides about those whose home is lost.
+class Relay : public std::enable_shared_from_this<Relay>
+{
+public:
+  Relay(node::Node& node,
+        DispatchClient& client,
+        std::shared_ptr<OrderService> orders,
+        const core::TicketSealer& sealer);
+
+  /// Takes the relay requests of other instances.
+  void addHandler(net::LinkServer& server);
+
+  /// Submits the request at its home: here, or over the link. If the home is
+  /// lost, non-idempotent work is barred at its dispatch set, and idempotent
+  /// work runs here.
+  std::shared_ptr<AnswerStream> submit(core::RequestId id,
+                                       core::Ticket ticket,
+                                       core::Work work,
+                                       core::Millis remaining);
+
+private:
+  struct Forward;
+
+  net::Awaitable<void> forward(std::shared_ptr<Forward> request);
+  net::Awaitable<bool> tryHome(std::shared_ptr<Forward> request);
+  net::Awaitable<void> runHere(std::shared_ptr<Forward> request);
+  net::Awaitable<core::Outcome> barAll(std::shared_ptr<Forward> request);
+  net::Awaitable<void> serve(std::shared_ptr<net::LinkRequest> request);
+
+  node::Node& mNode;
+  DispatchClient& mClient;
+  std::shared_ptr<OrderService> mOrders;
+  const core::TicketSealer& mSealer;
+};
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/ticket_issuer.cpp
@@ -0,0 +1,111 @@
+#include "entry/ticket_issuer.h"
+
+#include "core/address_plan.h"
+#include "wire/object_reader.h"
+
+#include <sodium.h>
+
+namespace lentilrack::entry {
+
+using core::Millis;
+
+namespace {
+
+constexpr const char* kType = "issue_ticket";
+/// An instance that cannot answer within this time is left out of the
+/// addresses.
+constexpr Millis kTimeout{ 500 };
+
+struct TicketRequest
+{
+  std::string caller;
+  std::string target;
+};
+
+wire::Decoded<TicketRequest>
+decodeRequest(const wire::Json& json)
+{
+  return wire::decodeWith([&] {
+    wire::ObjectReader reader(json);
+    TicketRequest request{ reader.required<std::string>("caller"),
+                           reader.required<std::string>("target") };
+    reader.finish();
+    return request;
+  });
+}
+
+net::Awaitable<void>
+serve(const TicketIssuer& issuer, std::shared_ptr<net::LinkRequest> request)
+{
+  const auto decoded = decodeRequest(request->body());
+  if (!decoded) {
+    request->reject(decoded.error().text());
+  } else if (issuer.refusesNewWork()) {
+    request->reject("takes no new work");
+  } else {
+    request->reply(
+      issuer.issue(decoded.value().caller, decoded.value().target));
+  }
+  co_return;
+}
+
+} // namespace
+
+TicketIssuer::TicketIssuer(node::Node& node,
+                           const core::TicketSealer& sealer,
+                           core::TimePoint start)
+  : mNode(node)
+  , mSealer(sealer)
+  , mStart(start)
+{
+}
+
+void
+TicketIssuer::addHandler(net::LinkServer& server)
+{
+  server.handle(kType, [this](std::shared_ptr<net::LinkRequest> request) {
+    return serve(*this, std::move(request));
+  });
+}
+
+std::string
+TicketIssuer::issue(const std::string& caller, const std::string& target) const
+{
+  core::Ticket ticket;
+  ticket.home = mNode.self();
+  ticket.caller = caller;
+  randombytes_buf(&ticket.nonce, sizeof ticket.nonce);
+  ticket.expiry =
+    std::chrono::duration_cast<Millis>(core::Clock::now() - mStart) +
+    core::kTicketLifetime;
+  ticket.dispatchers =
+    core::chooseDispatchSet(mNode.members().live(core::MemberRole::Dispatch),
+                            target,
+                            mNode.settings().failureDomain,
+                            core::kMaxDispatchSet);
+  return mSealer.seal(ticket);
+}
+
+net::Awaitable<std::optional<std::string>>
+TicketIssuer::ask(core::ProcessId home,
+                  core::Endpoint link,
+                  std::string caller,
+                  std::string target)
+{
+  wire::Json body{ { "caller", caller }, { "target", target } };
+  net::LinkCallOptions options;
+  options.timeout = kTimeout;
+  const auto client = mNode.links().to(link);
+  const auto reply =
+    co_await client->call(kType, std::move(body), std::move(options));
+  if (reply.error || !reply.body.is_string()) {
+    co_return std::nullopt;
+  }
+  auto text = reply.body.get<std::string>();
+  const auto ticket = mSealer.open(text);
+  const bool isRight =
+    ticket && ticket->home == home && ticket->caller == caller;
+  co_return isRight ? std::optional(std::move(text)) : std::nullopt;
+}
+
+} // namespace lentilrack::entry
