--- a/src/core/attempt_ledger.cpp
+++ b/src/core/attempt_ledger.cpp
@@ -131,6 +131,25 @@
   }
 }
 
+void
+AttemptLedger::withdraw(const AttemptId& attempt,
+                        const Outcome& refusal,
+                        TimePoint now)
+{
+  const auto found = mRecords.find(attempt.request);
+  if (found == mRecords.end()) {
+    return;
+  }
+  const auto& record = found->second;
+  const bool onlyThis = record.queued.size() == 1 && record.started.empty() &&
+                        !record.barred && !record.outcome;
+  if (onlyThis && record.queued.contains(attempt.number)) {
+    mRecords.erase(found);
+  } else {
+    finish(attempt, refusal, now);
+  }
+}
+
 void
 AttemptLedger::finish(const AttemptId& attempt,
                       const Outcome& outcome,
--- a/src/core/attempt_ledger.h
+++ b/src/core/attempt_ledger.h
@@ -60,6 +60,13 @@
   /// queued again.
   void requeue(const AttemptId& attempt);
 
+  /// The attempt was refused before it could start. Forgets the request if
+  /// nothing else is known of it, so that refusals under overload do not fill
+  /// the ledger.
+  void withdraw(const AttemptId& attempt,
+                const Outcome& refusal,
+                TimePoint now);
+
   void finish(const AttemptId& attempt, const Outcome& outcome, TimePoint now);
 
   /// Nothing if the bar cannot be recorded because the ledger is full; then no
--- /dev/null
+++ b/src/core/scheduler.cpp
@@ -0,0 +1,428 @@
+#include "core/scheduler.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilrack::core {
+
+namespace {
+
+Outcome
+notRun(std::string reason, Millis retryAfter = Millis(0))
+{
+  Outcome outcome;
+  outcome.verdict = Verdict::NotRun;
+  outcome.reason = std::move(reason);
+  outcome.retryAfter = retryAfter;
+  return outcome;
+}
+
+Millis
+toMillis(double seconds)
+{
+  return Millis(
+    static_cast<std::int64_t>(std::ceil(std::clamp(seconds, 0.0, 1e6) * 1000)));
+}
+
+} // namespace
+
+Scheduler::Scheduler(SchedulerOptions options,
+                     SchedulerHooks hooks,
+                     pcg32 random)
+  : mOptions(options)
+  , mHooks(std::move(hooks))
+  , mRandom(random)
+  , mLedger(options.ledger)
+  , mAdmission(options.admission)
+  , mCosts(options.cost)
+  , mServers(options.servers)
+  , mHealth(options.health)
+  , mRetryBudget(options.retry)
+{
+}
+
+FairQueue&
+Scheduler::queueOf(const std::string& target)
+{
+  return mQueues.try_emplace(target, mOptions.queue).first->second;
+}
+
+ServerView
+Scheduler::view(TimePoint now) const
+{
+  return { mServers, mHealth, mPrefixes, mHooks.longSlots, now };
+}
+
+ChoiceRequest
+Scheduler::choiceFor(const Job& job) const
+{
+  const auto& work = job.submission.work;
+  return { work.target,  job.cost.tokens, work.prompt.size(), work.prefix,
+           work.version, job.isLong,      job.avoid };
+}
+
+bool
+Scheduler::placeable(const std::string& target, const Work& work) const
+{
+  return std::ranges::any_of(mServers.serving(target), [&](std::size_t index) {
+    const auto& state = mServers.at(index);
+    if (!state.owned || state.server.leaving || state.reportedLeaving) {
+      return false;
+    }
+    const auto version = state.versions.find(target);
+    return !work.version || (version != state.versions.end() &&
+                             version->second == *work.version);
+  });
+}
+
+double
+Scheduler::streamRate(const std::string& target) const
+{
+  for (const auto index : mServers.serving(target)) {
+    const double rate = mHealth.peerRate(mServers.at(index).server.id);
+    if (rate > 0) {
+      return rate;
+    }
+  }
+  return 0;
+}
+
+double
+Scheduler::capacity(const std::string& target, TimePoint now) const
+{
+  double slots = 0;
+  for (const auto index : mServers.serving(target)) {
+    const auto& state = mServers.at(index);
+    if (state.open(now)) {
+      slots += static_cast<double>(state.server.slots) *
+               mHealth.share(state.server.id);
+    }
+  }
+  return slots * streamRate(target);
+}
+
+Millis
+Scheduler::runTime(const Submission& submission, const CostEstimate& cost) const
+{
+  const double rate = streamRate(submission.work.target);
+  return cost.known && rate > 0 ? toMillis(cost.tokens / rate) : Millis(0);
+}
+
+Millis
+Scheduler::estimatedWait(const Submission& submission,
+                         const CostEstimate& cost,
+                         TimePoint now) const
+{
+  const auto& target = submission.work.target;
+  const auto found = mQueues.find(target);
+  if (found == mQueues.end() || found->second.size() == 0) {
+    return Millis(0);
+  }
+  const auto& queue = found->second;
+  const auto& row = submission.row;
+  const RowKey flow{ row.principal, row.kind };
+  const double rate = capacity(target, now);
+  double seconds = 0;
+  if (rate > 0) {
+    // With work waiting, all slots are busy; on average a slot becomes free
+    // after the time that one piece of work takes on all slots together.
+    const double typical = mCosts.typical(target);
+    seconds = (queue.tokensAhead(flow, row.priority, row.weight) +
+               (typical > 0 ? typical : cost.tokens)) /
+              rate;
+  }
+  const auto observed = queue.observedWait(flow, row.priority, now);
+  return std::max(toMillis(seconds), observed.value_or(Millis(0)));
+}
+
+std::variant<JobId, Outcome>
+Scheduler::submit(Submission submission, TimePoint now)
+{
+  const auto attempt = submission.attempt;
+  const auto& work = submission.work;
+  const auto& target = work.target;
+  // The ledger comes first: a refusal for load must not be given to a second
+  // attempt while the first one runs.
+  if (auto refusal = mLedger.submit(attempt, work.idempotent, now)) {
+    return *refusal;
+  }
+  const auto refuse = [&](Outcome outcome) {
+    mLedger.withdraw(attempt, outcome, now);
+    return outcome;
+  };
+  const auto remaining =
+    std::chrono::duration_cast<Millis>(submission.deadline - now);
+  if (remaining <= Millis(0)) {
+    return refuse(notRun("deadline"));
+  }
+  if (!placeable(target, work)) {
+    return refuse(
+      notRun(work.version ? "version_unavailable" : "no_server", Millis(1000)));
+  }
+  if (mJobs.size() >= mOptions.mostJobs) {
+    return refuse(notRun("overload", Millis(1000)));
+  }
+  const auto cost = mCosts.estimate(work);
+  const auto wait = mHooks.admissionWait(estimatedWait(submission, cost, now));
+  const auto run = runTime(submission, cost);
+  // Without a wait, only the server can tell whether the time suffices.
+  const AdmissionRequest request{
+    submission.row, remaining, wait, wait > Millis(0) ? run : Millis(0)
+  };
+  if (const auto refusal = mAdmission.admit(request, now)) {
+    return refuse(notRun(refusal->reason, refusal->retryAfter));
+  }
+  Job job;
+  job.cost = cost;
+  job.isLong = mHooks.isLong(cost.tokens, mCosts.typical(target));
+  job.queuedAt = now;
+  job.submission = std::move(submission);
+  const auto id = ++mLastJob;
+  const auto item = itemFor(id, job);
+  queueOf(job.submission.work.target).push(item);
+  mJobs.emplace(id, std::move(job));
+  return id;
+}
+
+QueueItem
+Scheduler::itemFor(JobId id, const Job& job) const
+{
+  const auto& submission = job.submission;
+  const auto& row = submission.row;
+  QueueItem item;
+  item.id = id;
+  item.flow = { row.principal, row.kind };
+  item.weight = row.weight;
+  item.priority = row.priority;
+  item.cost = job.cost.tokens;
+  item.queuedAt = job.queuedAt;
+  // The estimate of the run is off by some part, so only most of it counts.
+  item.latestStart =
+    submission.deadline - runTime(submission, job.cost) * 8 / 10;
+  item.lane = job.isLong ? "long" : "short";
+  if (submission.work.version) {
+    item.lane += fmt::format("/v{}", *submission.work.version);
+  }
+  if (job.reroutes > 0) {
+    // Its own lane, since it waits and avoids servers for itself.
+    item.lane += fmt::format("/job{}", id);
+  }
+  return item;
+}
+
+std::optional<JobStart>
+Scheduler::next(TimePoint now)
+{
+  if (mQueues.empty()) {
+    return std::nullopt;
+  }
+  auto position = mQueues.upper_bound(mLastTarget);
+  for (std::size_t i = 0; i < mQueues.size(); ++i) {
+    if (position == mQueues.end()) {
+      position = mQueues.begin();
+    }
+    if (position->second.size() > 0) {
+      if (auto found = nextOf(position->first, position->second, now)) {
+        mLastTarget = position->first;
+        return found;
+      }
+    }
+    ++position;
+  }
+  return std::nullopt;
+}
+
+std::optional<JobStart>
+Scheduler::nextOf(const std::string& target, FairQueue& queue, TimePoint now)
+{
+  const auto seen = view(now);
+  const auto anyFree =
+    std::ranges::any_of(mServers.serving(target), [&](std::size_t index) {
+      return mServers.slots(index).hasFreeSlot(now);
+    });
+  if (!anyFree) {
+    return std::nullopt;
+  }
+  std::map<std::string, bool> lanes;
+  const FairQueue::Eligible eligible = [&](const QueueItem& item) {
+    const auto& job = mJobs.at(item.id);
+    if (job.notBefore > now) {
+      return false;
+    }
+    const auto known = lanes.find(item.lane);
+    if (known != lanes.end()) {
+      return known->second;
+    }
+    const bool can = canPlaceAnywhere(choiceFor(job), seen);
+    lanes[item.lane] = can;
+    return can;
+  };
+  auto item = mHooks.takeNext(queue, now, eligible);
+  if (!item) {
+    return std::nullopt;
+  }
+  const auto index =
+    mHooks.chooseServer(choiceFor(mJobs.at(item->id)), seen, mRandom);
+  if (!index) {
+    queue.correct(item->flow, item->priority, item->weight, item->cost, 0);
+    queue.pushBack(std::move(*item));
+    return std::nullopt;
+  }
+  return start(item->id, *index, now);
+}
+
+JobStart
+Scheduler::start(JobId id, std::size_t serverIndex, TimePoint now)
+{
+  auto& job = mJobs.at(id);
+  const auto server = mServers.at(serverIndex).server;
+  job.running = true;
+  job.startedAt = now;
+  job.produced = 0;
+  job.server = server.id;
+  ++job.runs;
+  mServers.started(server.id, job.isLong);
+  mHealth.started(server.id, now);
+  mPrefixes.assigned(server.id, job.submission.work.prefix);
+  return { id,
+           job.runs,
+           server.id,
+           server.endpoint,
+           job.submission.attempt,
+           job.submission.work,
+           job.submission.row.priority,
+           job.submission.deadline };
+}
+
+bool
+Scheduler::begin(JobId job, TimePoint now)
+{
+  const auto found = mJobs.find(job);
+  if (found == mJobs.end() || found->second.cancelled ||
+      now >= found->second.submission.deadline) {
+    return false;
+  }
+  // A resumed run has started before; the ledger has kept it as started.
+  if (!found->second.begun &&
+      !mLedger.start(found->second.submission.attempt)) {
+    return false;
+  }
+  found->second.begun = true;
+  return true;
+}
+
+void
+Scheduler::progress(JobId job, const Chunk& chunk, TimePoint now)
+{
+  const auto found = mJobs.find(job);
+  if (found == mJobs.end()) {
+    return;
+  }
+  auto& state = found->second;
+  const auto from = state.submission.work.offset + state.produced;
+  state.produced += chunk.tokens;
+  if (chunk.tokens > 0 && !chunk.version) {
+    state.versionsKnown = false;
+  } else if (chunk.tokens > 0) {
+    auto& segments = state.segments;
+    if (!segments.empty() && segments.back().version == *chunk.version &&
+        segments.back().to == from) {
+      segments.back().to += chunk.tokens;
+    } else {
+      segments.push_back({ *chunk.version, from, from + chunk.tokens });
+    }
+  }
+  mHealth.progress(state.server, static_cast<double>(chunk.tokens), now);
+  const auto typical = mCosts.typical(state.submission.work.target);
+  if (!state.isLong &&
+      mHooks.isLong(static_cast<double>(state.produced), typical)) {
+    // It was taken for short, and turned out to be long.
+    state.isLong = true;
+    mServers.becameLong(state.server);
+  }
+}
+
+std::optional<Outcome>
+Scheduler::cancel(JobId job, TimePoint now)
+{
+  const auto found = mJobs.find(job);
+  if (found == mJobs.end()) {
+    return std::nullopt;
+  }
+  if (found->second.running) {
+    found->second.cancelled = true;
+    return std::nullopt;
+  }
+  queueOf(found->second.submission.work.target).remove(job);
+  auto outcome = notRun("cancelled");
+  if (found->second.begun) {
+    outcome.verdict = Verdict::Unknown;
+  }
+  return end(job, outcome, now);
+}
+
+std::optional<BarAnswer>
+Scheduler::bar(const std::string& request, TimePoint now)
+{
+  const auto result = mLedger.bar(request, now);
+  if (!result) {
+    return std::nullopt;
+  }
+  BarAnswer answer{ result->state, result->outcome, {} };
+  std::vector<JobId> queuedJobs;
+  for (const auto& [id, job] : mJobs) {
+    if (!job.running && !job.begun &&
+        std::ranges::find(result->removed, job.submission.attempt) !=
+          result->removed.end()) {
+      queuedJobs.push_back(id);
+    }
+  }
+  for (const auto id : queuedJobs) {
+    queueOf(mJobs.at(id).submission.work.target).remove(id);
+    answer.ended.push_back({ id, end(id, notRun("barred"), now) });
+  }
+  return answer;
+}
+
+Outcome
+Scheduler::end(JobId id, Outcome outcome, TimePoint now)
+{
+  const auto found = mJobs.find(id);
+  const auto& submission = found->second.submission;
+  mAdmission.finished({ submission.row.principal, submission.row.kind });
+  mLedger.finish(submission.attempt, outcome, now);
+  mJobs.erase(found);
+  return outcome;
+}
+
+std::size_t
+Scheduler::queued() const
+{
+  std::size_t count = 0;
+  for (const auto& [target, queue] : mQueues) {
+    count += queue.size();
+  }
+  return count;
+}
+
+std::vector<std::string>
+Scheduler::describeJobs() const
+{
+  std::vector<std::string> lines;
+  for (const auto& [id, job] : mJobs) {
+    const auto& work = job.submission.work;
+    lines.push_back(
+      fmt::format("job {}: {} of {} for {}, {}",
+                  id,
+                  work.kind,
+                  work.principal,
+                  work.target,
+                  job.running ? "running on " + job.server : "queued"));
+  }
+  std::ranges::sort(lines);
+  return lines;
+}
+
+} // namespace lentilrack::core
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -40,6 +40,7 @@
   auto& state = mServers[server];
   settle(state, now);
   ++state.running;
+  state.active = now;
   if (state.failures >= mOptions.failuresUntilDown) {
     ++state.probes;
   }
@@ -59,6 +60,7 @@
   auto& state = mServers[server];
   settle(state, now);
   state.running = std::max<std::int64_t>(state.running - 1, 0);
+  state.active = now;
   state.probes = std::max<std::int64_t>(state.probes - 1, 0);
 }
 
@@ -147,6 +149,25 @@
   return state == nullptr ? 1 : state->share;
 }
 
+std::int64_t
+ServerHealth::usableSlots(const std::string& server,
+                          std::int64_t limit,
+                          TimePoint now) const
+{
+  const auto* state = find(server);
+  if (state == nullptr || state->share >= 1) {
+    return limit;
+  }
+  if (state->share >= mOptions.probeOnly) {
+    return std::max<std::int64_t>(
+      1,
+      static_cast<std::int64_t>(
+        std::floor(static_cast<double>(limit) * state->share)));
+  }
+  const bool due = now - state->active >= mOptions.probeInterval;
+  return state->running == 0 && due ? 1 : 0;
+}
+
 bool
 ServerHealth::available(const std::string& server, TimePoint now) const
 {
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -21,8 +21,14 @@
   /// server back and forth.
   double slow = 0.6;
   double recovered = 0.8;
-  /// Smallest share of a slow server, so that its recovery is noticed.
+  /// Smallest share of a slow server.
   double probeFloor = 0.05;
+  /// A server below this share gets only probes. A fixed part of its slots
+  /// would put several percent of all short work on slow servers, which shows
+  /// in the 99th percentile.
+  double probeOnly = 0.5;
+  /// An idle slow server is probed after this time.
+  Millis probeInterval{ 1000 };
   /// Largest part of the servers of a target that may count as slow or down.
   double mostEjected = 0.3;
   /// Failures in a row after which a server counts as down.
@@ -56,6 +62,10 @@
 
   /// 1 for a normal server, its part of the median rate if it is slow.
   double share(const std::string& server) const;
+  /// How many of `limit` slots may be used now.
+  std::int64_t usableSlots(const std::string& server,
+                           std::int64_t limit,
+                           TimePoint now) const;
   /// False while a server that is down waits for its next probe, or while a
   /// probe runs.
   bool available(const std::string& server, TimePoint now) const;
@@ -80,6 +90,8 @@
     int failures = 0;
     TimePoint retryAt;
     std::int64_t probes = 0;
+    /// When its last run started or ended.
+    TimePoint active;
   };
 
   void settle(Server& server, TimePoint now) const;
