--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -118,6 +118,7 @@
   ServerSet& servers() { return mServers; }
   const ServerSet& servers() const { return mServers; }
   ServerHealth& health() { return mHealth; }
+  const ServerHealth& health() const { return mHealth; }
   PrefixIndex& prefixes() { return mPrefixes; }
   Admission& admission() { return mAdmission; }
   AttemptLedger& ledger() { return mLedger; }
--- /dev/null
+++ b/src/dispatch/fencing.cpp
@@ -0,0 +1,70 @@
+#include "dispatch/fencing.h"
+
+#include "platform/error.h"
+
+namespace lentilrack::dispatch {
+
+namespace {
+
+/// Lost races in a row mean that two dispatchers take turns as owner; the
+/// monitor tries again later.
+constexpr int kMostTries = 5;
+
+} // namespace
+
+Fencing::Fencing(platform::KvClient& kv, net::Logger log)
+  : mKv(kv)
+  , mLog(std::move(log))
+{
+}
+
+net::Awaitable<bool>
+Fencing::raise(std::string server)
+{
+  const auto key = "fence/" + server;
+  for (int i = 0; i < kMostTries; ++i) {
+    const auto current = co_await mKv.read(key);
+    const bool absent =
+      !current &&
+      current.error() == make_error_code(platform::PlatformError::NotFound);
+    if (!current && !absent) {
+      co_return false;
+    }
+    std::int64_t last = 0;
+    std::int64_t revision = 0;
+    if (current) {
+      const auto& value = current.value().value;
+      last = value.is_number_integer() ? value.get<std::int64_t>() : 0;
+      revision = current.value().revision;
+    }
+    auto& number = mNumbers[server];
+    const auto raised = std::max(last, number) + 1;
+    platform::KvPut put;
+    put.key = key;
+    put.value = raised;
+    put.expect = revision;
+    const auto written = co_await mKv.put(std::move(put));
+    if (written) {
+      mNumbers[server] = raised;
+      co_return true;
+    }
+    // Conflict: another owner was faster. Unknown outcome: the next round
+    // reads back and raises once more, which is harmless.
+    mNumbers[server] = std::max(mNumbers[server], last);
+    if (written.error() ==
+        make_error_code(platform::PlatformError::Unavailable)) {
+      co_return false;
+    }
+  }
+  mLog.warning("Cannot raise the fencing number of {}.", server);
+  co_return false;
+}
+
+std::int64_t
+Fencing::number(const std::string& server) const
+{
+  const auto found = mNumbers.find(server);
+  return found == mNumbers.end() ? 0 : found->second;
+}
+
+} // namespace lentilrack::dispatch
