--- /dev/null
+++ b/src/ctl/bootstrap.cpp
@@ -0,0 +1,120 @@
+#include "core/table_csv.h"
+#include "ctl/ctl_app.h"
+#include "ctl/first_table.h"
+#include "node/table_editor.h"
+#include "node/table_sync.h"
+#include "platform/error.h"
+#include "wire/table_codec.h"
+
+#include <fmt/format.h>
+
+namespace lentilrack::ctl {
+
+namespace {
+
+using platform::PlatformError;
+
+constexpr int kReads = 5;
+
+/// The highest revision in the history; 0 if there is none. A process that
+/// still has that table in force would ignore a first table with a lower one.
+net::Awaitable<core::Result<std::int64_t>>
+highestRevision(platform::KvClient& kv)
+{
+  const auto entries = co_await kv.list(node::kHistoryPrefix);
+  if (!entries) {
+    co_return entries.error();
+  }
+  std::int64_t highest = 0;
+  for (const auto& entry : entries.value()) {
+    const auto table = wire::decodeTable(entry.value);
+    highest = std::max(highest, table ? table.value().revision : 0);
+  }
+  co_return highest;
+}
+
+/// Whether the service holds exactly this table; an error if it cannot be
+/// read.
+net::Awaitable<core::Result<bool>>
+holds(platform::KvClient& kv, core::Table table)
+{
+  std::error_code error;
+  for (int i = 0; i < kReads; ++i) {
+    const auto entry = co_await kv.read(node::kTableKey);
+    if (entry) {
+      const auto found = wire::decodeTable(entry.value().value);
+      co_return found&& found.value().recentEdits == table.recentEdits;
+    }
+    error = entry.error();
+  }
+  co_return error;
+}
+
+} // namespace
+
+net::Awaitable<int>
+CtlApp::bootstrap()
+{
+  if (mSettings.kv.empty() || mSettings.tableFile.empty() ||
+      mSettings.principalsFile.empty()) {
+    co_return badUsage("bootstrap needs --kv ADDR, --table FILE and "
+                       "--principals FILE");
+  }
+  const auto rows = readFile(mSettings.tableFile);
+  const auto principals = readFile(mSettings.principalsFile);
+  if (!rows || !principals) {
+    co_return badUsage(
+      fmt::format("file \"{}\" cannot be read",
+                  rows ? mSettings.principalsFile : mSettings.tableFile));
+  }
+  auto first = firstTable(*rows, *principals, newEditId());
+  if (!first) {
+    co_return fail(first.error());
+  }
+  auto table = std::move(first.value());
+  platform::KvClientOptions options;
+  options.endpoints = mSettings.kv;
+  platform::KvClient kv(mIo, std::move(options));
+  const auto highest = co_await highestRevision(kv);
+  if (!highest) {
+    co_return fail("the key-value service cannot be read: " +
+                   highest.error().message());
+  }
+  setRevision(table, highest.value() + 1);
+  platform::KvPut put;
+  put.key = node::kTableKey;
+  put.value = wire::encode(table);
+  put.expect = 0;
+  const auto written = co_await kv.put(std::move(put));
+  if (!written && written.error() != PlatformError::Conflict &&
+      written.error() != PlatformError::OutcomeUnknown) {
+    co_return fail("the table cannot be written: " + written.error().message());
+  }
+  if (!written) {
+    const auto isOurs = co_await holds(kv, table);
+    if (!isOurs) {
+      co_return fail("nobody can say whether the table was written: " +
+                     isOurs.error().message() + "; run the command again");
+    }
+    if (!isOurs.value()) {
+      co_return fail("there is a table already; use table import to change it");
+    }
+  }
+  platform::KvPut history;
+  history.key = node::kHistoryPrefix + std::to_string(table.revision);
+  history.value = wire::encode(table);
+  const auto kept = co_await kv.put(std::move(history));
+  if (!kept) {
+    mConsole.error("lentilrackctl: the first revision is missing in the "
+                   "history: " +
+                   kept.error().message() + "\n");
+  }
+  mConsole.out(fmt::format("Wrote the first table as revision {}, {} rows, {} "
+                           "principals.\n",
+                           table.revision,
+                           table.rows.size(),
+                           table.principals.size()));
+  co_return kDone;
+}
+
+} // namespace lentilrack::ctl
--- /dev/null
+++ b/src/ctl/command.cpp
@@ -0,0 +1,137 @@
+#include "ctl/command.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace lentilrack::ctl {
+
+namespace {
+
+constexpr std::size_t kAny = std::numeric_limits<std::size_t>::max();
+
+struct CommandForm
+{
+  Verb verb;
+  std::vector<std::string> words;
+  std::string arguments;
+  std::size_t least;
+  std::size_t most;
+  std::string help;
+
+  std::string usage() const
+  {
+    return fmt::format(
+      "{}{}{}", fmt::join(words, " "), arguments.empty() ? "" : " ", arguments);
+  }
+};
+
+const std::vector<CommandForm>&
+forms()
+{
+  static const std::vector<CommandForm> kForms{
+    { Verb::TableShow, { "table", "show" }, "", 0, 0, "shows the table" },
+    { Verb::TableSet,
+      { "table", "set" },
+      "PRINCIPAL/KIND FIELD=VALUE...",
+      2,
+      kAny,
+      "creates or changes a row" },
+    { Verb::TableRemove,
+      { "table", "remove" },
+      "PRINCIPAL/KIND",
+      1,
+      1,
+      "removes a row" },
+    { Verb::TableExport,
+      { "table", "export" },
+      "",
+      0,
+      0,
+      "writes the rows as CSV" },
+    { Verb::TableImport,
+      { "table", "import" },
+      "FILE",
+      1,
+      1,
+      "replaces all rows by those of a CSV file" },
+    { Verb::TableHistory,
+      { "table", "history" },
+      "",
+      0,
+      0,
+      "shows the last revisions" },
+    { Verb::TableRestore,
+      { "table", "restore" },
+      "REVISION",
+      1,
+      1,
+      "goes back to rows and principals of a revision" },
+    { Verb::PrincipalSet,
+      { "principal", "set" },
+      "NAME ROLE",
+      2,
+      2,
+      "creates or changes a principal and shows its new token once" },
+    { Verb::PrincipalRemove,
+      { "principal", "remove" },
+      "NAME",
+      1,
+      1,
+      "removes a principal" },
+    { Verb::Members, { "members" }, "", 0, 0, "shows all processes" },
+    { Verb::State, { "state" }, "", 0, 0, "shows the state dump of an entry" },
+    { Verb::Status, { "status" }, "", 0, 0, "shows whether all is well" },
+    { Verb::Bootstrap,
+      { "bootstrap" },
+      "--kv ADDR --table FILE --principals FILE",
+      0,
+      0,
+      "writes the first table to the key-value service" },
+  };
+  return kForms;
+}
+
+bool
+startsWith(const std::vector<std::string>& words,
+           const std::vector<std::string>& start)
+{
+  return words.size() >= start.size() &&
+         std::equal(start.begin(), start.end(), words.begin());
+}
+
+} // namespace
+
+core::Result<Command, std::string>
+parseCommand(const std::vector<std::string>& words)
+{
+  const auto found = std::ranges::find_if(
+    forms(), [&](const auto& form) { return startsWith(words, form.words); });
+  if (found == forms().end()) {
+    return fmt::format("\"{}\" is no command; allowed:\n{}",
+                       fmt::join(words, " "),
+                       commandHelp());
+  }
+  Command command{ found->verb,
+                   { words.begin() +
+                       static_cast<std::ptrdiff_t>(found->words.size()),
+                     words.end() } };
+  const auto count = command.arguments.size();
+  if (count < found->least || count > found->most) {
+    return "wrong number of arguments; allowed: " + found->usage();
+  }
+  return command;
+}
+
+std::string
+commandHelp()
+{
+  std::string text;
+  for (const auto& form : forms()) {
+    text += fmt::format("  {:<43} {}\n", form.usage(), form.help);
+  }
+  return text;
+}
+
+} // namespace lentilrack::ctl
--- /dev/null
+++ b/src/ctl/ctl_app.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "core/table_edit.h"
+#include "ctl/admin_client.h"
+#include "ctl/command.h"
+#include "ctl/ctl_settings.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace lentilrack::ctl {
+
+/// Exit codes of the program.
+inline constexpr int kDone = 0;
+inline constexpr int kRefused = 1;
+inline constexpr int kUsage = 2;
+
+/// Where the program writes and whom it asks.
+struct Console
+{
+  std::function<void(const std::string&)> out;
+  std::function<void(const std::string&)> error;
+  /// Asks the question; whether the answer is yes.
+  std::function<bool(const std::string&)> confirm;
+};
+
+/// Runs one command.
+class CtlApp
+{
+public:
+  CtlApp(net::asio::io_context& io, CtlSettings settings, Console console);
+
+  /// The exit code.
+  net::Awaitable<int> run();
+
+private:
+  net::Awaitable<int> dispatch(Command command);
+  net::Awaitable<int> bootstrap();
+
+  net::Awaitable<int> showTable();
+  net::Awaitable<int> showHistory();
+  net::Awaitable<int> showMembers();
+  net::Awaitable<int> showStatus();
+  net::Awaitable<int> showBody(std::string target);
+
+  net::Awaitable<int> setRow(std::vector<std::string> arguments);
+  net::Awaitable<int> removeRow(std::string name);
+  net::Awaitable<int> importRows(std::string file);
+  net::Awaitable<int> restore(std::string revision);
+  net::Awaitable<int> setPrincipal(std::string name, std::string role);
+  net::Awaitable<int> removePrincipal(std::string name);
+
+  /// The table in force; nothing after an error, which has been shown.
+  net::Awaitable<std::optional<core::Table>> fetchTable(std::string target);
+  /// Shows what the command changes, asks and sends it.
+  net::Awaitable<int> change(core::Table seen, core::Command command);
+  /// Shows the changes and asks; whether to go on.
+  bool agreed(const std::vector<std::string>& changes) const;
+  /// Shows the outcome of an edit and waits if that was asked for.
+  net::Awaitable<int> finish(AdminAnswer answer);
+  net::Awaitable<int> waitUntilInForce(std::int64_t revision);
+
+  int fail(const std::string& message) const;
+  int badUsage(const std::string& message) const;
+
+  net::asio::io_context& mIo;
+  CtlSettings mSettings;
+  Console mConsole;
+  AdminClient mClient;
+};
+
+/// The content of the file; nothing if it cannot be read.
+std::optional<std::string>
+readFile(const std::string& path);
+
+/// The token of the flags or the token file, without line ends; empty if there
+/// is none.
+std::string
+tokenOf(const CtlSettings& settings);
+
+} // namespace lentilrack::ctl
--- /dev/null
+++ b/src/ctl/ctl_settings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/endpoint.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lentilrack::ctl {
+
+/// Flags of lentilrackctl.
+struct CtlSettings
+{
+  /// Entry instances, tried in this order.
+  std::vector<core::Endpoint> entries;
+  std::string token;
+  std::string tokenFile;
+  bool yes = false;
+  bool wait = false;
+  bool dryRun = false;
+  /// For bootstrap only.
+  std::vector<core::Endpoint> kv;
+  std::string tableFile;
+  std::string principalsFile;
+  /// The command with its arguments.
+  std::vector<std::string> arguments;
+};
+
+/// Reads environment and command line. The exit code if the program should
+/// end, as SettingsBuilder::parse().
+std::optional<int>
+parseSettings(int argc, const char* const* argv, CtlSettings& settings);
+
+} // namespace lentilrack::ctl
--- /dev/null
+++ b/src/ctl/random_text.cpp
@@ -0,0 +1,26 @@
+#include "ctl/random_text.h"
+
+#include <sodium.h>
+
+#include <vector>
+
+namespace lentilrack::ctl {
+
+std::string
+randomText(std::size_t bytes)
+{
+  std::vector<unsigned char> random(bytes);
+  randombytes_buf(random.data(), random.size());
+  std::string text(
+    sodium_base64_encoded_len(bytes, sodium_base64_VARIANT_URLSAFE_NO_PADDING),
+    '\0');
+  sodium_bin2base64(text.data(),
+                    text.size(),
+                    random.data(),
+                    random.size(),
+                    sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+  text.pop_back();
+  return text;
+}
+
+} // namespace lentilrack::ctl
--- a/src/entry/admin_api.cpp
+++ b/src/entry/admin_api.cpp
@@ -106,6 +106,8 @@
                        "forbidden",
                        "principal " + principal->name + " is no operator");
   } else {
+    // The own entry is otherwise as old as the last heartbeat.
+    mParts.members.self().tableRevision = mParts.table.revision();
     Request request{ exchange, principal->name };
     response = co_await (this->*handler)(std::move(request));
   }
--- a/src/node/table_editor.cpp
+++ b/src/node/table_editor.cpp
@@ -1,5 +1,6 @@
 #include "node/table_editor.h"
 
+#include "node/table_sync.h"
 #include "platform/error.h"
 #include "wire/table_codec.h"
 
--- a/src/node/table_editor.h
+++ b/src/node/table_editor.h
@@ -14,8 +14,6 @@
 
 namespace lentilrack::node {
 
-/// Key of the table in the key-value service.
-inline constexpr const char* kTableKey = "config/table";
 /// Followed by the revision: the tables of the past.
 inline constexpr const char* kHistoryPrefix = "config/history/";
 inline constexpr std::int64_t kHistoryLength = 50;
