--- a/src/core/edit_run.h
+++ b/src/core/edit_run.h
@@ -62,6 +62,10 @@
   /// What to do now. Each Read and Write is answered by one of the calls below.
   const Step& step() const { return mStep; }
   bool finished() const { return std::holds_alternative<EditOutcome>(mStep); }
+  /// The highest table revision seen. A later run with the same edit id takes
+  /// it as its floor, so that an old copy does not refuse what a write of this
+  /// run may still put in force.
+  std::int64_t floor() const { return mFloor; }
 
   void readDone(const Table& table, std::int64_t keyRevision);
   void readFailed(std::string reason);
--- a/src/core/table_csv.cpp
+++ b/src/core/table_csv.cpp
@@ -158,12 +158,21 @@
   return item;
 }
 
-/// `nameOf` gives what must differ between any two items.
-template<typename Item, typename NameOf>
+/// What must hold for a whole line of a file of `Item`s.
+template<typename Item>
+struct LineRules
+{
+  /// Must differ between any two lines.
+  std::function<std::string(const Item&)> name;
+  /// What is wrong with the line; empty if nothing is.
+  std::function<std::string(const Item&)> problem;
+};
+
+template<typename Item>
 Result<std::vector<Item>, FormatError>
 readItems(std::string_view text,
           const std::vector<Column<Item>>& known,
-          NameOf nameOf)
+          const LineRules<Item>& rules)
 {
   const auto records = parseCsv(text);
   if (!records) {
@@ -184,10 +193,13 @@
     if (!item) {
       return item.error();
     }
-    const auto name = nameOf(item.value());
+    const auto name = rules.name(item.value());
     if (!names.insert(name).second) {
       return errorAt(record.front(), name + " occurs twice");
     }
+    if (auto problem = rules.problem(item.value()); !problem.empty()) {
+      return errorAt(record.front(), std::move(problem));
+    }
     items.push_back(std::move(item.value()));
   }
   return items;
@@ -222,29 +234,27 @@
 Result<std::vector<Row>, FormatError>
 CsvFormat::readRows(std::string_view text) const
 {
-  return readItems(text, rowColumns(), [](const Row& row) {
-    return "row " + rowName({ row.principal, row.kind });
-  });
+  const LineRules<Row> rules{
+    [](const Row& row) {
+      return "row " + rowName({ row.principal, row.kind });
+    },
+    [](const Row&) { return std::string(); },
+  };
+  return readItems(text, rowColumns(), rules);
 }
 
 Result<std::vector<Principal>, FormatError>
 CsvFormat::readPrincipals(std::string_view text) const
 {
-  auto principals =
-    readItems(text, principalColumns(), [](const Principal& principal) {
-      return "principal " + principal.name;
-    });
-  if (!principals) {
-    return principals;
-  }
-  for (const auto& principal : principals.value()) {
-    if (principal.tokenHash.empty()) {
-      return FormatError{
-        1, 1, "principal " + principal.name + " has neither token nor tokenHash"
-      };
-    }
-  }
-  return principals;
+  const LineRules<Principal> rules{
+    [](const Principal& principal) { return "principal " + principal.name; },
+    [](const Principal& principal) {
+      return principal.tokenHash.empty() ? "principal " + principal.name +
+                                             " has neither token nor tokenHash"
+                                         : std::string();
+    },
+  };
+  return readItems(text, principalColumns(), rules);
 }
 
 } // namespace lentilrack::core
--- a/src/node/table_editor.cpp
+++ b/src/node/table_editor.cpp
@@ -47,6 +47,8 @@
   core::TableReplica& replica;
   net::Logger log;
   pcg32 random;
+  /// The highest table revision that any edit here has seen.
+  std::int64_t floor = 0;
 
   net::Awaitable<void> read(core::EditRun& run);
   net::Awaitable<void> write(core::EditRun& run);
@@ -138,7 +140,7 @@
                          std::uint64_t seed)
   : mIo(io)
   , mState(std::make_shared<State>(
-      State{ kv, replica, std::move(log), pcg32(seed) }))
+      State{ kv, replica, std::move(log), pcg32(seed), 0 }))
 {
 }
 
@@ -148,7 +150,8 @@
 TableEditor::run(core::Edit edit)
 {
   const auto state = mState;
-  core::EditRun run(std::move(edit), state->replica.revision());
+  core::EditRun run(std::move(edit),
+                    std::max(state->floor, state->replica.revision()));
   int attempt = 0;
   while (!run.finished()) {
     const bool isWrite =
@@ -166,6 +169,7 @@
       co_await state->pause(attempt++);
     }
   }
+  state->floor = std::max(state->floor, run.floor());
   auto outcome = std::get<core::EditOutcome>(run.step());
   if (const auto* accepted = std::get_if<core::EditAccepted>(&outcome)) {
     state->replica.offer(accepted->table);
--- /dev/null
+++ b/tests/core/table_edit_test.cpp
@@ -0,0 +1,246 @@
+#include "core/table_edit.h"
+
+#include "core/row_fields.h"
+#include "core/table_fixture.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+using testing::principal;
+using testing::row;
+using testing::smallTable;
+
+const std::vector<std::string> kNames{ "root", "tina", "carl", "dora" };
+const std::vector<std::string> kKinds{ "*", "draft", "order" };
+
+Row
+rowWithWeight(std::int64_t weight)
+{
+  auto changed = row("carl", "*");
+  changed.weight = weight;
+  return changed;
+}
+
+Table
+applied(const Table& table, const Edit& edit)
+{
+  auto result = apply(table, edit);
+  EXPECT_TRUE(std::holds_alternative<Applied>(result));
+  return std::get<Applied>(std::move(result)).table;
+}
+
+std::string
+invalidReason(const Table& table, const Edit& edit)
+{
+  const auto result = apply(table, edit);
+  const auto* invalid = std::get_if<EditInvalid>(&result);
+  return invalid == nullptr ? "" : invalid->reason;
+}
+
+RowKey
+anyKey()
+{
+  return { *rc::gen::elementOf(kNames), *rc::gen::elementOf(kKinds) };
+}
+
+/// A change whose seen version is the current one.
+Change
+anyChange(const Table& table)
+{
+  const auto key = anyKey();
+  const auto found = table.rows.find(key);
+  const auto owner = table.principals.find(key.first);
+  const auto rowVersion = found == table.rows.end() ? 0 : found->second.version;
+  const auto ownerVersion =
+    owner == table.principals.end() ? 0 : owner->second.version;
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0: {
+      auto changed = row(key.first, key.second);
+      changed.weight = *rc::gen::inRange<std::int64_t>(1, 1001);
+      changed.hedge = *rc::gen::arbitrary<bool>();
+      return SetRow{ changed, rowVersion };
+    }
+    case 1:
+      return RemoveRow{ key, rowVersion };
+    case 2: {
+      const auto role =
+        static_cast<PrincipalRole>(*rc::gen::inRange<int>(0, 3));
+      return SetPrincipal{ principal(key.first, role), ownerVersion };
+    }
+    default:
+      return RemovePrincipal{ key.first, ownerVersion };
+  }
+}
+
+Command
+asCommand(const Change& change)
+{
+  return std::visit([](const auto& single) { return Command(single); }, change);
+}
+
+/// A table after some accepted edits.
+Table
+anyTable()
+{
+  auto table = smallTable();
+  const int edits = *rc::gen::inRange(0, 12);
+  for (int i = 0; i < edits; ++i) {
+    const Edit edit{ "e" + std::to_string(i), asCommand(anyChange(table)) };
+    auto result = apply(table, edit);
+    if (auto* next = std::get_if<Applied>(&result)) {
+      table = std::move(next->table);
+    }
+  }
+  return table;
+}
+
+} // namespace
+
+// Guards against one operator silently overwriting the other one's change.
+TEST(TableEditTest, SecondOperatorOnTheSameRowGetsTheCurrentRow)
+{
+  const auto first =
+    applied(smallTable(), { "a", SetRow{ rowWithWeight(7), 1 } });
+  const auto result = apply(first, { "b", SetRow{ rowWithWeight(9), 1 } });
+  const auto* conflict = std::get_if<EditConflict>(&result);
+  ASSERT_NE(conflict, nullptr);
+  EXPECT_EQ(conflict->target, "row carl/*");
+  ASSERT_TRUE(conflict->row.has_value());
+  EXPECT_EQ(conflict->row->weight, 7);
+  EXPECT_EQ(conflict->row->version, 2);
+}
+
+// Guards against a conflict that hides the removal of the row.
+TEST(TableEditTest, ChangeOfARemovedRowIsAConflictWithoutRow)
+{
+  const auto removed =
+    applied(smallTable(), { "a", RemoveRow{ { "carl", "*" }, 1 } });
+  const auto result = apply(removed, { "b", SetRow{ rowWithWeight(9), 1 } });
+  const auto* conflict = std::get_if<EditConflict>(&result);
+  ASSERT_NE(conflict, nullptr);
+  EXPECT_FALSE(conflict->row.has_value());
+}
+
+// Guards against an edit being refused because of somebody else's row.
+TEST(TableEditTest, ChangesToOtherRowsMerge)
+{
+  auto draft = row("tina", "draft");
+  draft.priority = 9;
+  const auto first =
+    applied(smallTable(), { "a", SetRow{ rowWithWeight(7), 1 } });
+  const auto both = applied(first, { "b", SetRow{ draft, 1 } });
+  EXPECT_EQ(both.revision, 3);
+  EXPECT_EQ(both.rows.at({ "carl", "*" }).weight, 7);
+  EXPECT_EQ(both.rows.at({ "tina", "draft" }).priority, 9);
+  EXPECT_EQ(both.rows.at({ "tina", "draft" }).version, 3);
+}
+
+// Guards against a repeated request taking effect twice, or being reported as
+// a conflict with itself.
+TEST(TableEditTest, RepeatedEditIdIsAcceptedWithItsOwnRevision)
+{
+  const Edit edit{ "a", SetRow{ rowWithWeight(7), 1 } };
+  const auto first = applied(smallTable(), edit);
+  const auto later = applied(first, { "b", RemoveRow{ { "carl", "*" }, 2 } });
+  const auto result = apply(later, edit);
+  const auto* before = std::get_if<AcceptedBefore>(&result);
+  ASSERT_NE(before, nullptr);
+  EXPECT_EQ(before->revision, 2);
+}
+
+TEST(TableEditTest, ListOfEditIdsIsBounded)
+{
+  auto table = smallTable();
+  for (int i = 0; i < 300; ++i) {
+    const auto version = table.rows.at({ "carl", "*" }).version;
+    table = applied(
+      table,
+      { "e" + std::to_string(i), SetRow{ rowWithWeight(1 + i % 9), version } });
+  }
+  EXPECT_EQ(table.recentEdits.size(), TableLimits::kRecentEdits);
+  EXPECT_EQ(acceptedRevision(table, "e299"), table.revision);
+  EXPECT_EQ(acceptedRevision(table, "e44"), 46);
+  EXPECT_EQ(acceptedRevision(table, "e43"), std::nullopt);
+}
+
+// Guards against a table that locks out everybody or cannot be enforced.
+TEST(TableEditTest, WholeTableIsChecked)
+{
+  const auto table = smallTable();
+  EXPECT_EQ(invalidReason(table, { "a", RemovePrincipal{ "carl", 1 } }),
+            "row carl/* names no known principal");
+  EXPECT_EQ(invalidReason(table, { "a", SetRow{ row("dora", "*"), 0 } }),
+            "row dora/* names no known principal");
+  EXPECT_EQ(invalidReason(table, { "a", RemovePrincipal{ "root", 1 } }),
+            "at least one operator must stay");
+  EXPECT_EQ(invalidReason(table, { "a", SetRow{ rowWithWeight(1001), 1 } }),
+            "weight of row carl/* must be an integer from 1 to 1000, not 1001");
+  auto sameToken = principal("dora", PrincipalRole::Caller);
+  sameToken.tokenHash = table.principals.at("root").tokenHash;
+  EXPECT_EQ(invalidReason(table, { "a", SetPrincipal{ sameToken, 0 } }),
+            "principal root has the token of another principal");
+  EXPECT_NE(invalidReason(table, { "a b", RemoveRow{ { "carl", "*" }, 1 } }),
+            "");
+  EXPECT_NE(invalidReason(table, { "a", RemoveRow{ { "carl", "none" }, 0 } }),
+            "");
+}
+
+TEST(TableEditTest, SizeIsLimited)
+{
+  auto table = smallTable();
+  for (std::size_t i = table.rows.size(); i < TableLimits::kMaxRows; ++i) {
+    const auto kind = "k" + std::to_string(i);
+    table.rows[{ "carl", kind }] = row("carl", kind);
+  }
+  EXPECT_EQ(checkTable(table), std::nullopt);
+  EXPECT_EQ(invalidReason(table, { "a", SetRow{ row("carl", "more"), 0 } }),
+            "more than 1500 rows");
+}
+
+// Guards against a partly applied restore.
+TEST(TableEditTest, RestoreIsInForceAsAWholeOrNotAtAll)
+{
+  Restore restore;
+  restore.changes.emplace_back(SetRow{ rowWithWeight(7), 1 });
+  restore.changes.emplace_back(RemoveRow{ { "tina", "draft" }, 5 });
+  const auto result = apply(smallTable(), { "a", restore });
+  ASSERT_TRUE(std::holds_alternative<EditConflict>(result));
+  restore.changes.back() = RemoveRow{ { "tina", "draft" }, 1 };
+  const auto table = applied(smallTable(), { "a", restore });
+  EXPECT_EQ(table.revision, 2);
+  EXPECT_EQ(table.rows.size(), 1);
+}
+
+// Guards against an undo that loses a field or brings back too much.
+RC_GTEST_PROP(TableEditProperty, InverseRestoresTheContent, ())
+{
+  const auto before = anyTable();
+  const Edit edit{ "edit", asCommand(anyChange(before)) };
+  const auto result = apply(before, edit);
+  RC_PRE(std::holds_alternative<Applied>(result));
+  const auto after = std::get<Applied>(result).table;
+  const auto undone =
+    apply(after, { "undo", inverse(edit.command, before, after) });
+  RC_ASSERT(std::holds_alternative<Applied>(undone));
+  RC_ASSERT(sameContent(std::get<Applied>(undone).table, before));
+}
+
+RC_GTEST_PROP(TableEditProperty, RestoreLeadsToTheWantedTableAndBack, ())
+{
+  const auto current = anyTable();
+  const auto wanted = anyTable();
+  const auto restore = changesBetween(current, wanted);
+  const auto there = apply(current, { "restore", restore });
+  RC_ASSERT(std::holds_alternative<Applied>(there));
+  const auto& table = std::get<Applied>(there).table;
+  RC_ASSERT(sameContent(table, wanted));
+  const auto back = apply(table, { "undo", inverse(restore, current, table) });
+  RC_ASSERT(std::holds_alternative<Applied>(back));
+  RC_ASSERT(sameContent(std::get<Applied>(back).table, current));
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/table_replica_test.cpp
@@ -0,0 +1,54 @@
+#include "core/table_replica.h"
+
+#include "core/table_fixture.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+Table
+tableWithRevision(std::int64_t revision)
+{
+  auto table = testing::smallTable();
+  table.revision = revision;
+  return table;
+}
+
+} // namespace
+
+// Guards against an accepted edit that reverts when an old document arrives
+// late, from whatever source.
+RC_GTEST_PROP(TableReplicaProperty, RevisionNeverFalls, ())
+{
+  TableReplica replica;
+  std::vector<std::int64_t> seen;
+  replica.onChange([&](const Table& table) { seen.push_back(table.revision); });
+  const auto offers =
+    *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 20));
+  std::int64_t highest = 0;
+  for (const auto revision : offers) {
+    const bool isNewer = revision > highest;
+    RC_ASSERT(replica.offer(tableWithRevision(revision)) == isNewer);
+    highest = std::max<std::int64_t>(highest, revision);
+    RC_ASSERT(replica.revision() == highest);
+  }
+  RC_ASSERT(std::is_sorted(seen.begin(), seen.end()));
+  const bool endsHighest = seen.empty() || seen.back() == highest;
+  RC_ASSERT(endsHighest);
+}
+
+// Guards against work that sees two revisions of the table.
+TEST(TableReplicaTest, SnapshotOutlivesTheNextTable)
+{
+  TableReplica replica;
+  replica.offer(tableWithRevision(1));
+  const auto snapshot = replica.snapshot();
+  replica.offer(tableWithRevision(2));
+  EXPECT_EQ(snapshot->revision, 1);
+  EXPECT_EQ(replica.revision(), 2);
+}
+
+} // namespace lentilrack::core
