--- /dev/null
+++ b/src/dispatch/weight_updater.cpp
@@ -0,0 +1,202 @@
+#include "dispatch/weight_updater.h"
+
+#include "net/random.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace lentilrack::dispatch {
+
+using core::Clock;
+using net::Awaitable;
+
+namespace {
+
+/// A cache that is cut off from the store announces nothing; after this many
+/// empty polls the store itself is asked.
+constexpr std::int64_t kPollsOfCache = 3;
+/// Bounds the polls of a source that answers "nothing new" without waiting.
+constexpr core::Millis kEmptyPause{ 50 };
+
+} // namespace
+
+const WeightCacheAddress*
+chooseCache(const std::vector<WeightCacheAddress>& caches,
+            const std::string& failureDomain,
+            const std::string& model,
+            std::int64_t version)
+{
+  const WeightCacheAddress* best = nullptr;
+  std::uint64_t bestRank = 0;
+  for (const auto& cache : caches) {
+    if (cache.failureDomain != failureDomain) {
+      continue;
+    }
+    const auto key = cache.name + '\n' + model + '\n' + std::to_string(version);
+    const auto rank = XXH64(key.data(), key.size(), 0);
+    if (best == nullptr || rank > bestRank) {
+      best = &cache;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+WeightUpdater::WeightUpdater(net::asio::io_context& io,
+                             net::HttpClient& http,
+                             net::Metrics& metrics,
+                             net::Logger log,
+                             WeightUpdaterOptions options,
+                             WeightUpdaterHooks hooks)
+  : mIo(io)
+  , mStore(http)
+  , mMetrics(metrics)
+  , mLog(std::move(log))
+  , mOptions(std::move(options))
+  , mHooks(std::move(hooks))
+  , mRollout(mOptions.policy)
+  , mWake(io)
+{
+}
+
+void
+WeightUpdater::begin()
+{
+  net::spawn(mIo, loop(), shared_from_this());
+}
+
+void
+WeightUpdater::stop()
+{
+  mStopped = true;
+  mWake.notify();
+}
+
+Awaitable<void>
+WeightUpdater::loop()
+{
+  while (!mStopped) {
+    refreshServers();
+    startLoads();
+    co_await mWake.wait(mOptions.period);
+  }
+}
+
+void
+WeightUpdater::refreshServers()
+{
+  mEngines.clear();
+  std::vector<core::RolloutServer> servers;
+  for (auto& engine : mHooks.owned()) {
+    servers.push_back(engine.server);
+    for (const auto& model : engine.server.models) {
+      if (mFollowed.insert(model).second) {
+        net::spawn(mIo, followModel(model), shared_from_this());
+      }
+    }
+    mEngines[engine.server.id] = std::move(engine);
+  }
+  mRollout.setServers(servers, Clock::now());
+}
+
+void
+WeightUpdater::startLoads()
+{
+  for (auto& swap : mRollout.next(Clock::now())) {
+    const auto engine = mEngines.at(swap.server);
+    net::spawn(mIo, load(std::move(swap), engine), shared_from_this());
+  }
+}
+
+core::Endpoint
+WeightUpdater::sourceFor(const core::WeightSwap& swap,
+                         const std::string& failureDomain) const
+{
+  if (mAvoidCache.contains(swap.server)) {
+    return mOptions.store;
+  }
+  const auto caches = mHooks.caches();
+  const auto* cache =
+    chooseCache(caches, failureDomain, swap.model, swap.version);
+  return cache == nullptr ? mOptions.store : cache->endpoint;
+}
+
+Awaitable<void>
+WeightUpdater::load(core::WeightSwap swap, OwnedEngine engine)
+{
+  const auto source = sourceFor(swap, engine.failureDomain);
+  const auto started = Clock::now();
+  mHooks.hold(swap.server);
+  const bool loaded =
+    co_await mHooks.load(engine, swap.model, swap.version, source);
+  mHooks.release(swap.server);
+  const auto now = Clock::now();
+  mRollout.finished(swap, loaded, now, net::randomShare());
+  if (loaded) {
+    mAvoidCache.erase(swap.server);
+    mMetrics.increment("weight_loads_total{result=\"done\"}");
+    mMetrics.observe(
+      "weight_load_ms",
+      std::chrono::duration<double, std::milli>(now - started).count());
+  } else {
+    const bool usedCache = source != mOptions.store;
+    if (usedCache) {
+      mAvoidCache.insert(swap.server);
+    } else {
+      mAvoidCache.erase(swap.server);
+    }
+    mMetrics.increment("weight_loads_total{result=\"failed\"}");
+    mLog.warning("Server {} did not load version {} of {} from {}.",
+                 swap.server,
+                 swap.version,
+                 swap.model,
+                 source.text());
+  }
+  mWake.notify();
+}
+
+core::Endpoint
+WeightUpdater::versionSource(const std::string& model,
+                             std::int64_t emptyPolls) const
+{
+  if (mOptions.hasCache || emptyPolls >= kPollsOfCache) {
+    return mOptions.store;
+  }
+  const auto caches = mHooks.caches();
+  const auto* cache = chooseCache(caches, mOptions.failureDomain, model, 0);
+  return cache == nullptr ? mOptions.store : cache->endpoint;
+}
+
+Awaitable<void>
+WeightUpdater::followModel(std::string model)
+{
+  std::int64_t emptyPolls = 0;
+  while (!mStopped) {
+    const auto after = mRollout.target(model).value_or(0);
+    const auto source = versionSource(model, emptyPolls);
+    const bool askedStore = source == mOptions.store;
+    const auto newest =
+      co_await mStore.newest(source, model, after, mOptions.pollWait);
+    if (!newest) {
+      // The next poll goes to the store if a cache did not answer.
+      emptyPolls = askedStore ? 0 : kPollsOfCache;
+      co_await net::sleepFor(mOptions.pollRetry);
+      continue;
+    }
+    if (!newest.value()) {
+      emptyPolls = askedStore ? 0 : emptyPolls + 1;
+      co_await net::sleepFor(kEmptyPause);
+      continue;
+    }
+    emptyPolls = 0;
+    const auto version = *newest.value();
+    if (mRollout.announce(model, version.version)) {
+      mLog.info("Version {} of {} is announced.", version.version, model);
+      mHooks.announced(model, version);
+      mWake.notify();
+    }
+  }
+}
+
+} // namespace lentilrack::dispatch
--- /dev/null
+++ b/src/entry/sample_scorer.cpp
@@ -0,0 +1,126 @@
+#include "entry/sample_scorer.h"
+
+#include "net/random.h"
+#include "platform/error.h"
+
+namespace lentilrack::entry {
+
+using net::Awaitable;
+
+SampleScorer::SampleScorer(net::asio::io_context& io,
+                           net::HttpClient& http,
+                           net::Metrics& metrics,
+                           net::Logger log,
+                           SampleScorerOptions options)
+  : mIo(io)
+  , mClient(http)
+  , mMetrics(metrics)
+  , mLog(std::move(log))
+  , mOptions(std::move(options))
+{
+}
+
+void
+SampleScorer::submit(ScoreJob job)
+{
+  mQueue.push_back(std::move(job));
+  startCalls();
+}
+
+void
+SampleScorer::startCalls()
+{
+  while (mCalls < mOptions.calls) {
+    auto jobs = takeBatch();
+    if (jobs.empty()) {
+      return;
+    }
+    ++mCalls;
+    net::spawn(mIo, scoreBatch(std::move(jobs)), shared_from_this());
+  }
+}
+
+std::vector<ScoreJob>
+SampleScorer::takeBatch()
+{
+  std::vector<ScoreJob> jobs;
+  while (!mQueue.empty() && jobs.size() < mOptions.batch) {
+    // A job that failed before goes alone.
+    const bool alone = mQueue.front().failures > 0;
+    if (alone && !jobs.empty()) {
+      break;
+    }
+    auto job = std::move(mQueue.front());
+    mQueue.pop_front();
+    if (job.wanted()) {
+      jobs.push_back(std::move(job));
+    }
+    if (alone && !jobs.empty()) {
+      break;
+    }
+  }
+  return jobs;
+}
+
+std::optional<core::Endpoint>
+SampleScorer::nextEndpoint()
+{
+  const auto endpoints = mOptions.endpoints();
+  if (endpoints.empty()) {
+    return std::nullopt;
+  }
+  return endpoints[mTurn++ % endpoints.size()];
+}
+
+Awaitable<void>
+SampleScorer::scoreBatch(std::vector<ScoreJob> jobs)
+{
+  auto failures = jobs.front().failures;
+  for (;;) {
+    std::erase_if(jobs, [](const ScoreJob& job) { return !job.wanted(); });
+    if (jobs.empty()) {
+      break;
+    }
+    std::error_code error = platform::PlatformError::Unavailable;
+    const auto endpoint = nextEndpoint();
+    if (endpoint) {
+      std::vector<platform::ScoreItem> items;
+      for (const auto& job : jobs) {
+        items.push_back({ job.prompt, job.text });
+      }
+      const auto scores =
+        co_await mClient.score(*endpoint, std::move(items), mOptions.timeout);
+      error = scores ? std::error_code() : scores.error();
+      if (scores && scores.value().size() != jobs.size()) {
+        error = platform::PlatformError::BadAnswer;
+      }
+      if (!error) {
+        for (std::size_t i = 0; i < jobs.size(); ++i) {
+          jobs[i].done(scores.value()[i]);
+        }
+        break;
+      }
+    }
+    mMetrics.increment("score_failures_total");
+    mLog.warning("Scoring failed: {}.", error.message());
+    const auto pause = mOptions.backoff(++failures, net::randomShare());
+    co_await net::sleepFor(pause);
+    if (error != platform::PlatformError::Unavailable) {
+      retry(std::move(jobs));
+      break;
+    }
+  }
+  --mCalls;
+  startCalls();
+}
+
+void
+SampleScorer::retry(std::vector<ScoreJob> jobs)
+{
+  for (auto& job : jobs) {
+    ++job.failures;
+    mQueue.push_back(std::move(job));
+  }
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/step_codec.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "core/step.h"
+#include "wire/object_reader.h"
+
+#include <string>
+#include <vector>
+
+namespace lentilrack::entry {
+
+/// Body of `POST /v1/steps`.
+struct OpenStepRequest
+{
+  /// Without the trainer, which authentication gives.
+  core::StepSpec spec;
+  std::int64_t opening = 0;
+  std::vector<core::Slot> have;
+  std::int64_t version = 0;
+};
+
+/// Body of `POST /v1/steps/STEP/pull`.
+struct PullRequest
+{
+  std::int64_t opening = 0;
+  std::vector<core::Slot> have;
+  std::int64_t version = 0;
+  core::Millis wait{ 0 };
+};
+
+/// Body of `POST /v1/steps/STEP/ack`.
+struct AckRequest
+{
+  std::int64_t opening = 0;
+  std::vector<core::Slot> have;
+};
+
+/// Strict: a missing, unknown or ill-typed field is an error that names it.
+wire::Decoded<OpenStepRequest>
+decodeOpenStep(const std::string& body);
+wire::Decoded<PullRequest>
+decodePull(const std::string& body);
+wire::Decoded<AckRequest>
+decodeAck(const std::string& body);
+
+wire::Json
+encodeHandOver(std::int64_t opening,
+               const core::HandOver& handOver,
+               std::int64_t droppedStale);
+
+/// Error code in answers, "old_opening" for example.
+const char*
+faultName(core::StepFault fault);
+/// HTTP status of an answer with this error.
+int
+faultStatus(core::StepFault fault);
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/step_runner.cpp
@@ -0,0 +1,331 @@
+#include "entry/step_runner.h"
+
+#include "net/random.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace lentilrack::entry {
+
+using core::Clock;
+using core::Millis;
+using core::StepError;
+using net::Awaitable;
+
+namespace {
+
+// Copies beyond the engines' slots that keep their queues from running empty.
+constexpr std::int64_t kQueuedShareDivisor = 4;
+// Copies that are tried when no dispatcher has reported capacity yet.
+constexpr std::int64_t kSmallestWindow = 8;
+constexpr Millis kLongestPause{ 500 };
+constexpr Millis kRefusedPause{ 20 };
+constexpr Millis kLongestRefusedPause{ 1000 };
+
+std::string
+promptPrefix(const std::string& prompt)
+{
+  return fmt::format("{:016x}", XXH64(prompt.data(), prompt.size(), 0));
+}
+
+} // namespace
+
+StepRunner::StepRunner(std::shared_ptr<const StepServices> services,
+                       core::Step step)
+  : mServices(std::move(services))
+  , mStep(std::move(step))
+  , mLastMessage(Clock::now())
+  , mWake(*mServices->io)
+{
+  refreshVersions();
+}
+
+void
+StepRunner::begin()
+{
+  net::spawn(*mServices->io, loop(), shared_from_this());
+}
+
+void
+StepRunner::close()
+{
+  mClosed = true;
+  const auto cancels = mCancels;
+  for (const auto& [id, cancel] : cancels) {
+    cancel->cancel();
+  }
+  changed();
+}
+
+void
+StepRunner::changed()
+{
+  mWake.notify();
+  if (mPullWake) {
+    mPullWake->notify();
+  }
+}
+
+void
+StepRunner::versionsChanged()
+{
+  refreshVersions();
+  mWake.notify();
+}
+
+void
+StepRunner::refreshVersions()
+{
+  const auto newest = mServices->versions->newest(mStep.spec().model);
+  if (newest) {
+    mStep.observeVersion(*newest);
+  }
+}
+
+bool
+StepRunner::refreshRow(Millis* deadline)
+{
+  const auto* row = mServices->row(mStep.spec());
+  if (row == nullptr) {
+    return false;
+  }
+  *deadline = row->deadline;
+  // A validated table holds no negative bound; the last good one stays.
+  return mStep.setStalenessBound(row->stalenessBound).has_value();
+}
+
+core::Result<void, StepError>
+StepRunner::reopen(const core::StepSpec& spec,
+                   std::int64_t opening,
+                   const std::vector<core::Slot>& have,
+                   std::int64_t version)
+{
+  auto result = mStep.reopen(spec, opening, have);
+  if (result) {
+    mLastMessage = Clock::now();
+    mStep.observeVersion(version);
+    changed();
+  }
+  return result;
+}
+
+core::Result<void, StepError>
+StepRunner::acknowledge(std::int64_t opening,
+                        const std::vector<core::Slot>& have)
+{
+  auto result = mStep.acknowledge(opening, have);
+  if (result) {
+    mLastMessage = Clock::now();
+    changed();
+  }
+  return result;
+}
+
+Awaitable<PullResult>
+StepRunner::pull(std::int64_t opening,
+                 std::vector<core::Slot> have,
+                 std::int64_t version,
+                 Millis wait)
+{
+  const auto self = shared_from_this();
+  const auto end = Clock::now() + wait;
+  std::uint64_t number = 0;
+  std::shared_ptr<net::Notifier> wake;
+  for (;;) {
+    PullResult result;
+    result.superseded = mClosed || (number != 0 && mPulls != number);
+    if (result.superseded) {
+      co_return result;
+    }
+    Millis deadline{ 0 };
+    refreshVersions();
+    refreshRow(&deadline);
+    auto handOver = mStep.pull(opening, have, version);
+    if (!handOver) {
+      result.error = handOver.error();
+      co_return result;
+    }
+    mLastMessage = Clock::now();
+    if (number == 0) {
+      // Only a valid pull takes the place of one that waits.
+      number = ++mPulls;
+      wake = replacePull();
+    }
+    // The pull may have acknowledged or dropped samples.
+    mWake.notify();
+    result.handOver = std::move(handOver.value());
+    result.droppedStale = mStep.counters().stale;
+    const auto now = Clock::now();
+    const bool ready =
+      !result.handOver.samples.empty() || result.handOver.complete;
+    if (ready || now >= end) {
+      mServices->metrics->increment(
+        "samples_handed_over_total",
+        static_cast<double>(result.handOver.samples.size()));
+      co_return result;
+    }
+    co_await wake->wait(std::chrono::ceil<Millis>(end - now));
+  }
+}
+
+std::shared_ptr<net::Notifier>
+StepRunner::replacePull()
+{
+  const auto previous =
+    std::exchange(mPullWake, std::make_shared<net::Notifier>(*mServices->io));
+  if (previous) {
+    previous->notify();
+  }
+  return mPullWake;
+}
+
+Awaitable<void>
+StepRunner::loop()
+{
+  while (!mClosed) {
+    startCopies();
+    cancelCopies();
+    const auto pause = pauseLength();
+    co_await mWake.wait(pause);
+  }
+}
+
+Millis
+StepRunner::pauseLength() const
+{
+  const auto next = mStep.nextStart();
+  const auto now = Clock::now();
+  if (!next || *next <= now) {
+    return kLongestPause;
+  }
+  return std::min(kLongestPause, std::chrono::ceil<Millis>(*next - now));
+}
+
+void
+StepRunner::startCopies()
+{
+  Millis deadline{ 0 };
+  const auto now = Clock::now();
+  if (!refreshRow(&deadline) || now < mPausedUntil) {
+    return;
+  }
+  const auto capacity = mServices->capacity(mStep.spec().model);
+  const auto window = std::max(
+    kSmallestWindow, capacity.slots + capacity.slots / kQueuedShareDivisor);
+  auto idle = capacity.idleSlots;
+  while (mStep.running() < window) {
+    const auto start = mStep.start(now, idle);
+    if (!start) {
+      break;
+    }
+    --idle;
+    mCancels[start->id] = std::make_shared<net::CancelSignal>();
+    net::spawn(*mServices->io, runCopy(*start, deadline), shared_from_this());
+  }
+}
+
+void
+StepRunner::cancelCopies()
+{
+  auto ids = mStep.takeCancelled();
+  const auto hopeless = std::exchange(mHopeless, {});
+  ids.insert(ids.end(), hopeless.begin(), hopeless.end());
+  for (const auto id : ids) {
+    const auto found = mCancels.find(id);
+    if (found != mCancels.end()) {
+      const auto cancel = found->second;
+      cancel->cancel();
+    }
+  }
+}
+
+DispatchCall
+StepRunner::makeCall(const core::CopyStart& start, Millis deadline)
+{
+  const auto& spec = mStep.spec();
+  DispatchCall call;
+  call.attempt = { "idem-" + net::randomHex(), 1 };
+  call.work.type = core::WorkType::Rollout;
+  call.work.principal = spec.trainer;
+  call.work.kind = spec.kind;
+  call.work.target = spec.model;
+  call.work.idempotent = true;
+  call.work.prompt = spec.prompts[static_cast<std::size_t>(start.slot.group)];
+  call.work.maxTokens = spec.maxTokens;
+  call.work.offset = start.offset;
+  call.work.prefix = promptPrefix(call.work.prompt);
+  call.work.version = start.version;
+  call.remaining = deadline;
+  call.cancel = mCancels[start.id];
+  call.onChunk = [this, copy = start.id](const core::Chunk& chunk) {
+    takeChunk(copy, chunk);
+  };
+  return call;
+}
+
+void
+StepRunner::takeChunk(core::CopyId copy, const core::Chunk& chunk)
+{
+  const bool wanted = mStep.chunk(copy, chunk);
+  if (chunk.version) {
+    mServices->versions->observe(mStep.spec().model, *chunk.version);
+  }
+  if (!wanted) {
+    // The loop cancels it: the client that delivers the chunk must not be
+    // called back from here.
+    mHopeless.push_back(copy);
+    mWake.notify();
+  }
+}
+
+Awaitable<void>
+StepRunner::runCopy(core::CopyStart start, Millis deadline)
+{
+  const auto self = shared_from_this();
+  auto call = makeCall(start, deadline);
+  const auto result = co_await mServices->run(std::move(call));
+  mCancels.erase(start.id);
+  if (mClosed) {
+    co_return;
+  }
+  const auto& outcome = result.outcome;
+  const auto now = Clock::now();
+  const auto end = mStep.finish(start.id, outcome, now, net::randomShare());
+  if (end == core::CopyEnd::Score) {
+    submitForScore(start.id, start.slot.group);
+  } else if (end == core::CopyEnd::Again) {
+    mServices->metrics->increment("rollouts_again_total");
+    if (outcome.verdict == core::Verdict::NotRun) {
+      const auto pause =
+        std::clamp(outcome.retryAfter, kRefusedPause, kLongestRefusedPause);
+      mPausedUntil = now + pause;
+    }
+  }
+  mWake.notify();
+}
+
+void
+StepRunner::submitForScore(core::CopyId copy, std::int64_t group)
+{
+  const auto* answer = mStep.answer(copy);
+  const std::weak_ptr<StepRunner> weak = weak_from_this();
+  ScoreJob job;
+  job.prompt = mStep.spec().prompts[static_cast<std::size_t>(group)];
+  job.text = *answer;
+  job.wanted = [weak, copy] {
+    const auto self = weak.lock();
+    return self && !self->mClosed && self->mStep.answer(copy) != nullptr;
+  };
+  job.done = [weak, copy](double score) {
+    const auto self = weak.lock();
+    if (self && !self->mClosed) {
+      self->mStep.score(copy, score);
+      self->changed();
+    }
+  };
+  mServices->scorer->submit(std::move(job));
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/step_runner.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/step.h"
+#include "core/version_track.h"
+#include "entry/dispatch_client.h"
+#include "entry/sample_scorer.h"
+#include "net/log.h"
+#include "net/metrics.h"
+#include "net/notifier.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace lentilrack::entry {
+
+/// Capacity of the engines of one model, as the dispatchers report it.
+struct ModelCapacity
+{
+  std::int64_t slots = 0;
+  std::int64_t idleSlots = 0;
+};
+
+/// What the steps of one process share.
+struct StepServices
+{
+  net::asio::io_context* io = nullptr;
+  net::Metrics* metrics = nullptr;
+  std::shared_ptr<SampleScorer> scorer;
+  std::shared_ptr<core::VersionTrack> versions;
+  /// Runs one attempt at some dispatcher.
+  std::function<net::Awaitable<DispatchResult>(DispatchCall)> run;
+  std::function<ModelCapacity(const std::string& model)> capacity;
+  /// The row in force for the step's work; null if it has been removed.
+  std::function<const core::Row*(const core::StepSpec&)> row;
+};
+
+/// Answer to a pull: samples or the reason why there are none.
+struct PullResult
+{
+  std::optional<core::StepError> error;
+  core::HandOver handOver;
+  std::int64_t droppedStale = 0;
+  /// A later pull of the same step, or its end, replaced this one.
+  bool superseded = false;
+};
+
+/// Runs the rollouts of one step and answers its pulls.
+class StepRunner : public std::enable_shared_from_this<StepRunner>
+{
+public:
+  StepRunner(std::shared_ptr<const StepServices> services, core::Step step);
+
+  /// Starts the loop that keeps rollouts running.
+  void begin();
+  /// Cancels everything; waiting pulls end as superseded.
+  void close();
+  bool closed() const { return mClosed; }
+
+  core::Result<void, core::StepError> reopen(
+    const core::StepSpec& spec,
+    std::int64_t opening,
+    const std::vector<core::Slot>& have,
+    std::int64_t version);
+  /// Waits up to `wait` until there is something to hand over.
+  net::Awaitable<PullResult> pull(std::int64_t opening,
+                                  std::vector<core::Slot> have,
+                                  std::int64_t version,
+                                  core::Millis wait);
+  core::Result<void, core::StepError> acknowledge(
+    std::int64_t opening,
+    const std::vector<core::Slot>& have);
+
+  const core::Step& step() const { return mStep; }
+  /// When the trainer last sent a message for the step.
+  core::TimePoint lastMessage() const { return mLastMessage; }
+  /// A new weight version may be known.
+  void versionsChanged();
+
+private:
+  net::Awaitable<void> loop();
+  void startCopies();
+  void cancelCopies();
+  core::Millis pauseLength() const;
+  std::shared_ptr<net::Notifier> replacePull();
+  net::Awaitable<void> runCopy(core::CopyStart start, core::Millis deadline);
+  DispatchCall makeCall(const core::CopyStart& start, core::Millis deadline);
+  void takeChunk(core::CopyId copy, const core::Chunk& chunk);
+  void submitForScore(core::CopyId copy, std::int64_t group);
+  void refreshVersions();
+  bool refreshRow(core::Millis* deadline);
+  void changed();
+
+  std::shared_ptr<const StepServices> mServices;
+  core::Step mStep;
+  bool mClosed = false;
+  core::TimePoint mLastMessage;
+  /// No copy starts before, since the dispatchers refused one.
+  core::TimePoint mPausedUntil;
+  net::Notifier mWake;
+  /// The pull that waits; a later one takes its place.
+  std::shared_ptr<net::Notifier> mPullWake;
+  std::uint64_t mPulls = 0;
+  std::map<core::CopyId, std::shared_ptr<net::CancelSignal>> mCancels;
+  std::vector<core::CopyId> mHopeless;
+};
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/src/entry/trainer_api.cpp
@@ -0,0 +1,597 @@
+#include "entry/trainer_api.h"
+
+#include "entry/step_codec.h"
+#include "entry/step_runner.h"
+#include "platform/weight_store_client.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace lentilrack::entry {
+
+using core::Clock;
+using core::Millis;
+using net::Awaitable;
+using net::HttpExchange;
+using wire::Json;
+
+namespace {
+
+constexpr std::size_t kMostSteps = 256;
+constexpr std::size_t kMostClosed = 4096;
+/// A trainer that sent nothing for so long is gone; it can open the step again.
+constexpr Millis kAbandonedAfter{ 15 * 60'000 };
+/// While draining, samples wait so long for a trainer that does not pull.
+constexpr Millis kDrainPatience{ 30'000 };
+constexpr Millis kVersionPoll{ 20'000 };
+constexpr Millis kVersionRetry{ 1'000 };
+/// Bounds the reads of a store that answers "nothing new" without waiting.
+constexpr Millis kVersionPause{ 100 };
+constexpr Millis kSweepPeriod{ 10'000 };
+
+using StepKey = std::pair<std::string, std::string>;
+
+struct ApiError
+{
+  int status = 400;
+  std::string code;
+  std::string message;
+  /// Nothing ran and nothing will.
+  bool notRun = false;
+  Json addresses;
+};
+
+net::HttpResponse
+errorResponse(const ApiError& error)
+{
+  Json body{ { "error", error.code },
+             { "message", error.message },
+             { "verdict", error.notRun ? Json("not_run") : Json() },
+             { "reason", error.code } };
+  if (!error.addresses.is_null()) {
+    body["addresses"] = error.addresses;
+  }
+  net::HttpResponse response;
+  response.status = error.status;
+  response.body = body.dump();
+  return response;
+}
+
+net::HttpResponse
+jsonResponse(const Json& body)
+{
+  net::HttpResponse response;
+  response.body = body.dump();
+  return response;
+}
+
+ApiError
+toApiError(const core::StepError& error)
+{
+  return {
+    faultStatus(error.fault), faultName(error.fault), error.message, false, {}
+  };
+}
+
+ApiError
+unknownStep()
+{
+  return { 404,
+           "unknown_step",
+           "this instance has no such step; open it with a higher opening "
+           "number and the samples that you have",
+           false,
+           {} };
+}
+
+} // namespace
+
+struct TrainerApi::State : std::enable_shared_from_this<TrainerApi::State>
+{
+  State(node::Node& owner, RunRollout run);
+
+  std::optional<ApiError> authenticate(const HttpExchange& exchange,
+                                       std::string* trainer) const;
+  std::optional<ApiError> checkNewStep(const core::StepSpec& spec) const;
+  std::shared_ptr<StepRunner> find(const HttpExchange& exchange,
+                                   const std::string& trainer) const;
+  net::HttpResponse open(const HttpExchange& exchange);
+  net::HttpResponse openNew(OpenStepRequest request);
+  net::HttpResponse acknowledge(const HttpExchange& exchange);
+  net::HttpResponse close(const HttpExchange& exchange);
+  Awaitable<void> handleOpen(HttpExchange& exchange);
+  Awaitable<void> handlePull(HttpExchange& exchange);
+  Awaitable<void> handleAck(HttpExchange& exchange);
+  Awaitable<void> handleClose(HttpExchange& exchange);
+
+  ModelCapacity capacity(const std::string& model) const;
+  std::vector<core::Endpoint> scorers() const;
+  Json otherAddresses() const;
+  bool knowsModel(const std::string& model) const;
+  bool hasSteps(const std::string& model) const;
+  void followVersions(const std::string& model);
+  Awaitable<void> versionLoop(std::string model);
+  Awaitable<void> sweepLoop();
+  void remember(const StepKey& key, std::int64_t opening);
+  Json dump() const;
+
+  node::Node& node;
+  net::Logger log;
+  platform::WeightStoreClient weightStore;
+  std::shared_ptr<core::VersionTrack> versions;
+  std::shared_ptr<StepServices> services;
+  std::map<StepKey, std::shared_ptr<StepRunner>> steps;
+  /// Highest opening of steps that the trainer closed, so that a delayed
+  /// message does not open one again.
+  std::map<StepKey, std::int64_t> closedOpenings;
+  std::set<std::string> followed;
+  bool draining = false;
+};
+
+TrainerApi::State::State(node::Node& owner, RunRollout run)
+  : node(owner)
+  , log(owner.log().part("steps"))
+  , weightStore(owner.http())
+  , versions(std::make_shared<core::VersionTrack>())
+  , services(std::make_shared<StepServices>())
+{
+  SampleScorerOptions options;
+  options.endpoints = [this] { return scorers(); };
+  services->io = &owner.io();
+  services->metrics = &owner.metrics();
+  services->scorer = std::make_shared<SampleScorer>(owner.io(),
+                                                    owner.http(),
+                                                    owner.metrics(),
+                                                    log.part("scorer"),
+                                                    std::move(options));
+  services->versions = versions;
+  services->run = std::move(run);
+  services->capacity = [this](const std::string& model) {
+    return capacity(model);
+  };
+  services->row = [this](const core::StepSpec& spec) {
+    return node.table().table().findRow(spec.trainer, spec.kind);
+  };
+}
+
+std::optional<ApiError>
+TrainerApi::State::authenticate(const HttpExchange& exchange,
+                                std::string* trainer) const
+{
+  const auto token = exchange.request().bearerToken();
+  const auto* principal =
+    token.empty() ? nullptr : node.table().table().authenticate(token);
+  if (principal == nullptr) {
+    return ApiError{
+      401, "unauthorized", "a known bearer token is needed", false, {}
+    };
+  }
+  if (principal->role != core::PrincipalRole::Trainer) {
+    return ApiError{
+      403, "not_a_trainer", "only trainers may use steps", false, {}
+    };
+  }
+  *trainer = principal->name;
+  return std::nullopt;
+}
+
+std::optional<ApiError>
+TrainerApi::State::checkNewStep(const core::StepSpec& spec) const
+{
+  if (draining) {
+    return ApiError{ 503,
+                     "draining",
+                     "this instance is leaving; open the step at another one",
+                     true,
+                     otherAddresses() };
+  }
+  if (node.cutOff()) {
+    return ApiError{ 503,
+                     "cut_off",
+                     "this instance cannot tell whether its table is current",
+                     true,
+                     otherAddresses() };
+  }
+  if (steps.size() >= kMostSteps) {
+    return ApiError{ 429,
+                     "too_many_steps",
+                     "too many steps are open here; close finished ones",
+                     true,
+                     otherAddresses() };
+  }
+  if (node.table().table().findRow(spec.trainer, spec.kind) == nullptr) {
+    return ApiError{ 403,
+                     "no_row",
+                     "the table has no row for " + spec.trainer +
+                       " and kind \"" + spec.kind + "\"",
+                     true,
+                     {} };
+  }
+  if (!knowsModel(spec.model)) {
+    return ApiError{ 404,
+                     "unknown_model",
+                     "no engine runs the model \"" + spec.model + "\"",
+                     true,
+                     {} };
+  }
+  return std::nullopt;
+}
+
+net::HttpResponse
+TrainerApi::State::open(const HttpExchange& exchange)
+{
+  std::string trainer;
+  if (const auto error = authenticate(exchange, &trainer)) {
+    return errorResponse(*error);
+  }
+  auto decoded = decodeOpenStep(exchange.request().body);
+  if (!decoded) {
+    return errorResponse(
+      { 400, "bad_input", decoded.error().text(), true, {} });
+  }
+  auto request = std::move(decoded.value());
+  request.spec.trainer = trainer;
+  const auto found = steps.find({ trainer, request.spec.name });
+  if (found == steps.end()) {
+    return openNew(std::move(request));
+  }
+  const auto result = found->second->reopen(
+    request.spec, request.opening, request.have, request.version);
+  if (!result) {
+    return errorResponse(toApiError(result.error()));
+  }
+  return jsonResponse(
+    { { "step", request.spec.name }, { "opening", request.opening } });
+}
+
+net::HttpResponse
+TrainerApi::State::openNew(OpenStepRequest request)
+{
+  const StepKey key{ request.spec.trainer, request.spec.name };
+  const auto closed = closedOpenings.find(key);
+  if (closed != closedOpenings.end() && request.opening <= closed->second) {
+    return errorResponse(
+      { 409,
+        "step_closed",
+        "the step was closed at opening " + std::to_string(closed->second),
+        true,
+        {} });
+  }
+  if (const auto error = checkNewStep(request.spec)) {
+    return errorResponse(*error);
+  }
+  auto step = core::Step::open(request.spec, request.opening, request.have);
+  if (!step) {
+    return errorResponse(toApiError(step.error()));
+  }
+  step.value().observeVersion(request.version);
+  const auto runner =
+    std::make_shared<StepRunner>(services, std::move(step.value()));
+  steps[key] = runner;
+  runner->begin();
+  followVersions(request.spec.model);
+  node.metrics().increment("steps_opened_total");
+  log.info("Step {} of {} is open with {} groups of {}.",
+           key.second,
+           key.first,
+           request.spec.prompts.size(),
+           request.spec.groupSize);
+  return jsonResponse(
+    { { "step", key.second }, { "opening", request.opening } });
+}
+
+std::shared_ptr<StepRunner>
+TrainerApi::State::find(const HttpExchange& exchange,
+                        const std::string& trainer) const
+{
+  const auto found = steps.find({ trainer, exchange.parameter("step") });
+  return found == steps.end() ? nullptr : found->second;
+}
+
+net::HttpResponse
+TrainerApi::State::acknowledge(const HttpExchange& exchange)
+{
+  std::string trainer;
+  if (const auto error = authenticate(exchange, &trainer)) {
+    return errorResponse(*error);
+  }
+  const auto request = decodeAck(exchange.request().body);
+  if (!request) {
+    return errorResponse(
+      { 400, "bad_input", request.error().text(), false, {} });
+  }
+  const auto runner = find(exchange, trainer);
+  if (!runner) {
+    return errorResponse(unknownStep());
+  }
+  const auto& ack = request.value();
+  const auto result = runner->acknowledge(ack.opening, ack.have);
+  if (!result) {
+    return errorResponse(toApiError(result.error()));
+  }
+  return jsonResponse({ { "opening", ack.opening } });
+}
+
+net::HttpResponse
+TrainerApi::State::close(const HttpExchange& exchange)
+{
+  std::string trainer;
+  if (const auto error = authenticate(exchange, &trainer)) {
+    return errorResponse(*error);
+  }
+  const auto runner = find(exchange, trainer);
+  if (!runner) {
+    return errorResponse(unknownStep());
+  }
+  const auto& step = runner->step();
+  const StepKey key{ trainer, step.spec().name };
+  remember(key, step.opening());
+  const Json body{ { "step", key.second }, { "opening", step.opening() } };
+  runner->close();
+  steps.erase(key);
+  log.info("Step {} of {} is closed.", key.second, key.first);
+  return jsonResponse(body);
+}
+
+void
+TrainerApi::State::remember(const StepKey& key, std::int64_t opening)
+{
+  if (closedOpenings.size() >= kMostClosed) {
+    closedOpenings.erase(closedOpenings.begin());
+  }
+  closedOpenings[key] = opening;
+}
+
+Awaitable<void>
+TrainerApi::State::handleOpen(HttpExchange& exchange)
+{
+  auto response = open(exchange);
+  co_await exchange.respond(std::move(response));
+}
+
+Awaitable<void>
+TrainerApi::State::handleAck(HttpExchange& exchange)
+{
+  auto response = acknowledge(exchange);
+  co_await exchange.respond(std::move(response));
+}
+
+Awaitable<void>
+TrainerApi::State::handleClose(HttpExchange& exchange)
+{
+  auto response = close(exchange);
+  co_await exchange.respond(std::move(response));
+}
+
+Awaitable<void>
+TrainerApi::State::handlePull(HttpExchange& exchange)
+{
+  const auto self = shared_from_this();
+  std::string trainer;
+  net::HttpResponse response;
+  const auto denied = authenticate(exchange, &trainer);
+  auto request = decodePull(exchange.request().body);
+  const auto runner = denied ? nullptr : find(exchange, trainer);
+  if (denied) {
+    response = errorResponse(*denied);
+  } else if (!request) {
+    const ApiError error{ 400, "bad_input", request.error().text(), false, {} };
+    response = errorResponse(error);
+  } else if (!runner) {
+    response = errorResponse(unknownStep());
+  } else {
+    auto& pull = request.value();
+    const auto result = co_await runner->pull(
+      pull.opening, std::move(pull.have), pull.version, pull.wait);
+    if (result.superseded) {
+      const ApiError error{ 409,
+                            "superseded",
+                            "a later pull or the end of the step replaced "
+                            "this pull",
+                            false,
+                            {} };
+      response = errorResponse(error);
+    } else if (result.error) {
+      response = errorResponse(toApiError(*result.error));
+    } else {
+      response = jsonResponse(
+        encodeHandOver(pull.opening, result.handOver, result.droppedStale));
+    }
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+ModelCapacity
+TrainerApi::State::capacity(const std::string& model) const
+{
+  ModelCapacity result;
+  for (const auto& member : node.members().live(core::MemberRole::Dispatch)) {
+    const auto load = member.load.find(model);
+    if (load == member.load.end()) {
+      continue;
+    }
+    result.slots += load->second.slots;
+    if (load->second.queuedTokens <= 0) {
+      result.idleSlots +=
+        std::max<std::int64_t>(0, load->second.slots - load->second.running);
+    }
+  }
+  return result;
+}
+
+std::vector<core::Endpoint>
+TrainerApi::State::scorers() const
+{
+  std::vector<core::Endpoint> live;
+  std::vector<core::Endpoint> leaving;
+  for (const auto& server : node.backendServers()) {
+    if (server.role == core::ServerRole::Scorer) {
+      (server.leaving ? leaving : live).push_back(server.endpoint);
+    }
+  }
+  return live.empty() ? leaving : live;
+}
+
+Json
+TrainerApi::State::otherAddresses() const
+{
+  auto addresses = Json::array();
+  for (const auto& member : node.members().live(core::MemberRole::Entry)) {
+    if (member.http && member.id.name != node.self().name) {
+      addresses.push_back({ { "endpoint", member.http->text() },
+                            { "failure_domain", member.failureDomain } });
+    }
+  }
+  return addresses;
+}
+
+bool
+TrainerApi::State::knowsModel(const std::string& model) const
+{
+  // Before the first list has come, nothing can be said against a model.
+  const auto& servers = node.backendServers();
+  return servers.empty() || std::ranges::any_of(servers, [&](const auto& s) {
+           return std::ranges::find(s.models, model) != s.models.end();
+         });
+}
+
+bool
+TrainerApi::State::hasSteps(const std::string& model) const
+{
+  return std::ranges::any_of(steps, [&](const auto& entry) {
+    return entry.second->step().spec().model == model;
+  });
+}
+
+void
+TrainerApi::State::followVersions(const std::string& model)
+{
+  if (followed.insert(model).second) {
+    net::spawn(node.io(), versionLoop(model), shared_from_this());
+  }
+}
+
+Awaitable<void>
+TrainerApi::State::versionLoop(std::string model)
+{
+  while (hasSteps(model)) {
+    const auto after = versions->newest(model).value_or(0);
+    const auto store = node.settings().weightStore;
+    const auto newest =
+      co_await weightStore.newest(store, model, after, kVersionPoll);
+    if (!newest) {
+      co_await net::sleepFor(kVersionRetry);
+      continue;
+    }
+    if (newest.value()) {
+      versions->observe(model, newest.value()->version);
+      for (const auto& [key, runner] : steps) {
+        runner->versionsChanged();
+      }
+    } else {
+      co_await net::sleepFor(kVersionPause);
+    }
+  }
+  followed.erase(model);
+}
+
+Awaitable<void>
+TrainerApi::State::sweepLoop()
+{
+  for (;;) {
+    co_await net::sleepFor(kSweepPeriod);
+    const auto now = Clock::now();
+    std::erase_if(steps, [&](const auto& entry) {
+      const bool abandoned =
+        now - entry.second->lastMessage() > kAbandonedAfter;
+      if (abandoned) {
+        log.warning("Step {} of {} is abandoned by its trainer.",
+                    entry.first.second,
+                    entry.first.first);
+        entry.second->close();
+      }
+      return abandoned;
+    });
+  }
+}
+
+Json
+TrainerApi::State::dump() const
+{
+  auto list = Json::array();
+  for (const auto& [key, runner] : steps) {
+    const auto& step = runner->step();
+    const auto& counters = step.counters();
+    list.push_back({ { "trainer", key.first },
+                     { "step", key.second },
+                     { "opening", step.opening() },
+                     { "in_flight", step.inFlight() },
+                     { "unacknowledged", step.unacknowledged() },
+                     { "complete", step.complete() },
+                     { "newest_version", step.newestVersion() },
+                     { "stale", counters.stale },
+                     { "unknown_version", counters.unknownVersion },
+                     { "wrong_length", counters.wrongLength },
+                     { "unwanted", counters.unwanted },
+                     { "extra_copies", counters.extraCopies },
+                     { "resumed", counters.resumed },
+                     { "failed", counters.failed },
+                     { "handed_over", counters.handedOver } });
+  }
+  return list;
+}
+
+TrainerApi::TrainerApi(node::Node& node, DispatchClient& dispatch)
+  : TrainerApi(node, [&dispatch](DispatchCall call) {
+    return dispatch.run(std::move(call));
+  })
+{
+}
+
+TrainerApi::TrainerApi(node::Node& node, RunRollout run)
+  : mState(std::make_shared<State>(node, std::move(run)))
+{
+  node.addDump("steps", [state = mState] { return state->dump(); });
+  net::spawn(node.io(), mState->sweepLoop(), mState);
+}
+
+TrainerApi::~TrainerApi() = default;
+
+void
+TrainerApi::addRoutes(net::HttpRouter& router)
+{
+  const auto state = mState;
+  router.add("POST", "/v1/steps", [state](HttpExchange& exchange) {
+    return state->handleOpen(exchange);
+  });
+  router.add("POST", "/v1/steps/:step/pull", [state](HttpExchange& exchange) {
+    return state->handlePull(exchange);
+  });
+  router.add("POST", "/v1/steps/:step/ack", [state](HttpExchange& exchange) {
+    return state->handleAck(exchange);
+  });
+  router.add("DELETE", "/v1/steps/:step", [state](HttpExchange& exchange) {
+    return state->handleClose(exchange);
+  });
+}
+
+void
+TrainerApi::beginDrain()
+{
+  mState->draining = true;
+}
+
+std::int64_t
+TrainerApi::activeSteps() const
+{
+  const auto now = Clock::now();
+  return std::ranges::count_if(mState->steps, [&](const auto& entry) {
+    const auto& runner = *entry.second;
+    const bool fetching = runner.step().unacknowledged() > 0 &&
+                          now - runner.lastMessage() < kDrainPatience;
+    return !mState->draining || runner.step().inFlight() > 0 || fetching;
+  });
+}
+
+} // namespace lentilrack::entry
