Wire the trainer API and weight updates into the programs; add demo, load tool and examples

Cause: the parts were written side by side and the thin path needs them in one process each.

Change: entry_app owns the trainer API, dispatch_app the weight updater (engines are told a cache of their failure domain if one is live); members say whether they serve cached weights; lentilrack-load with ten scenarios and checks that compare what callers were told with the ledgers of the stand-ins; demo.sh, bench.sh, two example deployments of the users and one for measurements.

--- a/src/core/member.h
+++ b/src/core/member.h
@@ -53,6 +53,8 @@
   /// Counts the member's own reports, so that an older report never replaces
   /// a newer one of the same incarnation.
   std::uint64_t reportNumber = 0;
+  /// Whether a dispatcher serves cached weights over its HTTP address.
+  bool hasWeightCache = false;
   /// Requests in flight at an entry, for the shares in address answers.
   std::int64_t inFlight = 0;
   std::map<std::string, TargetLoad> load;
--- a/src/dispatch/dispatch_app.cpp
+++ b/src/dispatch/dispatch_app.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr core::Millis kLoadTimeout{ 60'000 };
+
 core::SchedulerHooks
 hooksOf(const std::string& policy)
 {
@@ -26,9 +28,21 @@
   , mScheduler(options.scheduler, hooksOf(options.policy), seededRandom())
   , mFencing(node.kv(), node.log().part("fencing"))
   , mMonitor(node, mScheduler, mFencing, options.monitor)
-  , mService(node, mScheduler, mFencing, [this](const std::string& server) {
-    mMonitor.raiseFencing(server);
-  })
+  , mService(
+      node,
+      mScheduler,
+      mFencing,
+      [this](const std::string& server) { mMonitor.raiseFencing(server); })
+  , mEngines(node.http())
+  , mUpdater(std::make_shared<WeightUpdater>(
+      node.io(),
+      node.http(),
+      node.metrics(),
+      node.log().part("weights"),
+      WeightUpdaterOptions{ node.settings().weightStore,
+                            node.settings().failureDomain,
+                            !node.settings().dataDirectory.empty() },
+      updaterHooks()))
 {
   mService.addHandlers(node.linkServer());
   mMonitor.keepOwned(
@@ -54,11 +68,15 @@
 {
   mMonitor.start([this] { mService.pump(); });
   net::spawn(mNode.io(), mService.tickLoop());
+  if (mNode.settings().weightStore.port != 0) {
+    mUpdater->begin();
+  }
 }
 
 void
 DispatchApp::drain()
 {
+  mUpdater->stop();
   mService.drain();
 }
 
@@ -72,6 +90,71 @@
   return hooks;
 }
 
+WeightUpdaterHooks
+DispatchApp::updaterHooks()
+{
+  WeightUpdaterHooks hooks;
+  hooks.owned = [this] { return ownedEngines(); };
+  hooks.caches = [this] { return weightCaches(); };
+  hooks.hold = [this](const std::string& server) { servers().hold(server); };
+  hooks.release = [this](const std::string& server) {
+    servers().release(server);
+    mService.pump();
+  };
+  hooks.load = [this](OwnedEngine engine,
+                      std::string model,
+                      std::int64_t version,
+                      core::Endpoint source) {
+    return load(
+      std::move(engine), std::move(model), version, std::move(source));
+  };
+  return hooks;
+}
+
+std::vector<OwnedEngine>
+DispatchApp::ownedEngines() const
+{
+  std::vector<OwnedEngine> engines;
+  for (const auto* state : mScheduler.servers().ownedEngines()) {
+    OwnedEngine engine;
+    engine.server = { state->server.id,
+                      state->server.models,
+                      state->versions,
+                      state->running,
+                      state->server.slots };
+    engine.endpoint = state->server.endpoint;
+    engine.failureDomain = state->server.failureDomain;
+    engines.push_back(std::move(engine));
+  }
+  return engines;
+}
+
+std::vector<WeightCacheAddress>
+DispatchApp::weightCaches() const
+{
+  std::vector<WeightCacheAddress> caches;
+  for (const auto& member : mNode.members().live(core::MemberRole::Dispatch)) {
+    if (member.hasWeightCache && member.http) {
+      caches.push_back({ member.id.name, member.failureDomain, *member.http });
+    }
+  }
+  return caches;
+}
+
+net::Awaitable<bool>
+DispatchApp::load(OwnedEngine engine,
+                  std::string model,
+                  std::int64_t version,
+                  core::Endpoint source)
+{
+  const auto error = co_await mEngines.load(
+    engine.endpoint, model, version, std::move(source), kLoadTimeout);
+  if (!error) {
+    servers().setVersion(engine.server.id, model, version, core::Clock::now());
+  }
+  co_return !error;
+}
+
 wire::Json
 DispatchApp::dump() const
 {
--- a/src/dispatch/dispatch_app.h
+++ b/src/dispatch/dispatch_app.h
@@ -4,8 +4,10 @@
 #include "dispatch/dispatch_service.h"
 #include "dispatch/fencing.h"
 #include "dispatch/server_monitor.h"
+#include "dispatch/weight_updater.h"
 #include "node/node.h"
 #include "node/process.h"
+#include "platform/engine_client.h"
 
 #include <string>
 
@@ -40,14 +42,21 @@
 
 private:
   wire::Json dump() const;
+  WeightUpdaterHooks updaterHooks();
+  std::vector<OwnedEngine> ownedEngines() const;
+  std::vector<WeightCacheAddress> weightCaches() const;
+  net::Awaitable<bool> load(OwnedEngine engine,
+                            std::string model,
+                            std::int64_t version,
+                            core::Endpoint source);
 
   node::Node& mNode;
   core::Scheduler mScheduler;
   Fencing mFencing;
   ServerMonitor mMonitor;
   DispatchService mService;
-  // The weight cache and the weight updater belong here: made in the
-  // constructor with servers(), started in start().
+  platform::EngineClient mEngines;
+  std::shared_ptr<WeightUpdater> mUpdater;
 };
 
 } // namespace lentilrack::dispatch
--- a/src/entry/entry_app.cpp
+++ b/src/entry/entry_app.cpp
@@ -19,12 +19,14 @@
   , mCallApi(node, mRelay, mSealer)
   , mAddressApi(node, mIssuer)
   , mAdminApi(node)
+  , mTrainerApi(node, mClient)
 {
   mIssuer.refusesNewWork = [this] { return mOrders->refusesNewWork(); };
   mOrderApi.addRoutes(node.router());
   mCallApi.addRoutes(node.router());
   mAddressApi.addRoutes(node.router());
   mAdminApi.addRoutes(node.router());
+  mTrainerApi.addRoutes(node.router());
   mRelay->addHandler(node.linkServer());
   mIssuer.addHandler(node.linkServer());
   node.setInFlight(
@@ -73,12 +75,18 @@
 EntryApp::beginDrain()
 {
   mOrders->beginDrain();
+  mTrainerApi.beginDrain();
 }
 
 std::vector<std::string>
 EntryApp::inFlight() const
 {
-  return mOrders->describeInFlight();
+  auto lines = mOrders->describeInFlight();
+  const auto steps = mTrainerApi.activeSteps();
+  for (std::int64_t i = 0; i < steps; ++i) {
+    lines.emplace_back("open step of a trainer");
+  }
+  return lines;
 }
 
 } // namespace lentilrack::entry
--- a/src/entry/entry_app.h
+++ b/src/entry/entry_app.h
@@ -10,6 +10,7 @@
 #include "entry/order_service.h"
 #include "entry/relay.h"
 #include "entry/ticket_issuer.h"
+#include "entry/trainer_api.h"
 #include "node/node.h"
 
 #include <memory>
@@ -67,7 +68,7 @@
   CallApi mCallApi;
   AddressApi mAddressApi;
   AdminApi mAdminApi;
-  // The trainer API belongs here, and into addRoutes() of the constructor.
+  TrainerApi mTrainerApi;
 };
 
 } // namespace lentilrack::entry
--- /dev/null
+++ b/src/load/context.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "load/report.h"
+#include "load/stack_file.h"
+#include "net/http_client.h"
+
+#include <pcg_random.hpp>
+
+namespace lentilrack::load {
+
+/// What every part of a scenario needs.
+struct Context
+{
+  net::asio::io_context& io;
+  net::HttpClient& http;
+  Stack stack;
+  std::int64_t seed;
+  core::Millis duration;
+  pcg32 random;
+  /// Makes prompts unique over all runs against one deployment.
+  std::string runId;
+};
+
+/// One JSON call with the token of a principal (none if empty).
+net::Awaitable<net::HttpResult>
+callJson(Context& context,
+         core::Endpoint endpoint,
+         std::string method,
+         std::string target,
+         std::string principal,
+         wire::Json body);
+
+/// Sends POST /control to a stand-in.
+net::Awaitable<void>
+control(Context& context, core::Endpoint endpoint, wire::Json body);
+
+/// Milliseconds since a time point.
+double
+millisSince(core::TimePoint start);
+
+} // namespace lentilrack::load
--- /dev/null
+++ b/src/load/edit_check.cpp
@@ -0,0 +1,52 @@
+#include "load/edit_check.h"
+
+namespace lentilrack::load {
+
+void
+EditCheck::accepted(const std::string& row, AcceptedEdit edit)
+{
+  if (!mRows[row].emplace(edit.revision, edit).second) {
+    mCollisions.insert(row);
+  }
+}
+
+void
+EditCheck::finalRow(const std::string& row,
+                    std::int64_t version,
+                    std::int64_t weight,
+                    Report& report) const
+{
+  const auto found = mRows.find(row);
+  if (found == mRows.end() || mUncertain.contains(row)) {
+    return;
+  }
+  const auto& last = found->second.rbegin()->second;
+  if (version != last.revision || weight != last.weight) {
+    report.violation("accepted edit of row " + row + " at revision " +
+                     std::to_string(last.revision) + " is not in force");
+  }
+}
+
+void
+EditCheck::checkChains(Report& report) const
+{
+  for (const auto& row : mCollisions) {
+    report.violation("two edits of row " + row + " got one revision");
+  }
+  for (const auto& [row, edits] : mRows) {
+    const AcceptedEdit* previous = nullptr;
+    for (const auto& [revision, edit] : edits) {
+      const bool isBlind = previous != nullptr &&
+                           edit.seen != previous->revision &&
+                           !mUncertain.contains(row);
+      if (isBlind) {
+        report.violation("edit of row " + row + " at revision " +
+                         std::to_string(revision) +
+                         " did not see the one before it");
+      }
+      previous = &edit;
+    }
+  }
+}
+
+} // namespace lentilrack::load
--- /dev/null
+++ b/src/load/ledger_check.cpp
@@ -0,0 +1,61 @@
+#include "load/ledger_check.h"
+
+namespace lentilrack::load {
+
+using wire::Json;
+
+net::Awaitable<RunCounts>
+readLedgers(Context& context, std::string model)
+{
+  RunCounts runs;
+  for (const auto& engine : context.stack.engines(model)) {
+    const auto result = co_await callJson(
+      context, engine.endpoint, "GET", "/ledger", "", nullptr);
+    const auto json = Json::parse(result.response.body, nullptr, false);
+    if (!json.is_object()) {
+      continue;
+    }
+    for (const auto& run : json.value("runs", Json::array())) {
+      ++runs[run.value("prompt", "")];
+    }
+  }
+  co_return runs;
+}
+
+void
+LedgerCheck::told(const OrderSpec& spec, const OrderResult& result)
+{
+  mTold.push_back({ spec, result });
+}
+
+void
+LedgerCheck::compare(const RunCounts& runs, Report& report) const
+{
+  std::int64_t total = 0;
+  for (const auto& [spec, result] : mTold) {
+    const auto found = runs.find(result.prompt);
+    const auto count = found == runs.end() ? 0 : found->second;
+    total += count;
+    if (!spec.idempotent && count > 1) {
+      report.violation("ran more than once: " + result.prompt);
+    }
+    if (result.verdict == core::Verdict::NotRun && !spec.idempotent &&
+        count > 0) {
+      report.violation("told not run, but ran: " + result.prompt);
+    }
+    if (result.verdict == core::Verdict::Done && count == 0) {
+      report.violation("told done, but no server ran it: " + result.prompt);
+    }
+    if (result.verdict == core::Verdict::Done &&
+        (!result.isWhole || result.tokens != spec.tokens)) {
+      report.violation("answer is not whole: " + result.prompt);
+    }
+  }
+  const auto done = static_cast<double>(report.done);
+  if (done > 0) {
+    report.extraAttemptsRatio =
+      std::max(0.0, (static_cast<double>(total) - done) / done);
+  }
+}
+
+} // namespace lentilrack::load
--- /dev/null
+++ b/src/load/order_scenarios.cpp
@@ -0,0 +1,197 @@
+#include "load/order_load.h"
+#include "load/scenarios.h"
+
+#include <algorithm>
+
+namespace lentilrack::load {
+
+using net::Awaitable;
+using wire::Json;
+
+namespace {
+
+constexpr const char* kModel = "desk";
+constexpr std::int64_t kShortTokens = 20;
+constexpr std::int64_t kLongFactor = 30;
+constexpr double kLongShare = 0.1;
+constexpr core::Millis kWarmUp{ 3000 };
+
+MixPart
+part(const std::string& principal,
+     const std::string& kind,
+     std::int64_t tokens,
+     double rate)
+{
+  MixPart mix;
+  mix.principal = principal;
+  mix.spec = { kind, kModel, tokens, false };
+  mix.rate = rate;
+  return mix;
+}
+
+/// Short and long orders that together use `load` of the capacity.
+std::vector<MixPart>
+mixedLengths(const Context& context, double load)
+{
+  const double capacity = context.stack.capacity.at(kModel);
+  const double meanTokens =
+    kShortTokens * (1 - kLongShare + kLongShare * kLongFactor);
+  const double rate = load * capacity / meanTokens;
+  auto shortPart = part("desk", "short", kShortTokens, rate * (1 - kLongShare));
+  auto longPart =
+    part("desk", "long", kShortTokens * kLongFactor, rate * kLongShare);
+  longPart.isLong = true;
+  return { shortPart, longPart };
+}
+
+std::vector<MixPart>
+shortOnly(const Context& context, double load)
+{
+  const double capacity = context.stack.capacity.at(kModel);
+  return { part(
+    "desk", "short", kShortTokens, load * capacity / kShortTokens) };
+}
+
+Awaitable<void>
+slowTwoAtATime(Context& context, core::TimePoint end, bool& finished)
+{
+  constexpr double kSlow = 0.2;
+  constexpr core::Millis kSlowTime{ 10'000 };
+  auto engines = context.stack.engines(kModel);
+  while (core::Clock::now() < end) {
+    std::ranges::shuffle(engines, context.random);
+    const std::vector<StandinServer> slowed{ engines[0], engines[1] };
+    for (const auto& engine : slowed) {
+      Json body{ { "slow_factor", 1 / kSlow } };
+      co_await control(context, engine.endpoint, std::move(body));
+    }
+    const auto left =
+      std::chrono::duration_cast<core::Millis>(end - core::Clock::now());
+    co_await net::sleepFor(std::clamp(left, core::Millis(0), kSlowTime));
+    for (const auto& engine : slowed) {
+      Json body{ { "slow_factor", 1 } };
+      co_await control(context, engine.endpoint, std::move(body));
+    }
+  }
+  finished = true;
+}
+
+} // namespace
+
+Awaitable<void>
+runMixedLength(Context& context, Report& report)
+{
+  constexpr double kLoad = 0.8;
+  OrderLoad load(context, report);
+  co_await load.run(mixedLengths(context, kLoad), kWarmUp, false);
+  Report alone;
+  OrderLoad shortLoad(context, alone);
+  co_await shortLoad.run(shortOnly(context, kLoad), context.duration, true);
+  const auto before = load.doneTokens();
+  std::int64_t longTokens = 0;
+  load.onResult([&](const MixPart& mix, const OrderResult& result) {
+    longTokens += mix.isLong ? result.tokens : 0;
+  });
+  const auto start = core::Clock::now();
+  co_await load.run(mixedLengths(context, kLoad), context.duration, true);
+  const double seconds = millisSince(start) / 1000;
+  report.goodputRatio = static_cast<double>(load.doneTokens() - before) /
+                        (seconds * context.stack.capacity.at(kModel));
+  report.extra["short_alone_p99_ms"] = alone.shortLatency.quantile(0.99);
+  report.extra["long_tokens_per_s"] = static_cast<double>(longTokens) / seconds;
+  co_await load.check(kModel);
+}
+
+Awaitable<void>
+runSlowServers(Context& context, Report& report)
+{
+  constexpr double kLoad = 0.6;
+  OrderLoad load(context, report);
+  co_await load.run(shortOnly(context, kLoad), kWarmUp, false);
+  Report healthy;
+  OrderLoad healthyLoad(context, healthy);
+  co_await healthyLoad.run(shortOnly(context, kLoad), context.duration, true);
+  bool finished = false;
+  net::spawn(
+    context.io,
+    slowTwoAtATime(context, core::Clock::now() + context.duration, finished));
+  co_await load.run(shortOnly(context, kLoad), context.duration, true);
+  while (!finished) {
+    co_await net::sleepFor(core::Millis(20));
+  }
+  report.extra["healthy_p99_ms"] = healthy.shortLatency.quantile(0.99);
+  co_await load.check(kModel);
+}
+
+Awaitable<void>
+runOverload(Context& context, Report& report)
+{
+  constexpr double kOverload = 3;
+  constexpr std::int64_t kTokens = 40;
+  const double capacity = context.stack.capacity.at(kModel);
+  const double rate = kOverload * capacity / kTokens / 2;
+  OrderLoad load(context, report);
+  const std::vector<MixPart> mix{ part("gold", "bulk", kTokens, rate),
+                                  part("silver", "bulk", kTokens, rate) };
+  co_await load.run(mix, kWarmUp, false);
+  const auto before = load.doneTokens();
+  std::map<std::string, double> tokens;
+  Samples refusals;
+  const auto start = core::Clock::now();
+  const auto end = start + context.duration;
+  double inTime = 0;
+  load.onResult([&](const MixPart& from, const OrderResult& result) {
+    if (result.verdict == core::Verdict::NotRun) {
+      refusals.add(result.millis);
+    } else if (core::Clock::now() < end) {
+      tokens[from.principal] += static_cast<double>(result.tokens);
+      inTime += static_cast<double>(result.tokens);
+    }
+  });
+  co_await load.run(mix, context.duration, true);
+  const double seconds =
+    std::chrono::duration<double>(context.duration).count();
+  report.goodputRatio = inTime / (seconds * capacity);
+  report.extra["done_tokens"] = static_cast<double>(load.doneTokens() - before);
+  report.extra["gold_over_silver"] =
+    tokens["gold"] / std::max(tokens["silver"], 1.0);
+  report.extra["refused_p50_ms"] = refusals.quantile(0.5);
+  report.extra["refused_p99_ms"] = refusals.quantile(0.99);
+  co_await load.check(kModel);
+}
+
+Awaitable<void>
+runKvOutage(Context& context, Report& report)
+{
+  constexpr double kLoad = 0.5;
+  OrderLoad load(context, report);
+  co_await load.run(shortOnly(context, kLoad), kWarmUp, true);
+  Json down{ { "down", true } };
+  co_await control(context, context.stack.kv, std::move(down));
+  co_await load.run(shortOnly(context, kLoad), context.duration, true);
+  Json up{ { "down", false } };
+  co_await control(context, context.stack.kv, std::move(up));
+  co_await load.run(shortOnly(context, kLoad), kWarmUp, true);
+  const auto ledger =
+    co_await callJson(context, context.stack.kv, "GET", "/ledger", "", nullptr);
+  const auto json = Json::parse(ledger.response.body, nullptr, false);
+  if (json.is_object() && json.contains("calls_per_second_max")) {
+    report.extra["kv_calls_per_second_max"] = json["calls_per_second_max"];
+  }
+  co_await load.check(kModel);
+}
+
+Awaitable<void>
+runOrdersUnderFault(Context& context, Report& report)
+{
+  constexpr double kLoad = 0.5;
+  auto mix = shortOnly(context, kLoad / 2);
+  auto idempotent = mix.front();
+  idempotent.spec.idempotent = true;
+  mix.push_back(idempotent);
+  OrderLoad load(context, report);
+  co_await load.run(mix, context.duration, true);
+  co_await load.check(kModel);
+}
+
+} // namespace lentilrack::load
--- /dev/null
+++ b/src/load/trainer_client.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "load/context.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lentilrack::load {
+
+struct StepSpec
+{
+  std::string name;
+  std::string kind;
+  std::string model;
+  /// Tokens of each sample of a group, by group.
+  std::vector<std::int64_t> lengths;
+  std::int64_t groupSize = 4;
+  std::int64_t quorum = 4;
+  /// Time the trainer works on one sample.
+  core::Millis workPerSample{ 0 };
+};
+
+struct StepResult
+{
+  bool isComplete = false;
+  std::int64_t samples = 0;
+  double millis = 0;
+  /// Time without a sample to work on.
+  double idleMillis = 0;
+  std::int64_t tokens = 0;
+};
+
+/// A trainer: opens a step, pulls samples while it works on those it has,
+/// acknowledges, closes, and opens the step elsewhere if its home is lost.
+class TrainerClient
+{
+public:
+  TrainerClient(Context& context, Report& report, std::string principal);
+
+  net::Awaitable<StepResult> run(StepSpec spec);
+  /// Version that the next pulls name.
+  void setVersion(std::int64_t version) { mVersion = version; }
+  std::int64_t version() const { return mVersion; }
+  /// Announced versions; a sample that names another one is a violation.
+  void setAnnounced(std::set<std::int64_t> versions)
+  {
+    mAnnounced = std::move(versions);
+  }
+
+private:
+  using Slot = std::pair<std::int64_t, std::int64_t>;
+
+  net::Awaitable<bool> open(const StepSpec& spec);
+  net::Awaitable<std::optional<wire::Json>> pull(const StepSpec& spec,
+                                                 std::int64_t version);
+  void check(const StepSpec& spec,
+             const wire::Json& sample,
+             std::int64_t version);
+  wire::Json haveList() const;
+
+  Context& mContext;
+  Report& mReport;
+  std::string mPrincipal;
+  core::Endpoint mHome;
+  std::int64_t mOpening = 0;
+  std::int64_t mVersion = 1;
+  std::set<std::int64_t> mAnnounced{ 1 };
+  std::set<Slot> mHave;
+};
+
+} // namespace lentilrack::load
--- /dev/null
+++ b/src/load/trainer_scenarios.cpp
@@ -0,0 +1,167 @@
+#include "load/order_load.h"
+#include "load/scenarios.h"
+#include "load/trainer_client.h"
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+
+namespace lentilrack::load {
+
+using net::Awaitable;
+using wire::Json;
+
+namespace {
+
+constexpr const char* kModel = "notes";
+constexpr const char* kTrainer = "notes-trainer";
+constexpr std::int64_t kGroups = 64;
+constexpr std::int64_t kGroupSize = 4;
+constexpr double kStragglers = 0.05;
+constexpr std::int64_t kStragglerFactor = 10;
+constexpr std::int64_t kBound = 1;
+
+/// Log-normal lengths with a median of 60 tokens; one group in twenty is ten
+/// times longer.
+std::vector<std::int64_t>
+drawLengths(Context& context)
+{
+  std::lognormal_distribution<double> length(std::log(60.0), 0.5);
+  std::bernoulli_distribution isStraggler(kStragglers);
+  std::vector<std::int64_t> lengths;
+  for (std::int64_t i = 0; i < kGroups; ++i) {
+    const auto tokens =
+      std::clamp<std::int64_t>(std::llround(length(context.random)), 10, 300);
+    lengths.push_back(tokens *
+                      (isStraggler(context.random) ? kStragglerFactor : 1));
+  }
+  return lengths;
+}
+
+/// Lower bound of a step's time: all work spread evenly, but no sample faster
+/// than one slot can generate it.
+double
+boundMillis(const Context& context, const std::vector<std::int64_t>& lengths)
+{
+  const auto total = static_cast<double>(
+    std::accumulate(lengths.begin(), lengths.end(), std::int64_t{ 0 }) *
+    kGroupSize);
+  const auto longest = static_cast<double>(std::ranges::max(lengths));
+  return 1000 * std::max(total / context.stack.capacity.at(kModel),
+                         longest / context.stack.tokenRate.at(kModel));
+}
+
+Awaitable<void>
+steps(Context& context,
+      Report& report,
+      TrainerClient& trainer,
+      core::TimePoint end,
+      bool& finished)
+{
+  double wall = 0;
+  double idle = 0;
+  double bound = 0;
+  int count = 0;
+  while (core::Clock::now() < end) {
+    StepSpec spec;
+    spec.name = context.runId + "-" + std::to_string(++count);
+    spec.kind = "note";
+    spec.model = kModel;
+    spec.groupSize = kGroupSize;
+    spec.quorum = kGroupSize;
+    spec.lengths = drawLengths(context);
+    const auto shortest = boundMillis(context, spec.lengths);
+    // The trainer needs three quarters of the shortest step time itself.
+    spec.workPerSample =
+      core::Millis(std::llround(0.75 * shortest / (kGroups * kGroupSize)));
+    const auto result = co_await trainer.run(spec);
+    report.requests += kGroups * kGroupSize;
+    report.done += result.samples;
+    if (!result.isComplete || result.samples != kGroups * kGroupSize) {
+      report.violation("step was not completed: " + spec.name);
+    }
+    report.longLatency.add(result.millis);
+    wall += result.millis;
+    idle += result.idleMillis;
+    bound += shortest;
+  }
+  report.trainerIdleRatio = idle / wall;
+  report.extra["steps"] = count;
+  report.extra["step_time_over_bound"] = wall / bound;
+  finished = true;
+}
+
+Awaitable<void>
+announce(Context& context,
+         TrainerClient& trainer,
+         core::TimePoint end,
+         bool& finished)
+{
+  constexpr core::Millis kPeriod{ 4000 };
+  std::set<std::int64_t> announced{ trainer.version() };
+  while (core::Clock::now() + kPeriod < end) {
+    co_await net::sleepFor(kPeriod);
+    const auto version = trainer.version() + 1;
+    announced.insert(version);
+    trainer.setAnnounced(announced);
+    Json body{ { "model", kModel }, { "version", version } };
+    co_await callJson(context,
+                      context.stack.weights,
+                      "POST",
+                      "/weights/announce",
+                      "",
+                      std::move(body));
+    trainer.setVersion(version);
+  }
+  finished = true;
+}
+
+Awaitable<void>
+waitFor(const bool& finished)
+{
+  while (!finished) {
+    co_await net::sleepFor(core::Millis(20));
+  }
+}
+
+} // namespace
+
+Awaitable<void>
+runTrainerStep(Context& context, Report& report)
+{
+  report.stalenessBound = kBound;
+  TrainerClient trainer(context, report, kTrainer);
+  bool finished = false;
+  co_await steps(
+    context, report, trainer, core::Clock::now() + context.duration, finished);
+}
+
+Awaitable<void>
+runWeightsChange(Context& context, Report& report)
+{
+  report.stalenessBound = kBound;
+  const double rate = 0.5 * context.stack.capacity.at("desk") / 20;
+  MixPart orders;
+  orders.principal = "desk";
+  orders.spec = { "order", "desk", 20, false };
+  orders.rate = rate;
+  const std::vector<MixPart> mix{ orders };
+  Report before;
+  OrderLoad quiet(context, before);
+  co_await quiet.run(mix, context.duration / 2, true);
+  TrainerClient trainer(context, report, kTrainer);
+  const auto end = core::Clock::now() + context.duration;
+  bool stepsFinished = false;
+  bool announceFinished = false;
+  net::spawn(context.io, steps(context, report, trainer, end, stepsFinished));
+  net::spawn(context.io, announce(context, trainer, end, announceFinished));
+  OrderLoad load(context, report);
+  co_await load.run(mix, context.duration, true);
+  co_await waitFor(stepsFinished);
+  co_await waitFor(announceFinished);
+  report.extra["quiet_p99_ms"] = before.shortLatency.quantile(0.99);
+  report.extra["versions"] = static_cast<double>(trainer.version());
+  co_await load.check("desk");
+}
+
+} // namespace lentilrack::load
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -49,6 +49,8 @@
   self.id = { settings.name + roleSuffix(settings.role), randomIncarnation() };
   self.role = settings.role;
   self.failureDomain = settings.failureDomain;
+  self.hasWeightCache = settings.role == core::MemberRole::Dispatch &&
+                        !settings.dataDirectory.empty();
   return self;
 }
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -329,6 +329,7 @@
              { "table_revision", member.tableRevision },
              { "report", member.reportNumber },
              { "in_flight", member.inFlight },
+             { "weight_cache", member.hasWeightCache },
              { "load", encodeLoad(member.load) } };
   if (member.http) {
     json["http"] = member.http->text();
@@ -351,6 +352,7 @@
     member.tableRevision = reader.integer("table_revision", 0, kMaxVersion);
     member.reportNumber = reader.required<std::uint64_t>("report");
     member.inFlight = reader.integer("in_flight", 0, kMaxVersion);
+    member.hasWeightCache = reader.optional<bool>("weight_cache", false);
     member.load = readLoad(reader);
     if (reader.find("http") != nullptr) {
       member.http = readEndpoint(reader, "http");
--- /dev/null
+++ b/tests/load/check_test.cpp
@@ -0,0 +1,112 @@
+#include "load/edit_check.h"
+#include "load/ledger_check.h"
+
+#include <gtest/gtest.h>
+
+// The checks of the load tool must be able to fail: each test breaks one
+// promise on purpose.
+namespace lentilrack::load {
+
+namespace {
+
+class LedgerCheckTest : public ::testing::Test
+{
+protected:
+  void tell(core::Verdict verdict, bool isIdempotent, bool isWhole = true)
+  {
+    OrderResult result;
+    result.verdict = verdict;
+    result.prompt = "p";
+    result.tokens = 20;
+    result.isWhole = isWhole;
+    mCheck.told({ "short", "desk", 20, isIdempotent }, result);
+    mReport.done += verdict == core::Verdict::Done ? 1 : 0;
+  }
+
+  std::int64_t violations(RunCounts runs)
+  {
+    mCheck.compare(runs, mReport);
+    return mReport.violations;
+  }
+
+  LedgerCheck mCheck;
+  Report mReport;
+};
+
+} // namespace
+
+TEST_F(LedgerCheckTest, AcceptsOneRunOfADoneOrder)
+{
+  tell(core::Verdict::Done, false);
+  EXPECT_EQ(violations({ { "p", 1 } }), 0);
+}
+
+TEST_F(LedgerCheckTest, CatchesSecondRunOfNonIdempotentOrder)
+{
+  tell(core::Verdict::Done, false);
+  EXPECT_EQ(violations({ { "p", 2 } }), 1);
+}
+
+TEST_F(LedgerCheckTest, AcceptsSecondRunOfIdempotentOrderAsExtraAttempt)
+{
+  tell(core::Verdict::Done, true);
+  EXPECT_EQ(violations({ { "p", 2 } }), 0);
+  EXPECT_DOUBLE_EQ(mReport.extraAttemptsRatio, 1);
+}
+
+TEST_F(LedgerCheckTest, CatchesNotRunThatRan)
+{
+  tell(core::Verdict::NotRun, false);
+  EXPECT_EQ(violations({ { "p", 1 } }), 1);
+}
+
+TEST_F(LedgerCheckTest, CatchesDoneThatNeverRan)
+{
+  tell(core::Verdict::Done, false);
+  EXPECT_EQ(violations({}), 1);
+}
+
+TEST_F(LedgerCheckTest, CatchesAnswerThatIsNotWhole)
+{
+  tell(core::Verdict::Done, true, false);
+  EXPECT_EQ(violations({ { "p", 1 } }), 1);
+}
+
+TEST(EditCheckTest, CatchesLostRevertedAndBlindEdits)
+{
+  EditCheck check;
+  check.accepted("short", { 2, 1, 100 });
+  check.accepted("short", { 3, 2, 200 });
+  Report good;
+  check.finalRow("short", 3, 200, good);
+  check.checkChains(good);
+  EXPECT_EQ(good.violations, 0);
+
+  Report reverted;
+  check.finalRow("short", 2, 100, reverted);
+  EXPECT_EQ(reverted.violations, 1);
+
+  check.accepted("short", { 4, 2, 300 });
+  Report blind;
+  check.checkChains(blind);
+  EXPECT_EQ(blind.violations, 1);
+
+  check.accepted("short", { 4, 3, 400 });
+  Report collision;
+  check.checkChains(collision);
+  EXPECT_EQ(collision.violations, 2);
+}
+
+TEST(SamplesTest, QuantilesAreExact)
+{
+  Samples samples;
+  EXPECT_EQ(samples.quantile(0.99), 0);
+  for (int i = 1; i <= 101; ++i) {
+    samples.add(i);
+  }
+  EXPECT_EQ(samples.quantile(0.5), 51);
+  EXPECT_EQ(samples.quantile(0.99), 100);
+  EXPECT_EQ(samples.quantile(1), 101);
+}
+
+} // namespace lentilrack::load
