--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -54,6 +54,22 @@
             std::shared_ptr<beast::tcp_stream> stream);
 };
 
+namespace {
+
+/// Whether the server has neither closed the kept connection nor sent anything.
+bool
+isQuiet(beast::tcp_stream& stream)
+{
+  char byte = 0;
+  boost::system::error_code error;
+  stream.socket().non_blocking(true, error);
+  stream.socket().receive(
+    asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+} // namespace
+
 std::shared_ptr<beast::tcp_stream>
 HttpClient::State::takeKept(const core::Endpoint& endpoint)
 {
@@ -61,9 +77,8 @@
   while (!streams.empty()) {
     const auto last = streams.back();
     streams.pop_back();
-    boost::system::error_code error;
-    const bool isQuiet = last.stream->socket().available(error) == 0 && !error;
-    if (isQuiet && core::Clock::now() - last.since < kKeepTime) {
+    const bool isFresh = core::Clock::now() - last.since < kKeepTime;
+    if (isFresh && isQuiet(*last.stream)) {
       return last.stream;
     }
   }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -207,6 +207,14 @@
     noteWrite(error);
   }
 
+  void abort() override
+  {
+    mBegun = true;
+    boost::system::error_code ignored;
+    mStream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+    mWatch->markGone();
+  }
+
   bool clientGone() const override { return mWatch->gone(); }
   void onClientGone(std::function<void()> hook) override
   {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -45,6 +45,9 @@
   /// Ends the stream; without it the client sees a broken answer.
   virtual Awaitable<void> endStream() = 0;
 
+  /// Closes the connection at once; the client sees a broken answer, or none.
+  virtual void abort() = 0;
+
   virtual bool clientGone() const = 0;
   /// Called once when the client closes the connection during the exchange.
   virtual void onClientGone(std::function<void()> hook) = 0;
--- /dev/null
+++ b/src/standins/engine_cache.cpp
@@ -0,0 +1,82 @@
+#include "standins/engine_cache.h"
+
+#include <algorithm>
+
+namespace lentilrack::standins {
+
+namespace {
+
+/// A reader that falls behind by more than this sees a gap.
+constexpr std::size_t kKeptEvents = 1024;
+
+} // namespace
+
+EngineCache::EngineCache(std::int64_t limit, core::Millis lag)
+  : mLimit(static_cast<std::size_t>(limit))
+  , mLag(lag)
+{
+}
+
+bool
+EngineCache::use(const std::string& prefix, core::TimePoint now)
+{
+  if (prefix.empty() || mLimit == 0) {
+    return false;
+  }
+  const auto found = std::ranges::find(mPrefixes, prefix);
+  if (found != mPrefixes.end()) {
+    mPrefixes.splice(mPrefixes.begin(), mPrefixes, found);
+    return true;
+  }
+  mPrefixes.push_front(prefix);
+  note(prefix, "add", now);
+  if (mPrefixes.size() > mLimit) {
+    note(mPrefixes.back(), "evict", now);
+    mPrefixes.pop_back();
+  }
+  return false;
+}
+
+void
+EngineCache::clear(core::TimePoint now)
+{
+  for (const auto& prefix : mPrefixes) {
+    note(prefix, "evict", now);
+  }
+  mPrefixes.clear();
+}
+
+wire::Json
+EngineCache::eventsAfter(std::int64_t after, core::TimePoint now) const
+{
+  auto events = wire::Json::array();
+  auto next = after;
+  for (const auto& event : mEvents) {
+    const bool isVisible = event.time + mLag <= now;
+    if (event.sequence > after && isVisible) {
+      events.push_back({ { "seq", event.sequence },
+                         { "prefix", event.prefix },
+                         { "op", event.operation } });
+      next = event.sequence;
+    }
+  }
+  return { { "events", std::move(events) }, { "next", next } };
+}
+
+void
+EngineCache::note(std::string prefix,
+                  const char* operation,
+                  core::TimePoint now)
+{
+  ++mLast;
+  if (mDropped > 0) {
+    --mDropped;
+    return;
+  }
+  mEvents.push_back({ mLast, std::move(prefix), operation, now });
+  if (mEvents.size() > kKeptEvents) {
+    mEvents.pop_front();
+  }
+}
+
+} // namespace lentilrack::standins
--- /dev/null
+++ b/src/standins/engine_standin.cpp
@@ -0,0 +1,460 @@
+#include "standins/engine_standin.h"
+
+#include "platform/error.h"
+#include "standins/answer_text.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilrack::standins {
+
+namespace {
+
+using core::Clock;
+using Seconds = std::chrono::duration<double>;
+
+/// A stream sends one chunk about this often, so that a process carries
+/// hundreds of streams.
+constexpr Seconds kChunkTime{ 0.02 };
+/// Longest wait, so that a change of speed takes effect soon.
+constexpr Seconds kLongestWait{ 0.1 };
+/// Absorbs rounding when the due tokens are counted.
+constexpr double kRounding = 1e-6;
+constexpr std::int64_t kCharactersPerToken = 4;
+constexpr int kChunkAttempts = 20;
+constexpr core::Millis kChunkRetry{ 100 };
+constexpr std::int64_t kMostLoads = 1'000'000'000;
+constexpr std::int64_t kMostTokens = 10'000'000;
+
+struct LoadBody
+{
+  std::string model;
+  std::int64_t version = 0;
+  core::Endpoint source;
+};
+
+LoadBody
+readLoad(wire::ObjectReader& reader)
+{
+  LoadBody body;
+  body.model = reader.required<std::string>("model");
+  body.version = reader.required<std::int64_t>("version");
+  const auto source =
+    core::Endpoint::parse(reader.required<std::string>("source"));
+  if (!source) {
+    reader.fail("source", "must be ip:port");
+  }
+  body.source = *source;
+  return body;
+}
+
+} // namespace
+
+/// One answer while it is produced.
+struct EngineStandin::Stream
+{
+  Stream(net::HttpExchange& target,
+         const GenerateBody& request,
+         std::shared_ptr<RunControl> control_,
+         EngineRun& record)
+    : exchange(target)
+    , body(request)
+    , control(std::move(control_))
+    , run(record)
+    , text(request.prompt)
+    , next(request.offset)
+    , end(std::max(answerLength(request.prompt, request.maxTokens),
+                   request.offset))
+    , last(Clock::now())
+  {
+  }
+
+  net::HttpExchange& exchange;
+  const GenerateBody& body;
+  std::shared_ptr<RunControl> control;
+  EngineRun& run;
+  AnswerText text;
+  std::int64_t next;
+  std::int64_t end;
+  Clock::time_point last;
+  /// Tokens produced but not yet sent, with the fraction of the next one.
+  double due = 0;
+  /// Tokens are produced, but the client gets nothing.
+  bool isSilent = false;
+};
+
+EngineStandin::EngineStandin(net::asio::io_context& io,
+                             net::HttpClient& http,
+                             Options options)
+  : mOptions(std::move(options))
+  , mServer(io, mOptions.id, mOptions.delay)
+  , mWeights(http)
+  , mSlots(mOptions.slots)
+  , mCache(mOptions.cachePrefixes, mOptions.reportLag)
+  , mModels{ { mOptions.model, mOptions.version } }
+  , mReport(mOptions.reportLag, report())
+{
+  using Method = net::Awaitable<void> (EngineStandin::*)(net::HttpExchange&);
+  const auto route =
+    [this](const char* method, const char* pattern, Method handler) {
+      mServer.route(
+        method, pattern, [this, handler](net::HttpExchange& exchange) {
+          return (this->*handler)(exchange);
+        });
+    };
+  route("POST", "/v1/generate", &EngineStandin::generate);
+  route("POST", "/v1/cancel", &EngineStandin::cancel);
+  route("POST", "/v1/load", &EngineStandin::load);
+  route("GET", "/v1/load_report", &EngineStandin::loadReport);
+  route("GET", "/v1/cache_events", &EngineStandin::cacheEvents);
+  mServer.onControl(
+    [this](wire::ObjectReader& reader) { return readControl(reader); });
+  mServer.onLedger([this] { return ledger(); });
+  mServer.onCrash([this] { crash(); });
+}
+
+net::Awaitable<void>
+EngineStandin::generate(net::HttpExchange& exchange)
+{
+  const auto body = decodeBody(exchange.request().body, readGenerate);
+  if (!body) {
+    co_await mServer.refuseBody(exchange, body.error());
+    co_return;
+  }
+  const auto& request = body.value();
+  auto refusal = refusalOf(request);
+  if (!refusal.empty()) {
+    co_await refuse(exchange, std::move(refusal));
+    co_return;
+  }
+  const auto control = std::make_shared<RunControl>(mServer.io());
+  exchange.onClientGone([control] { control->stop(); });
+  const auto place = mControls.emplace(request.attempt, control);
+  const bool isAdmitted = co_await mSlots.acquire(request.priority, control);
+  noteReport();
+  // What was stopped or lost its version in the queue has not started.
+  const bool mayRun = isAdmitted && !control->stopped() && hasVersion(request);
+  if (mayRun) {
+    co_await run(exchange, request, control);
+  } else {
+    co_await refuse(exchange, "refused");
+  }
+  mControls.erase(place);
+  if (isAdmitted) {
+    mSlots.release();
+  }
+  noteReport();
+}
+
+std::string
+EngineStandin::refusalOf(const GenerateBody& body)
+{
+  const bool isStale = mOptions.checksFencing && body.fencing < mHighestFencing;
+  if (isStale) {
+    return "stale_fencing";
+  }
+  if (mRefuses || mServer.faults().leaving || !hasVersion(body)) {
+    return "refused";
+  }
+  mHighestFencing = std::max(mHighestFencing, body.fencing);
+  return "";
+}
+
+bool
+EngineStandin::hasVersion(const GenerateBody& body) const
+{
+  const auto model = mModels.find(body.model);
+  return model != mModels.end() &&
+         (!body.version || *body.version == model->second);
+}
+
+net::Awaitable<void>
+EngineStandin::refuse(net::HttpExchange& exchange, std::string code)
+{
+  const int status = code == "stale_fencing" ? 409 : 503;
+  wire::Json body = { { "error", std::move(code) } };
+  co_await mServer.replyJson(exchange, status, std::move(body));
+}
+
+net::Awaitable<void>
+EngineStandin::run(net::HttpExchange& exchange,
+                   const GenerateBody& body,
+                   std::shared_ptr<RunControl> control)
+{
+  auto& record = mRuns.emplace_back();
+  record.attempt = body.attempt;
+  record.prompt = body.prompt;
+  record.offset = body.offset;
+  const bool isSilent = mServer.takeLostReply();
+  co_await prefill(body, control);
+  Stream stream(exchange, body, control, record);
+  stream.isSilent = isSilent;
+  if (!isSilent) {
+    co_await mServer.delay();
+    co_await exchange.beginStream(200, "application/x-ndjson");
+  }
+  record.finished = co_await produce(stream);
+  if (!record.finished || isSilent) {
+    exchange.abort();
+    co_return;
+  }
+  const bool isShort = stream.end < body.maxTokens;
+  const wire::Json last = { { "done", true },
+                            { "total", stream.end },
+                            { "finish", isShort ? "stop" : "length" } };
+  co_await exchange.write(last.dump() + "\n");
+  co_await exchange.endStream();
+}
+
+net::Awaitable<void>
+EngineStandin::prefill(const GenerateBody& body,
+                       std::shared_ptr<RunControl> control)
+{
+  const bool isHit = mCache.use(body.prefix, Clock::now());
+  const bool isStart = body.prompt.starts_with(body.prefix);
+  const auto cached = isHit && isStart ? body.prefix.size() : 0;
+  const auto characters =
+    static_cast<std::int64_t>(body.prompt.size() - cached) +
+    body.offset * kCharactersPerToken;
+  const auto time =
+    characters * mOptions.prefillPerCharacter * mServer.faults().slowFactor;
+  const auto whole = std::chrono::duration_cast<Clock::duration>(time);
+  if (whole > Clock::duration(0)) {
+    co_await control->wait(whole);
+  }
+}
+
+net::Awaitable<bool>
+EngineStandin::produce(Stream& stream)
+{
+  stream.last = Clock::now();
+  while (stream.next < stream.end) {
+    const auto rate = mOptions.tokenRate / mServer.faults().slowFactor;
+    const auto wanted =
+      std::clamp<double>(std::round(kChunkTime.count() * rate),
+                         1,
+                         static_cast<double>(stream.end - stream.next));
+    const auto wait = std::clamp(
+      Seconds((wanted - stream.due) / rate), Seconds(0), kLongestWait);
+    co_await stream.control->wait(
+      std::chrono::duration_cast<Clock::duration>(wait));
+    const bool goesOn = co_await produceDue(stream);
+    if (!goesOn) {
+      co_return false;
+    }
+  }
+  co_return !stream.control->stopped();
+}
+
+net::Awaitable<bool>
+EngineStandin::produceDue(Stream& stream)
+{
+  // A request that is bound to a version cannot go on with another one.
+  if (stream.control->stopped() || !hasVersion(stream.body)) {
+    co_return false;
+  }
+  const auto now = Clock::now();
+  const Seconds elapsed = now - stream.last;
+  stream.last = now;
+  stream.due +=
+    elapsed.count() * mOptions.tokenRate / mServer.faults().slowFactor;
+  const auto from = stream.next;
+  auto count = std::min(static_cast<std::int64_t>(stream.due + kRounding),
+                        stream.end - from);
+  const bool isCut = mCutAfter > 0 && stream.run.tokens + count >= mCutAfter;
+  if (isCut) {
+    count = std::max<std::int64_t>(mCutAfter - stream.run.tokens, 0);
+  }
+  if (count == 0) {
+    co_return !isCut;
+  }
+  stream.due -= static_cast<double>(count);
+  stream.next += count;
+  stream.run.tokens += count;
+  const auto version = mModels.at(stream.body.model);
+  if (stream.run.versions.empty() || stream.run.versions.back() != version) {
+    stream.run.versions.push_back(version);
+  }
+  if (stream.isSilent) {
+    co_return !isCut;
+  }
+  const wire::Json line = { { "tokens", count },
+                            { "text", stream.text.text(from, from + count) },
+                            { "version", version } };
+  const bool isSent = co_await stream.exchange.write(line.dump() + "\n");
+  co_return isSent && !isCut;
+}
+
+net::Awaitable<void>
+EngineStandin::cancel(net::HttpExchange& exchange)
+{
+  const auto body =
+    decodeBody(exchange.request().body, [](wire::ObjectReader& reader) {
+      return reader.required<std::string>("attempt");
+    });
+  if (!body) {
+    co_await mServer.refuseBody(exchange, body.error());
+    co_return;
+  }
+  const auto [first, last] = mControls.equal_range(body.value());
+  for (auto it = first; it != last; ++it) {
+    it->second->stop();
+  }
+  co_await mServer.replyJson(exchange, 200, wire::Json::object());
+}
+
+net::Awaitable<void>
+EngineStandin::load(net::HttpExchange& exchange)
+{
+  const auto body = decodeBody(exchange.request().body, readLoad);
+  if (!body) {
+    co_await mServer.refuseBody(exchange, body.error());
+    co_return;
+  }
+  const auto& request = body.value();
+  bool isLoaded =
+    co_await fetchWeights(request.model, request.version, request.source);
+  const auto time = mOptions.loadTime * mServer.faults().slowFactor;
+  co_await pauseFor(std::chrono::duration_cast<Microseconds>(time));
+  if (mFailLoads > 0) {
+    --mFailLoads;
+    isLoaded = false;
+  }
+  if (isLoaded) {
+    mModels[request.model] = request.version;
+    noteReport();
+  }
+  wire::Json answer = wire::Json::object();
+  if (!isLoaded) {
+    answer["error"] = "load_failed";
+  }
+  co_await mServer.replyToEffect(
+    exchange, isLoaded ? 200 : 500, std::move(answer));
+}
+
+net::Awaitable<bool>
+EngineStandin::fetchWeights(std::string model,
+                            std::int64_t version,
+                            core::Endpoint source)
+{
+  // The source tells the number of chunks of its newest version only; all
+  // versions of a model have the same number.
+  const auto newest =
+    co_await mWeights.newest(source, model, version - 1, core::Millis(0));
+  const bool isKnown = newest && newest.value();
+  if (!isKnown) {
+    co_return false;
+  }
+  for (std::int64_t i = 0; i < newest.value()->chunks; ++i) {
+    const bool isFetched = co_await fetchChunk(model, version, i, source);
+    if (!isFetched) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+net::Awaitable<bool>
+EngineStandin::fetchChunk(std::string model,
+                          std::int64_t version,
+                          std::int64_t number,
+                          core::Endpoint source)
+{
+  for (int i = 0; i < kChunkAttempts; ++i) {
+    const auto chunk = co_await mWeights.chunk(source, model, version, number);
+    if (chunk) {
+      co_return true;
+    }
+    if (chunk.error() != platform::PlatformError::RateLimited) {
+      co_return false;
+    }
+    co_await net::sleepFor(kChunkRetry);
+  }
+  co_return false;
+}
+
+net::Awaitable<void>
+EngineStandin::loadReport(net::HttpExchange& exchange)
+{
+  auto body = mReport.at(Clock::now());
+  body["age_ms"] = mReport.lag().count();
+  co_await mServer.replyJson(exchange, 200, std::move(body));
+}
+
+net::Awaitable<void>
+EngineStandin::cacheEvents(net::HttpExchange& exchange)
+{
+  const auto after = queryNumber(exchange.request(), "after").value_or(0);
+  auto body = mCache.eventsAfter(after, Clock::now());
+  co_await mServer.replyJson(exchange, 200, std::move(body));
+}
+
+void
+EngineStandin::crash()
+{
+  for (const auto& [attempt, control] : mControls) {
+    control->stop();
+  }
+  mCache.clear(Clock::now());
+  mHighestFencing = 0;
+}
+
+void
+EngineStandin::noteReport()
+{
+  mReport.set(Clock::now(), report());
+}
+
+wire::Json
+EngineStandin::report() const
+{
+  const auto running = mSlots.running();
+  return { { "running", running },
+           { "slots", mSlots.slots() },
+           { "queued", mSlots.queued() },
+           { "token_rate",
+             static_cast<double>(running) * mOptions.tokenRate /
+               mServer.faults().slowFactor },
+           { "models", mModels },
+           { "leaving", mServer.faults().leaving } };
+}
+
+StandinServer::Action
+EngineStandin::readControl(wire::ObjectReader& reader)
+{
+  const auto failLoads =
+    reader.integerOr("fail_loads", 0, kMostLoads, mFailLoads);
+  const auto cutAfter =
+    reader.integerOr("cut_after_tokens", 0, kMostTokens, mCutAfter);
+  const bool checksFencing =
+    reader.optional("check_fencing", mOptions.checksFencing);
+  const bool refuses = reader.optional("refuse", mRefuses);
+  const auto dropEvents =
+    reader.integerOr("drop_cache_events", 0, kMostTokens, 0);
+  const auto version = reader.maybe<std::int64_t>("version");
+  return [=, this] {
+    mFailLoads = failLoads;
+    mCutAfter = cutAfter;
+    mOptions.checksFencing = checksFencing;
+    mRefuses = refuses;
+    if (dropEvents > 0) {
+      mCache.dropEvents(dropEvents);
+    }
+    if (version) {
+      mModels[mOptions.model] = *version;
+    }
+    noteReport();
+  };
+}
+
+wire::Json
+EngineStandin::ledger() const
+{
+  auto runs = wire::Json::array();
+  for (const auto& run : mRuns) {
+    runs.push_back(run.json());
+  }
+  return { { "runs", std::move(runs) } };
+}
+
+} // namespace lentilrack::standins
--- /dev/null
+++ b/src/standins/fleet.cpp
@@ -0,0 +1,133 @@
+#include "standins/fleet.h"
+
+namespace lentilrack::standins {
+
+namespace {
+
+/// The delay is a property of the whole fleet.
+template<typename Options>
+Options
+withDelay(Options options, Microseconds delay)
+{
+  options.delay = delay;
+  return options;
+}
+
+template<typename Options>
+std::string
+identifier(const Group<Options>& group, std::int64_t index)
+{
+  return group.name + "-" + std::to_string(index + 1);
+}
+
+const char*
+roleName(core::ServerRole role)
+{
+  switch (role) {
+    case core::ServerRole::Engine:
+      return "engine";
+    case core::ServerRole::Service:
+      return "service";
+    default:
+      return "scorer";
+  }
+}
+
+} // namespace
+
+Fleet::Fleet(net::asio::io_context& io, FleetConfig config)
+  : mIo(io)
+  , mConfig(std::move(config))
+  , mHttp(io)
+  , mKv(io, withDelay(mConfig.kv, mConfig.delay))
+  , mList(io, withDelay(mConfig.instanceList, mConfig.delay))
+  , mWeights(io, withDelay(mConfig.weights, mConfig.delay))
+{
+  mKv.server().listen();
+  mList.server().listen();
+  mWeights.server().listen();
+  for (const auto& group : mConfig.engines) {
+    addEngines(group);
+  }
+  for (const auto& group : mConfig.services) {
+    addServices(group);
+  }
+  addScorers(mConfig.scorers);
+  mList.start();
+}
+
+void
+Fleet::addEngines(const Group<EngineStandin::Options>& group)
+{
+  const auto& versions = mConfig.weights.models;
+  for (std::int64_t i = 0; i < group.count; ++i) {
+    auto options = withDelay(group.options, mConfig.delay);
+    options.id = identifier(group, i);
+    const auto version = versions.find(options.model);
+    options.version = version == versions.end() ? 1 : version->second;
+    mEngines.push_back(std::make_unique<EngineStandin>(mIo, mHttp, options));
+    core::BackendServer server;
+    server.id = options.id;
+    server.role = core::ServerRole::Engine;
+    server.models = { options.model };
+    server.slots = options.slots;
+    server.checksFencing = options.checksFencing;
+    list(std::move(server), mEngines.back()->server());
+  }
+}
+
+void
+Fleet::addServices(const Group<ServiceStandin::Options>& group)
+{
+  for (std::int64_t i = 0; i < group.count; ++i) {
+    auto options = withDelay(group.options, mConfig.delay);
+    options.id = identifier(group, i);
+    mServices.push_back(std::make_unique<ServiceStandin>(mIo, options));
+    core::BackendServer server;
+    server.id = options.id;
+    server.role = core::ServerRole::Service;
+    server.service = options.service;
+    list(std::move(server), mServices.back()->server());
+  }
+}
+
+void
+Fleet::addScorers(const Group<ScorerStandin::Options>& group)
+{
+  for (std::int64_t i = 0; i < group.count; ++i) {
+    auto options = withDelay(group.options, mConfig.delay);
+    options.id = identifier(group, i);
+    mScorers.push_back(std::make_unique<ScorerStandin>(mIo, options));
+    core::BackendServer server;
+    server.id = options.id;
+    server.role = core::ServerRole::Scorer;
+    list(std::move(server), mScorers.back()->server());
+  }
+}
+
+void
+Fleet::list(core::BackendServer server, StandinServer& standin)
+{
+  const auto& domains = mConfig.failureDomains;
+  server.endpoint = standin.listen();
+  server.failureDomain = domains[mServers.size() % domains.size()];
+  mServers.push_back(
+    { { "id", server.id },
+      { "role", roleName(server.role) },
+      { "endpoint", server.endpoint.text() },
+      { "failure_domain", server.failureDomain },
+      { "model", server.models.empty() ? "" : server.models.front() } });
+  mList.add(std::move(server), [&standin] { return standin.state(); });
+  standin.onChange([this] { mList.refresh(); });
+}
+
+wire::Json
+Fleet::addresses() const
+{
+  return { { "kv", mKv.server().endpoint().text() },
+           { "instance_list", mList.server().endpoint().text() },
+           { "weights", mWeights.server().endpoint().text() },
+           { "servers", mServers } };
+}
+
+} // namespace lentilrack::standins
--- /dev/null
+++ b/src/standins/fleet.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "standins/fleet_config.h"
+
+#include <memory>
+
+namespace lentilrack::standins {
+
+/// All stand-ins of one process.
+class Fleet
+{
+public:
+  /// Starts them; throws std::runtime_error if an address cannot be bound.
+  Fleet(net::asio::io_context& io, FleetConfig config);
+
+  KvStandin& kv() { return mKv; }
+  InstanceListStandin& instanceList() { return mList; }
+  WeightStoreStandin& weights() { return mWeights; }
+  std::vector<std::unique_ptr<EngineStandin>>& engines() { return mEngines; }
+  std::vector<std::unique_ptr<ServiceStandin>>& services() { return mServices; }
+  std::vector<std::unique_ptr<ScorerStandin>>& scorers() { return mScorers; }
+
+  /// Content of the address file.
+  wire::Json addresses() const;
+
+private:
+  void addEngines(const Group<EngineStandin::Options>& group);
+  void addServices(const Group<ServiceStandin::Options>& group);
+  void addScorers(const Group<ScorerStandin::Options>& group);
+  /// Lists a started stand-in and puts it into the next failure domain.
+  void list(core::BackendServer server, StandinServer& standin);
+
+  net::asio::io_context& mIo;
+  FleetConfig mConfig;
+  net::HttpClient mHttp;
+  KvStandin mKv;
+  InstanceListStandin mList;
+  WeightStoreStandin mWeights;
+  std::vector<std::unique_ptr<EngineStandin>> mEngines;
+  std::vector<std::unique_ptr<ServiceStandin>> mServices;
+  std::vector<std::unique_ptr<ScorerStandin>> mScorers;
+  wire::Json mServers = wire::Json::array();
+};
+
+} // namespace lentilrack::standins
--- /dev/null
+++ b/src/standins/fleet_config.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "standins/engine_standin.h"
+#include "standins/instance_list_standin.h"
+#include "standins/kv_standin.h"
+#include "standins/scorer_standin.h"
+#include "standins/service_standin.h"
+#include "standins/weight_store_standin.h"
+
+#include <string>
+#include <vector>
+
+namespace lentilrack::standins {
+
+/// `count` equal stand-ins; their identifiers are `name`-1 and so on.
+template<typename Options>
+struct Group
+{
+  std::string name;
+  std::int64_t count = 1;
+  Options options;
+};
+
+/// Which stand-ins a process runs. Every field has a default.
+struct FleetConfig
+{
+  std::vector<std::string> failureDomains{ "etna", "siracusa", "messina" };
+  Microseconds delay{ 500 };
+  KvStandin::Options kv;
+  InstanceListStandin::Options instanceList;
+  std::vector<Group<EngineStandin::Options>> engines;
+  std::vector<Group<ServiceStandin::Options>> services;
+  WeightStoreStandin::Options weights;
+  Group<ScorerStandin::Options> scorers{ "scorer", 1, {} };
+
+  /// Reads the JSON form; an unknown field is an error.
+  static wire::Decoded<FleetConfig> parse(std::string_view text);
+};
+
+} // namespace lentilrack::standins
--- /dev/null
+++ b/src/standins/service_standin.cpp
@@ -0,0 +1,82 @@
+#include "standins/service_standin.h"
+
+namespace lentilrack::standins {
+
+namespace {
+
+constexpr std::int64_t kLongestMs = 600'000;
+
+/// What a call may ask for in its body; other fields are data of the call.
+struct Wishes
+{
+  core::Millis work{ 0 };
+  int status = 200;
+};
+
+Wishes
+wishesOf(const std::string& body)
+{
+  Wishes wishes;
+  const auto json = wire::parseJson(body);
+  if (!json || !json.value().is_object()) {
+    return wishes;
+  }
+  const auto asked = wire::decodeWith([&] {
+    wire::ObjectReader reader(json.value());
+    return Wishes{ core::Millis(reader.integerOr("delay_ms", 0, kLongestMs, 0)),
+                   static_cast<int>(
+                     reader.integerOr("status", 200, 599, 200)) };
+  });
+  return asked ? asked.value() : wishes;
+}
+
+} // namespace
+
+ServiceStandin::ServiceStandin(net::asio::io_context& io, Options options)
+  : mOptions(std::move(options))
+  , mServer(io, mOptions.id, mOptions.delay)
+{
+  mServer.route("*", "/call/*", [this](net::HttpExchange& exchange) {
+    return call(exchange);
+  });
+  mServer.onLedger([this] { return ledger(); });
+}
+
+net::Awaitable<void>
+ServiceStandin::call(net::HttpExchange& exchange)
+{
+  const auto& request = exchange.request();
+  if (mServer.faults().leaving) {
+    wire::Json refusal = { { "error", "refused" } };
+    co_await mServer.replyJson(exchange, 503, std::move(refusal));
+    co_return;
+  }
+  const auto number = mCalls.size() + 1;
+  const auto path = request.target.substr(std::string_view("/call/").size());
+  mCalls.push_back(
+    { request.header("Idempotency-Key"), request.method, path, request.body });
+  const auto wishes = wishesOf(request.body);
+  const auto time =
+    (mOptions.workTime + wishes.work) * mServer.faults().slowFactor;
+  co_await pauseFor(std::chrono::duration_cast<Microseconds>(time));
+  wire::Json answer = { { "service", mOptions.service },
+                        { "server", mOptions.id },
+                        { "call", number },
+                        { "path", path } };
+  co_await mServer.replyToEffect(exchange, wishes.status, std::move(answer));
+}
+
+wire::Json
+ServiceStandin::ledger() const
+{
+  auto calls = wire::Json::array();
+  for (const auto& call : mCalls) {
+    calls.push_back({ { "request_id", call.requestId },
+                      { "method", call.method },
+                      { "path", call.path },
+                      { "body", call.body } });
+  }
+  return { { "calls", std::move(calls) } };
+}
+
+} // namespace lentilrack::standins
--- /dev/null
+++ b/src/standins/standin_server.cpp
@@ -0,0 +1,287 @@
+#include "standins/standin_server.h"
+
+#include <charconv>
+#include <stdexcept>
+
+namespace lentilrack::standins {
+
+namespace {
+
+constexpr std::int64_t kLongestMs = 3'600'000;
+constexpr std::int64_t kMostReplies = 1'000'000'000;
+constexpr double kLeastSlowFactor = 0.001;
+
+/// The stand-ins are no place for limits; values up to 1 MB must pass.
+net::HttpLimits
+standinLimits()
+{
+  net::HttpLimits limits;
+  limits.bodyBytes = 16UL * 1024 * 1024;
+  limits.idleTime = std::chrono::minutes(10);
+  return limits;
+}
+
+} // namespace
+
+net::Awaitable<void>
+pauseFor(Microseconds duration)
+{
+  if (duration <= Microseconds(0)) {
+    co_return;
+  }
+  net::asio::steady_timer timer(co_await net::asio::this_coro::executor,
+                                duration);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+    net::asio::redirect_error(net::asio::use_awaitable, ignored));
+}
+
+StandinServer::StandinServer(net::asio::io_context& io,
+                             std::string id,
+                             Microseconds delay)
+  : mIo(io)
+  , mId(std::move(id))
+  , mDelay(delay)
+  , mServer(io, standinLimits(), [this](net::HttpExchange& exchange) {
+    return mRouter.handle(exchange);
+  })
+{
+  mRouter.add("POST", "/control", [this](net::HttpExchange& exchange) {
+    return control(exchange);
+  });
+  mRouter.add("GET", "/ledger", [this](net::HttpExchange& exchange) {
+    return ledger(exchange);
+  });
+}
+
+core::Endpoint
+StandinServer::listen()
+{
+  const auto bound = mServer.listen({ "127.0.0.1", mEndpoint.port });
+  if (!bound) {
+    throw std::runtime_error(mId + " cannot listen on a loopback port");
+  }
+  mEndpoint = bound.value();
+  return mEndpoint;
+}
+
+void
+StandinServer::route(std::string method,
+                     const std::string& pattern,
+                     net::HttpHandler handler)
+{
+  mRouter.add(
+    std::move(method),
+    pattern,
+    [this, handler = std::move(handler)](net::HttpExchange& exchange) {
+      return serve(handler, exchange);
+    });
+}
+
+net::Awaitable<void>
+StandinServer::serve(const net::HttpHandler& handler,
+                     net::HttpExchange& exchange)
+{
+  ++mRequests;
+  if (mFaults.down) {
+    exchange.abort();
+    co_return;
+  }
+  mRunning.insert(&exchange);
+  co_await pauseFor(mDelay + mFaults.latency);
+  // A request that was dropped while it waited has no effect; one whose client
+  // has hung up has.
+  if (mRunning.contains(&exchange)) {
+    co_await handler(exchange);
+  }
+  mRunning.erase(&exchange);
+}
+
+net::Awaitable<void>
+StandinServer::reply(net::HttpExchange& exchange, net::HttpResponse response)
+{
+  co_await delay();
+  co_await exchange.respond(std::move(response));
+}
+
+net::Awaitable<void>
+StandinServer::replyJson(net::HttpExchange& exchange,
+                         int status,
+                         wire::Json body)
+{
+  net::HttpResponse response;
+  response.status = status;
+  response.body =
+    body.dump(-1, ' ', false, wire::Json::error_handler_t::replace);
+  co_await reply(exchange, std::move(response));
+}
+
+net::Awaitable<void>
+StandinServer::replyToEffect(net::HttpExchange& exchange,
+                             int status,
+                             wire::Json body)
+{
+  if (takeLostReply()) {
+    exchange.abort();
+    co_return;
+  }
+  co_await replyJson(exchange, status, std::move(body));
+}
+
+net::Awaitable<void>
+StandinServer::refuseBody(net::HttpExchange& exchange, wire::DecodeError error)
+{
+  wire::Json body = { { "error", "bad_request" }, { "message", error.text() } };
+  co_await replyJson(exchange, 400, std::move(body));
+}
+
+bool
+StandinServer::takeLostReply()
+{
+  if (mFaults.loseReplies == 0) {
+    return false;
+  }
+  --mFaults.loseReplies;
+  return true;
+}
+
+net::Awaitable<void>
+StandinServer::delay()
+{
+  co_await pauseFor(mDelay);
+}
+
+void
+StandinServer::dropExchanges()
+{
+  const auto running = std::move(mRunning);
+  mRunning.clear();
+  for (auto* exchange : running) {
+    exchange->abort();
+  }
+}
+
+std::string
+StandinServer::state() const
+{
+  if (mFaults.down) {
+    return "";
+  }
+  return mFaults.leaving ? "leaving" : "live";
+}
+
+net::Awaitable<void>
+StandinServer::control(net::HttpExchange& exchange)
+{
+  const auto json = wire::parseJson(exchange.request().body);
+  if (!json) {
+    co_await refuseBody(exchange, json.error());
+    co_return;
+  }
+  auto action = wire::decodeWith([&] { return readControl(json.value()); });
+  if (!action) {
+    co_await refuseBody(exchange, action.error());
+    co_return;
+  }
+  action.value()();
+  if (mChange) {
+    mChange();
+  }
+  net::HttpResponse response;
+  response.body = "{}";
+  co_await exchange.respond(std::move(response));
+}
+
+net::Awaitable<void>
+StandinServer::ledger(net::HttpExchange& exchange)
+{
+  const auto ledger = mLedger ? mLedger() : wire::Json::object();
+  net::HttpResponse response;
+  response.body =
+    ledger.dump(-1, ' ', false, wire::Json::error_handler_t::replace);
+  co_await exchange.respond(std::move(response));
+}
+
+StandinServer::Action
+StandinServer::readControl(const wire::Json& body)
+{
+  wire::ObjectReader reader(body);
+  auto faults = mFaults;
+  faults.latency = core::Millis(
+    reader.integerOr("latency_ms", 0, kLongestMs, faults.latency.count()));
+  faults.slowFactor = reader.optional("slow_factor", faults.slowFactor);
+  if (faults.slowFactor < kLeastSlowFactor) {
+    reader.fail("slow_factor", "must be 0.001 or more");
+  }
+  faults.down = reader.optional("down", faults.down);
+  faults.loseReplies =
+    reader.integerOr("lose_replies", 0, kMostReplies, faults.loseReplies);
+  faults.leaving = reader.optional("leaving", faults.leaving);
+  const bool isCrash = reader.optional("crash", false);
+  const auto closed =
+    core::Millis(reader.integerOr("refuse_connections_ms", 0, kLongestMs, 0));
+  auto own = mControlReader ? mControlReader(reader) : Action();
+  reader.finish();
+  return [this, faults, isCrash, closed, own = std::move(own)] {
+    mFaults = faults;
+    if (isCrash || faults.down || closed.count() > 0) {
+      crash();
+    }
+    if (closed.count() > 0) {
+      closeFor(closed);
+    }
+    if (own) {
+      own();
+    }
+  };
+}
+
+void
+StandinServer::crash()
+{
+  dropExchanges();
+  if (mCrash) {
+    mCrash();
+  }
+}
+
+void
+StandinServer::closeFor(core::Millis duration)
+{
+  mServer.stopAccepting();
+  net::spawn(mIo, listenAfter(duration));
+}
+
+net::Awaitable<void>
+StandinServer::listenAfter(core::Millis duration)
+{
+  mServer.closeAll();
+  co_await net::sleepFor(duration);
+  listen();
+}
+
+std::optional<std::int64_t>
+queryNumber(const net::HttpRequest& request, std::string_view name)
+{
+  const auto text = request.query(name);
+  std::int64_t number = 0;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool isNumber =
+    error == std::errc{} && end == text.data() + text.size();
+  return isNumber ? std::optional(number) : std::nullopt;
+}
+
+std::string
+percentDecoded(std::string_view text)
+{
+  // '+' stands for itself in a path.
+  net::HttpRequest request;
+  request.target = "/?x=";
+  for (const char c : text) {
+    request.target += c == '+' ? "%2B" : std::string(1, c);
+  }
+  return request.query("x");
+}
+
+} // namespace lentilrack::standins
--- /dev/null
+++ b/src/standins/weight_store_standin.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "standins/standin_server.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace lentilrack::standins {
+
+/// Stand-in of the rate-limited weight store.
+class WeightStoreStandin
+{
+public:
+  struct Options
+  {
+    /// Newest version by model; all versions from 1 on can be read.
+    std::map<std::string, std::int64_t> models;
+    std::int64_t chunks = 4;
+    std::int64_t chunkBytes = 65536;
+    std::int64_t readsPerSecond = 50;
+    Microseconds delay{ 0 };
+  };
+
+  struct Read
+  {
+    std::string model;
+    std::int64_t version = 0;
+    std::int64_t chunk = 0;
+  };
+
+  WeightStoreStandin(net::asio::io_context& io, Options options);
+
+  StandinServer& server() { return mServer; }
+  const StandinServer& server() const { return mServer; }
+  const std::deque<Read>& reads() const { return mReads; }
+  /// Publishes a version and answers the waiting calls; an older one than the
+  /// present is ignored.
+  void announce(const std::string& model, std::int64_t version);
+
+private:
+  struct Waiter;
+
+  net::Awaitable<void> versions(net::HttpExchange& exchange);
+  net::Awaitable<void> chunk(net::HttpExchange& exchange);
+  net::Awaitable<void> announceCall(net::HttpExchange& exchange);
+  std::int64_t newest(const std::string& model) const;
+  bool takeRead(core::TimePoint now);
+  std::string chunkData(const Read& read) const;
+  wire::Json ledger() const;
+
+  Options mOptions;
+  StandinServer mServer;
+  std::list<std::shared_ptr<Waiter>> mWaiters;
+  std::deque<Read> mReads;
+  std::int64_t mLimited = 0;
+  /// Token bucket of reads, one second deep.
+  double mAllowed;
+  core::TimePoint mRefilled;
+};
+
+} // namespace lentilrack::standins
--- /dev/null
+++ b/tests/platform/engine_client_test.cpp
@@ -0,0 +1,530 @@
+#include "net/error.h"
+#include "platform/engine_client.h"
+#include "platform/error.h"
+#include "platform_fixture.h"
+#include "standins/answer_text.h"
+#include "standins/engine_standin.h"
+#include "standins/weight_store_standin.h"
+
+namespace lentilrack::platform {
+
+namespace {
+
+using core::Millis;
+using core::Segment;
+using core::Verdict;
+using net::Awaitable;
+using standins::EngineStandin;
+
+constexpr const char* kModel = "tasting-note";
+
+class EngineClientTest : public PlatformTest
+{
+protected:
+  static EngineStandin::Options engineOptions()
+  {
+    EngineStandin::Options options;
+    options.id = "tasting-note-1";
+    options.model = kModel;
+    options.slots = 2;
+    options.tokenRate = 2000;
+    options.loadTime = Millis(1);
+    options.reportLag = Millis(0);
+    return options;
+  }
+
+  EngineClientTest()
+  {
+    mEngine.server().listen();
+    mStore.server().listen();
+  }
+
+  /// A call whose chunks are added to `mText` and `mChunks`.
+  GenerateCall call(std::string attempt, std::string prompt)
+  {
+    GenerateCall call;
+    call.request.attempt = std::move(attempt);
+    call.request.model = kModel;
+    call.request.prompt = std::move(prompt);
+    call.request.maxTokens = 1000;
+    call.onChunk = [this](core::Chunk chunk) {
+      mText += chunk.text;
+      mChunks.push_back(std::move(chunk));
+    };
+    return call;
+  }
+
+  Awaitable<core::Outcome> generate(GenerateCall call)
+  {
+    return mClient.generate(mEngine.server().endpoint(), std::move(call));
+  }
+
+  /// Keeps a slot busy until the test ends the run.
+  Awaitable<void> occupy(std::string attempt)
+  {
+    GenerateCall holder;
+    holder.request.attempt = std::move(attempt);
+    holder.request.model = kModel;
+    holder.request.prompt = "long";
+    holder.request.maxTokens = 1'000'000;
+    co_await generate(std::move(holder));
+  }
+
+  Awaitable<void> untilRuns(std::size_t count)
+  {
+    while (mEngine.runs().size() < count) {
+      co_await net::sleepFor(Millis(1));
+    }
+  }
+
+  EngineStandin mEngine{ mIo, mHttp, engineOptions() };
+  standins::WeightStoreStandin mStore{ mIo, { { { kModel, 1 } } } };
+  EngineClient mClient{ mHttp };
+  std::string mText;
+  std::vector<core::Chunk> mChunks;
+};
+
+std::string
+expectedText(const std::string& prompt, std::int64_t from, std::int64_t to)
+{
+  return standins::AnswerText(prompt).text(from, to);
+}
+
+} // namespace
+
+TEST_F(EngineClientTest, WholeAnswerIsDone)
+{
+  run([&]() -> Awaitable<void> {
+    const auto outcome = co_await generate(call("r#1", "describe len=300"));
+    EXPECT_EQ(outcome.verdict, Verdict::Done);
+    EXPECT_EQ(outcome.totalTokens, 300);
+    EXPECT_EQ(outcome.segments, (std::vector<Segment>{ { 1, 0, 300 } }));
+    EXPECT_EQ(mText, expectedText("describe len=300", 0, 300));
+    EXPECT_TRUE(mEngine.runs().at(0).finished);
+  });
+}
+
+TEST_F(EngineClientTest, ResumesBehindTheOffset)
+{
+  run([&]() -> Awaitable<void> {
+    auto resumed = call("r#2", "describe len=300");
+    resumed.request.offset = 120;
+    const auto outcome = co_await generate(std::move(resumed));
+    EXPECT_EQ(outcome.verdict, Verdict::Done);
+    EXPECT_EQ(outcome.totalTokens, 300);
+    EXPECT_EQ(outcome.segments, (std::vector<Segment>{ { 1, 120, 300 } }));
+    EXPECT_EQ(mText, expectedText("describe len=300", 120, 300));
+    EXPECT_EQ(mEngine.runs().at(0).tokens, 180);
+  });
+}
+
+// Guards against a part of an answer being taken for a whole one.
+TEST_F(EngineClientTest, AnswerThatEndsEarlyIsUnknown)
+{
+  run([&]() -> Awaitable<void> {
+    co_await control(mEngine.server(), R"({"cut_after_tokens":50})");
+    const auto outcome = co_await generate(call("r#1", "len=300"));
+    EXPECT_EQ(outcome.verdict, Verdict::Unknown);
+    EXPECT_EQ(outcome.reason, "interrupted");
+    EXPECT_EQ(mText, expectedText("len=300", 0, 50));
+    EXPECT_FALSE(mEngine.runs().at(0).finished);
+    EXPECT_EQ(mEngine.runs().at(0).tokens, 50);
+  });
+}
+
+// Guards against a request that ran being reported as not run.
+TEST_F(EngineClientTest, LostReplyIsUnknownThoughItRan)
+{
+  run([&]() -> Awaitable<void> {
+    co_await control(mEngine.server(), R"({"lose_replies":1})");
+    const auto outcome = co_await generate(call("r#1", "len=20"));
+    EXPECT_EQ(outcome.verdict, Verdict::Unknown);
+    EXPECT_EQ(outcome.reason, "interrupted");
+    EXPECT_TRUE(mEngine.runs().at(0).finished);
+    EXPECT_EQ(mEngine.runs().at(0).tokens, 20);
+  });
+}
+
+// Guards against doubt about a request of which no byte was written.
+TEST_F(EngineClientTest, NothingWrittenIsNotRun)
+{
+  const auto closed = closedEndpoint();
+  run([&]() -> Awaitable<void> {
+    const auto refused = co_await mClient.generate(closed, call("r#1", "x"));
+    EXPECT_EQ(refused.verdict, Verdict::NotRun);
+    EXPECT_EQ(refused.reason, "connection_refused");
+
+    auto late = call("r#2", "x");
+    late.beforeFirstByte = [] { return false; };
+    const auto expired = co_await generate(std::move(late));
+    EXPECT_EQ(expired.verdict, Verdict::NotRun);
+    EXPECT_EQ(expired.reason, "deadline");
+
+    auto unwanted = call("r#3", "x");
+    unwanted.cancel = std::make_shared<net::CancelSignal>();
+    unwanted.cancel->cancel();
+    const auto cancelled = co_await generate(std::move(unwanted));
+    EXPECT_EQ(cancelled.verdict, Verdict::NotRun);
+    EXPECT_EQ(cancelled.reason, "cancelled");
+    EXPECT_TRUE(mEngine.runs().empty());
+  });
+}
+
+// Guards against a connection that is dropped after the request was read
+// passing for a refused one.
+TEST_F(EngineClientTest, DroppedRequestIsUnknown)
+{
+  run([&]() -> Awaitable<void> {
+    co_await control(mEngine.server(), R"({"down":true})");
+    const auto outcome = co_await generate(call("r#1", "x"));
+    EXPECT_EQ(outcome.verdict, Verdict::Unknown);
+    EXPECT_EQ(outcome.reason, "interrupted");
+  });
+}
+
+TEST_F(EngineClientTest, TimeoutIsUnknown)
+{
+  run([&]() -> Awaitable<void> {
+    co_await control(mEngine.server(), R"({"slow_factor":1000000})");
+    auto slow = call("r#1", "len=20");
+    slow.timeout = Millis(100);
+    const auto outcome = co_await generate(std::move(slow));
+    EXPECT_EQ(outcome.verdict, Verdict::Unknown);
+    EXPECT_EQ(outcome.reason, "timeout");
+  });
+}
+
+// Guards against an old owner's order running on an engine that checks.
+TEST_F(EngineClientTest, StaleFencingIsNotRunWhereItIsChecked)
+{
+  run([&]() -> Awaitable<void> {
+    co_await control(mEngine.server(), R"({"check_fencing":true})");
+    auto current = call("r#1", "len=1");
+    current.request.fencing = 5;
+    const auto first = co_await generate(std::move(current));
+    EXPECT_EQ(first.verdict, Verdict::Done);
+    auto stale = call("r#2", "len=1");
+    stale.request.fencing = 4;
+    const auto refused = co_await generate(stale);
+    EXPECT_EQ(refused.verdict, Verdict::NotRun);
+    EXPECT_EQ(refused.reason, "stale_fencing");
+    EXPECT_EQ(mEngine.runs().size(), 1U);
+
+    co_await control(mEngine.server(), R"({"check_fencing":false})");
+    const auto ignored = co_await generate(std::move(stale));
+    EXPECT_EQ(ignored.verdict, Verdict::Done);
+  });
+}
+
+// Guards against a record that names one version for an answer of two.
+TEST_F(EngineClientTest, SwapInMidStreamIsToldPerSegment)
+{
+  run([&]() -> Awaitable<void> {
+    const auto prompt = std::string("len=400");
+    const auto swapper = [&]() -> Awaitable<void> {
+      while (mChunks.empty()) {
+        co_await net::sleepFor(Millis(1));
+      }
+      mStore.announce(kModel, 2);
+      const auto error = co_await mClient.load(mEngine.server().endpoint(),
+                                               kModel,
+                                               2,
+                                               mStore.server().endpoint(),
+                                               Millis(5000));
+      EXPECT_FALSE(error);
+    };
+    net::spawn(mIo, swapper());
+    const auto outcome = co_await generate(call("r#1", prompt));
+    EXPECT_EQ(outcome.verdict, Verdict::Done);
+    EXPECT_EQ(mText, expectedText(prompt, 0, 400));
+    const auto& segments = outcome.segments;
+    EXPECT_EQ(segments.size(), 2U);
+    EXPECT_EQ(segments.front().version, 1);
+    EXPECT_EQ(segments.front().from, 0);
+    EXPECT_EQ(segments.back().version, 2);
+    EXPECT_EQ(segments.back().from, segments.front().to);
+    EXPECT_EQ(segments.back().to, 400);
+    EXPECT_EQ(mEngine.runs().at(0).versions,
+              (std::vector<std::int64_t>{ 1, 2 }));
+  });
+}
+
+// Guards against a request that is bound to a version running on another.
+TEST_F(EngineClientTest, BoundVersionIsKeptOrRefused)
+{
+  run([&]() -> Awaitable<void> {
+    auto other = call("r#1", "len=10");
+    other.request.version = 2;
+    const auto refused = co_await generate(std::move(other));
+    EXPECT_EQ(refused.verdict, Verdict::NotRun);
+    EXPECT_EQ(refused.reason, "refused");
+
+    auto bound = call("r#2", "len=1000");
+    bound.request.version = 1;
+    const auto swapper = [&]() -> Awaitable<void> {
+      while (mChunks.empty()) {
+        co_await net::sleepFor(Millis(1));
+      }
+      co_await control(mEngine.server(), R"({"version":2})");
+    };
+    net::spawn(mIo, swapper());
+    const auto cut = co_await generate(std::move(bound));
+    EXPECT_EQ(cut.verdict, Verdict::Unknown);
+    EXPECT_EQ(mEngine.runs().at(0).versions, (std::vector<std::int64_t>{ 1 }));
+  });
+}
+
+// Guards against new work on a leaving engine and loss of what it runs.
+TEST_F(EngineClientTest, LeavingEngineRefusesNewWorkAndFinishesOld)
+{
+  run([&]() -> Awaitable<void> {
+    std::optional<core::Outcome> refused;
+    const auto late = [&]() -> Awaitable<void> {
+      while (mChunks.empty()) {
+        co_await net::sleepFor(Millis(1));
+      }
+      co_await control(mEngine.server(), R"({"leaving":true})");
+      GenerateCall fresh;
+      fresh.request = call("r#2", "x").request;
+      refused = co_await generate(std::move(fresh));
+    };
+    net::spawn(mIo, late());
+    const auto running = co_await generate(call("r#1", "len=400"));
+    EXPECT_EQ(running.verdict, Verdict::Done);
+    while (!refused) {
+      co_await net::sleepFor(Millis(1));
+    }
+    EXPECT_EQ(refused->verdict, Verdict::NotRun);
+    EXPECT_EQ(refused->reason, "refused");
+    const auto report =
+      co_await mClient.loadReport(mEngine.server().endpoint());
+    EXPECT_TRUE(report.value().leaving);
+  });
+}
+
+// Guards against work that goes on after its result is no longer wanted.
+TEST_F(EngineClientTest, CancelledStreamStopsAtTheEngine)
+{
+  run([&]() -> Awaitable<void> {
+    auto unwanted = call("r#1", "len=1000");
+    const auto signal = std::make_shared<net::CancelSignal>();
+    unwanted.cancel = signal;
+    unwanted.onChunk = [signal](core::Chunk) { signal->cancel(); };
+    const auto outcome = co_await generate(std::move(unwanted));
+    EXPECT_EQ(outcome.verdict, Verdict::Unknown);
+    EXPECT_EQ(outcome.reason, "cancelled");
+    while (mEngine.slots().running() > 0) {
+      co_await net::sleepFor(Millis(1));
+    }
+    EXPECT_FALSE(mEngine.runs().at(0).finished);
+    EXPECT_LT(mEngine.runs().at(0).tokens, 1000);
+  });
+}
+
+// Guards against a cancel that hits other requests or misses its own.
+TEST_F(EngineClientTest, CancelStopsOnlyTheNamedAttempt)
+{
+  run([&]() -> Awaitable<void> {
+    const auto endpoint = mEngine.server().endpoint();
+    net::spawn(mIo, occupy("old#1"));
+    co_await untilRuns(1);
+    const auto unknown = co_await mClient.cancel(endpoint, "other#1");
+    EXPECT_FALSE(unknown);
+    EXPECT_EQ(mEngine.slots().running(), 1);
+    const auto error = co_await mClient.cancel(endpoint, "old#1");
+    EXPECT_FALSE(error);
+    while (mEngine.slots().running() > 0) {
+      co_await net::sleepFor(Millis(1));
+    }
+    EXPECT_FALSE(mEngine.runs().at(0).finished);
+  });
+}
+
+// Guards against urgent work waiting behind work that is less so.
+TEST_F(EngineClientTest, UrgentWorkLeavesTheQueueFirst)
+{
+  run([&]() -> Awaitable<void> {
+    net::spawn(mIo, occupy("a#1"));
+    net::spawn(mIo, occupy("b#1"));
+    co_await untilRuns(2);
+    const auto start = [&](std::string attempt,
+                           std::int64_t priority) -> Awaitable<void> {
+      GenerateCall queued;
+      queued.request = call(std::move(attempt), "len=1").request;
+      queued.request.priority = priority;
+      const auto outcome = co_await generate(std::move(queued));
+      EXPECT_EQ(outcome.verdict, Verdict::Done);
+    };
+    net::spawn(mIo, start("slow#1", 7));
+    net::spawn(mIo, start("urgent#1", 0));
+    while (mEngine.slots().queued() < 2) {
+      co_await net::sleepFor(Millis(1));
+    }
+    co_await mClient.cancel(mEngine.server().endpoint(), "a#1");
+    co_await untilRuns(4);
+    EXPECT_EQ(mEngine.runs().at(2).attempt, "urgent#1");
+    EXPECT_EQ(mEngine.runs().at(3).attempt, "slow#1");
+    while (!mEngine.runs().at(3).finished) {
+      co_await net::sleepFor(Millis(1));
+    }
+  });
+}
+
+// Guards against a crash that leaves streams or queued requests hanging.
+TEST_F(EngineClientTest, CrashEndsAllStreamsAndTheQueue)
+{
+  run([&]() -> Awaitable<void> {
+    std::vector<Verdict> verdicts;
+    const auto start = [&](std::string attempt) -> Awaitable<void> {
+      GenerateCall running;
+      running.request = call(std::move(attempt), "len=1000").request;
+      const auto outcome = co_await generate(std::move(running));
+      verdicts.push_back(outcome.verdict);
+    };
+    net::spawn(mIo, start("a#1"));
+    net::spawn(mIo, start("b#1"));
+    net::spawn(mIo, start("c#1"));
+    while (mEngine.slots().queued() < 1) {
+      co_await net::sleepFor(Millis(1));
+    }
+    co_await control(mEngine.server(), R"({"crash":true})");
+    while (verdicts.size() < 3) {
+      co_await net::sleepFor(Millis(1));
+    }
+    EXPECT_EQ(std::ranges::count(verdicts, Verdict::Unknown), 3);
+    EXPECT_EQ(mEngine.runs().size(), 2U);
+    const auto next = co_await generate(call("d#1", "len=1"));
+    EXPECT_EQ(next.verdict, Verdict::Done);
+  });
+}
+
+// Guards against a failed load passing for a new version.
+TEST_F(EngineClientTest, FailedLoadKeepsTheOldVersion)
+{
+  run([&]() -> Awaitable<void> {
+    const auto engine = mEngine.server().endpoint();
+    const auto store = mStore.server().endpoint();
+    mStore.announce(kModel, 2);
+    co_await control(mEngine.server(), R"({"fail_loads":1})");
+    const auto failed =
+      co_await mClient.load(engine, kModel, 2, store, Millis(5000));
+    EXPECT_EQ(failed, PlatformError::Refused);
+    const auto before = co_await mClient.loadReport(engine);
+    EXPECT_EQ(before.value().models.at(kModel), 1);
+    const auto loaded =
+      co_await mClient.load(engine, kModel, 2, store, Millis(5000));
+    EXPECT_FALSE(loaded);
+    const auto after = co_await mClient.loadReport(engine);
+    EXPECT_EQ(after.value().models.at(kModel), 2);
+    EXPECT_EQ(after.value().slots, 2);
+    const auto absent =
+      co_await mClient.load(engine, kModel, 3, store, Millis(5000));
+    EXPECT_EQ(absent, PlatformError::Refused);
+  });
+}
+
+// Guards against gaps in the cache events going unnoticed.
+TEST_F(EngineClientTest, CacheEventsCarryTheirNumbers)
+{
+  run([&]() -> Awaitable<void> {
+    const auto engine = mEngine.server().endpoint();
+    const auto use = [&](std::string prefix) -> Awaitable<void> {
+      auto cached = call(prefix, prefix + " len=1");
+      cached.request.prefix = prefix;
+      const auto outcome = co_await generate(std::move(cached));
+      EXPECT_EQ(outcome.verdict, Verdict::Done);
+    };
+    co_await use("red");
+    co_await control(mEngine.server(), R"({"drop_cache_events":1})");
+    co_await use("white");
+    co_await use("rose");
+    co_await use("red");
+    const auto events = co_await mClient.cacheEvents(engine, 0);
+    EXPECT_EQ(events.value().events.size(), 2U);
+    EXPECT_EQ(events.value().events.at(0).prefix, "red");
+    EXPECT_EQ(events.value().events.at(1).sequence, 3);
+    EXPECT_TRUE(events.value().events.at(1).added);
+    EXPECT_EQ(events.value().next, 3);
+    const auto none = co_await mClient.cacheEvents(engine, 3);
+    EXPECT_TRUE(none.value().events.empty());
+  });
+}
+
+// Guards against any deviation from the published form being taken for a
+// whole answer, or for a proof that nothing ran.
+TEST_F(EngineClientTest, MalformedAnswersAreUnknown)
+{
+  const std::string tokens = R"({"tokens":2,"text":"ab","version":1})"
+                             "\n";
+  const std::string done = R"({"done":true,"total":2,"finish":"stop"})"
+                           "\n";
+  const std::vector<net::HttpResponse> responses = {
+    fixedResponse(200, ""),
+    fixedResponse(200, tokens),
+    fixedResponse(200, tokens + tokens + done),
+    fixedResponse(200, tokens + done + tokens),
+    fixedResponse(200, tokens + done + done),
+    fixedResponse(200, done),
+    fixedResponse(200, tokens + R"({"done":false,"total":2})"),
+    fixedResponse(200, tokens + R"({"done":true})"),
+    fixedResponse(200, "tokens\n" + done),
+    fixedResponse(200,
+                  R"({"tokens":-2,"text":"","version":1})"
+                  "\n" +
+                    done),
+    fixedResponse(200,
+                  R"({"tokens":2000,"text":"","version":1})"
+                  "\n"),
+    fixedResponse(200,
+                  R"({"tokens":2,"version":1})"
+                  "\n" +
+                    done),
+    fixedResponse(200, "[]\n" + tokens + done),
+    fixedResponse(404, R"({"error":"refused"})"),
+    fixedResponse(500, R"({"error":"refused"})"),
+    fixedResponse(503, R"({"error":"stale_fencing"})"),
+    fixedResponse(503, "refused"),
+    fixedResponse(409, "{}"),
+  };
+  run([&]() -> Awaitable<void> {
+    for (const auto& response : responses) {
+      FixedServer server(mIo, response);
+      const auto outcome =
+        co_await mClient.generate(server.endpoint(), call("r#1", "x"));
+      EXPECT_EQ(outcome.verdict, Verdict::Unknown) << response.body;
+      EXPECT_EQ(outcome.reason, "bad_answer") << response.body;
+    }
+  });
+}
+
+// Guards against a version being invented for tokens that name none, and
+// against an answer of the wrong version.
+TEST_F(EngineClientTest, VersionsAreTakenAsReported)
+{
+  const std::string done = R"({"done":true,"total":3,"finish":"stop"})"
+                           "\n";
+  FixedServer server(mIo,
+                     fixedResponse(200,
+                                   R"({"tokens":1,"text":"a","version":4})"
+                                   "\n"
+                                   R"({"tokens":1,"text":"b"})"
+                                   "\n"
+                                   R"({"tokens":1,"text":"c","version":4})"
+                                   "\n" +
+                                     done));
+  run([&]() -> Awaitable<void> {
+    const auto outcome =
+      co_await mClient.generate(server.endpoint(), call("r#1", "x"));
+    EXPECT_EQ(outcome.verdict, Verdict::Done);
+    EXPECT_EQ(outcome.segments,
+              (std::vector<Segment>{ { 4, 0, 1 }, { 4, 2, 3 } }));
+    auto bound = call("r#2", "x");
+    bound.request.version = 3;
+    const auto wrong =
+      co_await mClient.generate(server.endpoint(), std::move(bound));
+    EXPECT_EQ(wrong.verdict, Verdict::Unknown);
+    EXPECT_EQ(wrong.reason, "bad_answer");
+  });
+}
+
+} // namespace lentilrack::platform
--- /dev/null
+++ b/tests/platform/kv_budget_test.cpp
@@ -0,0 +1,112 @@
+#include "platform/kv_backoff.h"
+#include "platform/kv_budget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilrack::platform {
+
+namespace {
+
+using core::Millis;
+using core::TimePoint;
+using Gate = KvBackoff::Gate;
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+} // namespace
+
+// Guards against more calls than the budget allows in any span of time.
+RC_GTEST_PROP(KvBudgetTest, NoSpanHoldsMoreThanTheBudget, ())
+{
+  const auto rate = *rc::gen::inRange(1, 100);
+  const auto pauses =
+    *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 120));
+  KvBudget budget(rate);
+  std::vector<TimePoint> sent;
+  auto now = kStart;
+  for (const int pause : pauses) {
+    now += Millis(pause);
+    if (pause == 0) {
+      budget.dropCredit(now);
+    }
+    if (const auto time = budget.reserve(now, now + Millis(1000))) {
+      RC_ASSERT(*time >= now);
+      RC_ASSERT(*time <= now + Millis(1000));
+      sent.push_back(*time);
+    }
+  }
+  for (std::size_t first = 0; first < sent.size(); ++first) {
+    for (std::size_t last = first; last < sent.size(); ++last) {
+      const std::chrono::duration<double> span = sent[last] - sent[first];
+      const auto calls = static_cast<double>(last - first + 1);
+      RC_ASSERT(calls <= (span.count() + 0.25) * rate + 1.001);
+    }
+  }
+}
+
+// Guards against a burst out of budget that was saved up during an outage.
+TEST(KvBudgetTest, DroppedCreditLeavesOnlyTheAverageRate)
+{
+  KvBudget budget(10);
+  budget.dropCredit(kStart);
+  EXPECT_EQ(budget.reserve(kStart, kStart + Millis(50)), kStart);
+  EXPECT_EQ(budget.reserve(kStart, kStart + Millis(50)), std::nullopt);
+  EXPECT_EQ(budget.reserve(kStart, kStart + Millis(150)), kStart + Millis(100));
+}
+
+// Guards against calls during the pause and several at once after it.
+TEST(KvBackoffTest, OneProbeAfterThePause)
+{
+  KvBackoff backoff({ Millis(100), Millis(5000), Millis(1000) }, 1);
+  EXPECT_EQ(backoff.enter(kStart), Gate::Open);
+  backoff.failed(kStart, false);
+  EXPECT_EQ(backoff.enter(kStart + Millis(49)), Gate::Wait);
+  const auto later = kStart + Millis(100);
+  EXPECT_EQ(backoff.enter(later), Gate::Probe);
+  EXPECT_EQ(backoff.enter(later), Gate::Wait);
+  backoff.succeeded();
+  EXPECT_EQ(backoff.enter(later), Gate::Open);
+}
+
+// Guards against a probe that hangs and keeps all calls back for ever.
+TEST(KvBackoffTest, AnotherProbeFollowsOneWithoutResult)
+{
+  KvBackoff backoff({ Millis(100), Millis(5000), Millis(1000) }, 1);
+  backoff.failed(kStart, false);
+  const auto later = kStart + Millis(100);
+  EXPECT_EQ(backoff.enter(later), Gate::Probe);
+  EXPECT_EQ(backoff.enter(later + Millis(999)), Gate::Wait);
+  EXPECT_EQ(backoff.enter(later + Millis(1000)), Gate::Probe);
+}
+
+// Guards against the pause growing without bound, and against all processes
+// coming back at the same moment.
+RC_GTEST_PROP(KvBackoffTest, PauseDoublesUpToTheCapWithJitter, ())
+{
+  const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+  KvBackoff backoff({ Millis(100), Millis(5000), Millis(1000) }, seed);
+  auto now = kStart;
+  Millis full{ 100 };
+  for (int i = 0; i < 40; ++i) {
+    backoff.failed(now, i > 0);
+    const auto pause = backoff.retryAt() - now;
+    RC_ASSERT(pause >= full / 2);
+    RC_ASSERT(pause <= full);
+    now = backoff.retryAt();
+    RC_ASSERT(backoff.enter(now) == Gate::Probe);
+    full = std::min(full * 2, Millis(5000));
+  }
+}
+
+// Guards against calls that fail together counting as a row of failures.
+TEST(KvBackoffTest, SimultaneousFailuresCountOnce)
+{
+  KvBackoff backoff({ Millis(100), Millis(5000), Millis(1000) }, 1);
+  for (int i = 0; i < 20; ++i) {
+    backoff.failed(kStart, false);
+  }
+  EXPECT_LE(backoff.retryAt(), kStart + Millis(100));
+}
+
+} // namespace lentilrack::platform
--- /dev/null
+++ b/tests/platform/kv_client_test.cpp
@@ -0,0 +1,379 @@
+#include "platform/error.h"
+#include "platform/kv_client.h"
+#include "platform_fixture.h"
+#include "standins/kv_standin.h"
+
+namespace lentilrack::platform {
+
+namespace {
+
+using core::Millis;
+using net::Awaitable;
+using standins::KvStandin;
+
+class KvClientTest : public PlatformTest
+{
+protected:
+  KvClientTest() { mKv.server().listen(); }
+
+  KvClientOptions options() const
+  {
+    KvClientOptions options;
+    options.endpoints = { mKv.server().endpoint() };
+    options.callsPerSecond = 1000;
+    options.firstPause = Millis(1);
+    options.longestPause = Millis(2);
+    options.seed = 1;
+    return options;
+  }
+
+  static KvPut write(std::string key,
+                     int value,
+                     std::optional<std::int64_t> expect = std::nullopt)
+  {
+    KvPut put;
+    put.key = std::move(key);
+    put.value = value;
+    put.expect = expect;
+    return put;
+  }
+
+  /// Starts a read whose result is added to `errors`.
+  static Awaitable<void> readInto(KvClient& client,
+                                  std::vector<std::error_code>& errors)
+  {
+    const auto result = co_await client.read("a");
+    errors.push_back(result ? std::error_code() : result.error());
+  }
+
+  KvStandin mKv{ mIo, {} };
+};
+
+} // namespace
+
+TEST_F(KvClientTest, CompareAndSwapReadAndList)
+{
+  KvClient client(mIo, options());
+  run([&]() -> Awaitable<void> {
+    const auto created = co_await client.put(write("config/a b+%", 1, 0));
+    EXPECT_EQ(created.value(), 1);
+    const auto again = co_await client.put(write("config/a b+%", 2, 0));
+    EXPECT_EQ(again.error(), PlatformError::Conflict);
+    const auto swapped = co_await client.put(write("config/a b+%", 3, 1));
+    EXPECT_EQ(swapped.value(), 2);
+    co_await client.put(write("other", 9));
+    const auto entry = co_await client.read("config/a b+%");
+    EXPECT_EQ(entry.value().value, 3);
+    EXPECT_EQ(entry.value().revision, 2);
+    const auto list = co_await client.list("config/");
+    EXPECT_EQ(list.value().size(), 1U);
+    EXPECT_EQ(list.value().at(0).key, "config/a b+%");
+    const auto removed = co_await client.remove("other");
+    EXPECT_FALSE(removed);
+    const auto missing = co_await client.read("other");
+    EXPECT_EQ(missing.error(), PlatformError::NotFound);
+    EXPECT_TRUE(client.available());
+  });
+}
+
+// Guards against a write that took effect being reported as failed.
+TEST_F(KvClientTest, LostReplyOfAWriteIsOutcomeUnknown)
+{
+  KvClient client(mIo, options());
+  run([&]() -> Awaitable<void> {
+    co_await control(mKv.server(), R"({"lose_replies":1})");
+    const auto put = co_await client.put(write("a", 1, 0));
+    EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+    EXPECT_FALSE(client.available());
+    const auto entry = co_await client.read("a");
+    EXPECT_EQ(entry.value().value, 1);
+    EXPECT_EQ(client.calls(), 2U);
+  });
+}
+
+// Guards against a slow service's write being reported as not made, and
+// against its being sent twice.
+TEST_F(KvClientTest, TimedOutWriteIsOutcomeUnknownAndSentOnce)
+{
+  auto slow = options();
+  slow.timeout = Millis(50);
+  slow.endpoints.push_back(mKv.server().endpoint());
+  KvClient client(mIo, slow);
+  run([&]() -> Awaitable<void> {
+    co_await control(mKv.server(), R"({"latency_ms":300})");
+    const auto put = co_await client.put(write("a", 1, 0));
+    EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+    EXPECT_EQ(client.calls(), 1U);
+    const auto read = co_await client.read("a");
+    EXPECT_EQ(read.error(), PlatformError::Unavailable);
+    EXPECT_EQ(client.calls(), 3U);
+  });
+}
+
+// Guards against doubt about a write of which no byte was sent.
+TEST_F(KvClientTest, RefusedConnectionIsUnavailable)
+{
+  auto closed = options();
+  closed.endpoints = { closedEndpoint() };
+  KvClient client(mIo, closed);
+  run([&]() -> Awaitable<void> {
+    const auto put = co_await client.put(write("a", 1));
+    EXPECT_EQ(put.error(), PlatformError::Unavailable);
+    EXPECT_FALSE(client.available());
+  });
+}
+
+// Guards against one dead endpoint stopping all calls.
+TEST_F(KvClientTest, NextEndpointTakesOver)
+{
+  auto two = options();
+  two.endpoints.insert(two.endpoints.begin(), closedEndpoint());
+  KvClient client(mIo, two);
+  run([&]() -> Awaitable<void> {
+    const auto put = co_await client.put(write("a", 1));
+    EXPECT_EQ(put.value(), 1);
+    const auto read = co_await client.read("a");
+    EXPECT_EQ(read.value().value, 1);
+    // The dead endpoint is not asked again first.
+    EXPECT_EQ(client.calls(), 3U);
+  });
+}
+
+// Guards against an answer that does not tell the outcome being taken for a
+// success or a failure.
+TEST_F(KvClientTest, MalformedAnswersLeaveTheWriteUnknown)
+{
+  run([&]() -> Awaitable<void> {
+    for (const auto& response : { fixedResponse(200, "{\"revision\":\"1\"}"),
+                                  fixedResponse(200, "not json"),
+                                  fixedResponse(500, "{}") }) {
+      FixedServer server(mIo, response);
+      auto fixed = options();
+      fixed.endpoints = { server.endpoint() };
+      KvClient client(mIo, fixed);
+      const auto put = co_await client.put(write("a", 1));
+      EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+    }
+  });
+}
+
+TEST_F(KvClientTest, MalformedAnswerToAReadIsBadAnswer)
+{
+  FixedServer server(mIo, fixedResponse(200, R"({"value":1})"));
+  auto fixed = options();
+  fixed.endpoints = { server.endpoint() };
+  KvClient client(mIo, fixed);
+  run([&]() -> Awaitable<void> {
+    const auto read = co_await client.read("a");
+    EXPECT_EQ(read.error(), PlatformError::BadAnswer);
+  });
+}
+
+// Guards against a holder that believes in a lapsed lease.
+TEST_F(KvClientTest, LapsedLeaseDeletesItsKeys)
+{
+  KvClient client(mIo, options());
+  run([&]() -> Awaitable<void> {
+    const auto lease = co_await client.grantLease(Millis(60'000));
+    auto put = write("member/a", 1);
+    put.lease = lease.value();
+    const auto first = co_await client.put(put);
+    EXPECT_TRUE(first);
+    const auto renewed = co_await client.renewLease(lease.value());
+    EXPECT_FALSE(renewed);
+    co_await control(mKv.server(), R"({"lapse_leases":true})");
+    const auto lapsed = co_await client.renewLease(lease.value());
+    EXPECT_EQ(lapsed, PlatformError::NotFound);
+    const auto read = co_await client.read("member/a");
+    EXPECT_EQ(read.error(), PlatformError::NotFound);
+    const auto second = co_await client.put(put);
+    EXPECT_EQ(second.error(), PlatformError::NotFound);
+  });
+}
+
+// Guards against a lease that outlives its time.
+TEST_F(KvClientTest, LeaseLapsesWithoutRenewal)
+{
+  KvClient client(mIo, options());
+  run([&]() -> Awaitable<void> {
+    const auto lease = co_await client.grantLease(Millis(1));
+    co_await net::sleepFor(Millis(5));
+    const auto lapsed = co_await client.renewLease(lease.value());
+    EXPECT_EQ(lapsed, PlatformError::NotFound);
+  });
+}
+
+// Guards against losing a change that was made between two watches.
+TEST_F(KvClientTest, WatchDeliversWhatChangedInTheGap)
+{
+  KvClient client(mIo, options());
+  run([&]() -> Awaitable<void> {
+    co_await client.put(write("a", 1));
+    co_await client.put(write("a", 2));
+    co_await client.put(write("a", 3));
+    const auto seen = co_await client.watch("a", 1, Millis(60'000));
+    EXPECT_EQ(seen.value()->value, 3);
+    EXPECT_EQ(seen.value()->revision, 3);
+    const auto nothing = co_await client.watch("a", 3, Millis(1));
+    EXPECT_FALSE(nothing.value());
+  });
+}
+
+// Guards against a cut watcher that misses the change made meanwhile.
+TEST_F(KvClientTest, CutWatchFailsAndTheNextOneCatchesUp)
+{
+  KvClient client(mIo, options());
+  run([&]() -> Awaitable<void> {
+    co_await client.put(write("a", 1));
+    const auto cutter = [&]() -> Awaitable<void> {
+      while (mKv.waitingWatches() == 0) {
+        co_await net::sleepFor(Millis(1));
+      }
+      co_await control(mKv.server(), R"({"cut_watches":true})");
+      co_await client.put(write("a", 2));
+    };
+    net::spawn(mIo, cutter());
+    const auto cut = co_await client.watch("a", 1, Millis(60'000));
+    EXPECT_EQ(cut.error(), PlatformError::Unavailable);
+    const auto seen = co_await client.watch("a", 1, Millis(60'000));
+    EXPECT_EQ(seen.value()->value, 2);
+  });
+}
+
+// Guards against a watcher that spins on, or goes back to, an old revision.
+TEST_F(KvClientTest, WatchRefusesAnOldRevision)
+{
+  FixedServer server(mIo, fixedResponse(200, R"({"value":1,"revision":4})"));
+  auto fixed = options();
+  fixed.endpoints = { server.endpoint() };
+  KvClient client(mIo, fixed);
+  run([&]() -> Awaitable<void> {
+    const auto seen = co_await client.watch("a", 4, Millis(1000));
+    EXPECT_EQ(seen.error(), PlatformError::BadAnswer);
+  });
+}
+
+// Guards against calls that go on during an outage.
+TEST_F(KvClientTest, OutageCostsOneCallPerPause)
+{
+  auto patient = options();
+  patient.firstPause = std::chrono::hours(1);
+  patient.longestPause = std::chrono::hours(1);
+  patient.timeout = Millis(100);
+  KvClient client(mIo, patient);
+  run([&]() -> Awaitable<void> {
+    co_await control(mKv.server(), R"({"down":true})");
+    std::vector<std::error_code> errors;
+    co_await readInto(client, errors);
+    for (int i = 0; i < 50; ++i) {
+      net::spawn(mIo, readInto(client, errors));
+    }
+    while (errors.size() < 51) {
+      co_await net::sleepFor(Millis(1));
+    }
+    EXPECT_EQ(std::ranges::count(errors, PlatformError::Unavailable), 51);
+    EXPECT_EQ(client.calls(), 1U);
+    EXPECT_EQ(mKv.server().requests(), 1);
+  });
+}
+
+// Guards against a burst of waiting calls when the service returns.
+TEST_F(KvClientTest, OneCallGoesFirstOnReturn)
+{
+  bool isDown = true;
+  int arrived = 0;
+  int arrivedBeforeFirstAnswer = 0;
+  net::HttpServer server(
+    mIo, {}, [&](net::HttpExchange& exchange) -> Awaitable<void> {
+      if (isDown) {
+        exchange.abort();
+        co_return;
+      }
+      ++arrived;
+      if (arrivedBeforeFirstAnswer == 0) {
+        co_await net::sleepFor(Millis(50));
+        arrivedBeforeFirstAnswer = arrived;
+      }
+      auto response = fixedResponse(200, R"({"value":1,"revision":1})");
+      co_await exchange.respond(std::move(response));
+    });
+  auto own = options();
+  own.endpoints = { server.listen({ "127.0.0.1", 0 }).value() };
+  own.timeout = Millis(5000);
+  KvClient client(mIo, own);
+  run([&]() -> Awaitable<void> {
+    std::vector<std::error_code> errors;
+    co_await readInto(client, errors);
+    EXPECT_EQ(errors.at(0), PlatformError::Unavailable);
+    isDown = false;
+    for (int i = 0; i < 20; ++i) {
+      net::spawn(mIo, readInto(client, errors));
+    }
+    while (errors.size() < 21) {
+      co_await net::sleepFor(Millis(1));
+    }
+    EXPECT_EQ(arrivedBeforeFirstAnswer, 1);
+    EXPECT_EQ(std::ranges::count(errors, std::error_code()), 20);
+  });
+}
+
+// Guards against a waiting watch that holds back all calls after an outage.
+TEST_F(KvClientTest, WatchAfterAnOutageAsksShortlyFirst)
+{
+  FixedServer server(mIo, fixedResponse(204, ""));
+  auto two = options();
+  two.endpoints = { server.endpoint() };
+  KvClient client(mIo, two);
+  auto broken = options();
+  run([&]() -> Awaitable<void> {
+    co_await control(mKv.server(), R"({"down":true})");
+    KvClient watcher(mIo, broken);
+    const auto failed = co_await watcher.watch("a", 0, Millis(100));
+    EXPECT_EQ(failed.error(), PlatformError::Unavailable);
+    co_await control(mKv.server(), R"({"down":false})");
+    const auto before = watcher.calls();
+    const auto nothing = co_await watcher.watch("a", 0, Millis(1));
+    EXPECT_FALSE(nothing.value());
+    // A short one that finds out whether the service answers, then the watch.
+    EXPECT_EQ(watcher.calls() - before, 2U);
+    // Without an outage a watch is one call.
+    co_await client.watch("a", 0, Millis(1));
+    EXPECT_EQ(client.calls(), 1U);
+    EXPECT_EQ(server.targets().at(0), "/watch/a?after=0&timeout_ms=1");
+  });
+}
+
+// Guards against more calls than the budget allows.
+TEST_F(KvClientTest, CallsOverTheBudgetFailWithoutBeingSent)
+{
+  auto frugal = options();
+  frugal.callsPerSecond = 0.01;
+  frugal.timeout = Millis(100);
+  KvClient client(mIo, frugal);
+  run([&]() -> Awaitable<void> {
+    co_await client.put(write("a", 1));
+    const auto second = co_await client.put(write("a", 2));
+    EXPECT_EQ(second.error(), PlatformError::RateLimited);
+    EXPECT_EQ(mKv.server().requests(), 1);
+    EXPECT_EQ(mKv.table().find("a")->value, 1);
+  });
+}
+
+// Guards against calls that outlive their client.
+TEST_F(KvClientTest, DestroyedClientEndsItsWatch)
+{
+  auto client = std::make_unique<KvClient>(mIo, options());
+  run([&]() -> Awaitable<void> {
+    const auto ender = [&]() -> Awaitable<void> {
+      while (mKv.waitingWatches() == 0) {
+        co_await net::sleepFor(Millis(1));
+      }
+      client.reset();
+    };
+    net::spawn(mIo, ender());
+    const auto seen = co_await client->watch("a", 0, Millis(60'000));
+    EXPECT_EQ(seen.error(), PlatformError::Unavailable);
+  });
+}
+
+} // namespace lentilrack::platform
