--- a/src/core/address_plan.cpp
+++ b/src/core/address_plan.cpp
@@ -126,7 +126,7 @@
   std::vector<AddressShare> chosen;
   while (!candidates.empty() && chosen.size() < mOptions.most) {
     // The last place is kept for a second failure domain.
-    if (chosen.size() + 1 == mOptions.most && chosen.size() > 0 &&
+    if (chosen.size() + 1 == mOptions.most && !chosen.empty() &&
         isOneDomain(chosen)) {
       const auto& domain = chosen.front().failureDomain;
       auto others = candidates;
--- a/src/core/ticket.cpp
+++ b/src/core/ticket.cpp
@@ -24,6 +24,16 @@
   return reinterpret_cast<const unsigned char*>(text.data());
 }
 
+std::string
+base64Of(std::string_view bytes)
+{
+  std::string text(sodium_base64_ENCODED_LEN(bytes.size(), kBase64), '\0');
+  sodium_bin2base64(
+    text.data(), text.size(), bytesOf(bytes), bytes.size(), kBase64);
+  text.resize(text.find('\0'));
+  return text;
+}
+
 std::string
 keyedHash(std::string_view text, std::string_view key)
 {
@@ -92,11 +102,7 @@
 {
   auto sealed = encodeTicket(ticket);
   sealed = mac(sealed) + sealed;
-  std::string text(sodium_base64_ENCODED_LEN(sealed.size(), kBase64), '\0');
-  sodium_bin2base64(
-    text.data(), text.size(), bytesOf(sealed), sealed.size(), kBase64);
-  text.resize(text.find('\0'));
-  return text;
+  return base64Of(sealed);
 }
 
 std::optional<Ticket>
@@ -120,6 +126,11 @@
     return std::nullopt;
   }
   sealed.resize(size);
+  // libsodium 1.0.18 reads the byte 0xff as a base64 digit. A second text for
+  // the same ticket would make a second identifier for the same request.
+  if (base64Of(sealed) != text) {
+    return std::nullopt;
+  }
   const auto bytes = std::string_view(sealed).substr(kMacBytes);
   const auto expected = mac(bytes);
   if (sodium_memcmp(expected.data(), sealed.data(), kMacBytes) != 0) {
--- /dev/null
+++ b/tests/core/ticket_test.cpp
@@ -0,0 +1,98 @@
+#include "core/ticket.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+Ticket
+sampleTicket()
+{
+  Ticket ticket;
+  ticket.home = { "etna-1/entry", 0xfedcba9876543210 };
+  ticket.caller = "order-desk";
+  ticket.nonce = 42;
+  ticket.expiry = Millis(900'000);
+  for (std::uint64_t i = 0; i < kMaxDispatchSet; ++i) {
+    ticket.dispatchers.push_back(
+      { "etna-" + std::to_string(i) + "/dispatch", i });
+  }
+  return ticket;
+}
+
+} // namespace
+
+TEST(Ticket, OpensWhatItSealed)
+{
+  const TicketSealer sealer("secret");
+  const auto text = sealer.seal(sampleTicket());
+  EXPECT_EQ(sealer.open(text), sampleTicket());
+  // A ticket travels in a header of at most 16 KB.
+  EXPECT_LT(text.size(), 1024U);
+}
+
+// Guards against tickets that another deployment or a caller made up.
+TEST(Ticket, RefusesOtherSecret)
+{
+  const auto text = TicketSealer("guess").seal(sampleTicket());
+  EXPECT_FALSE(TicketSealer("secret").open(text));
+}
+
+// Guards against a caller that extends its ticket or its dispatch set, and
+// against a second text for the same ticket, which would be another identifier
+// for the same sequence number.
+RC_GTEST_PROP(Ticket, RefusesEveryChangedText, ())
+{
+  const TicketSealer sealer("secret");
+  auto text = sealer.seal(sampleTicket());
+  const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
+  const auto other = *rc::gen::arbitrary<char>();
+  RC_PRE(text[position] != other);
+  text[position] = other;
+  RC_ASSERT(!sealer.open(text));
+}
+
+RC_GTEST_PROP(Ticket, RefusesEveryCutOrExtendedText, ())
+{
+  const TicketSealer sealer("secret");
+  const auto text = sealer.seal(sampleTicket());
+  const auto size = *rc::gen::inRange<std::size_t>(0, text.size());
+  RC_ASSERT(!sealer.open(text.substr(0, size)));
+  RC_ASSERT(!sealer.open(text + *rc::gen::nonEmpty<std::string>()));
+}
+
+RC_GTEST_PROP(RequestId, ParsesItsOwnText, (std::uint64_t sequence))
+{
+  const RequestId id{ "AbC-_9", sequence };
+  RC_ASSERT(RequestId::parse(id.text()) == id);
+}
+
+// Guards against two texts for one request: each would be run once.
+RC_GTEST_PROP(RequestId, HasOneText, (std::string digits))
+{
+  const auto text = "ticket." + digits;
+  const auto id = RequestId::parse(text);
+  const bool isCanonical = !id || id->text() == text;
+  RC_ASSERT(isCanonical);
+}
+
+TEST(RequestId, RefusesOtherForms)
+{
+  for (const auto* text : { "",
+                            ".",
+                            "ticket",
+                            "ticket.",
+                            ".1",
+                            "ticket.01",
+                            "ticket.+1",
+                            "ticket.-1",
+                            "ticket.1 ",
+                            "ticket.1.2",
+                            "ticket.18446744073709551616" }) {
+    EXPECT_FALSE(RequestId::parse(text)) << text;
+  }
+}
+
+} // namespace lentilrack::core
