--- /dev/null
+++ b/tests/core/retry_budget_test.cpp
@@ -0,0 +1,74 @@
+#include "core/retry_budget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilrack::core {
+
+// Guards against a retry storm: without successes the budget runs dry.
+TEST(RetryBudget, RunsDryWithoutSuccesses)
+{
+  RetryBudget budget;
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    taken += budget.take() ? 1 : 0;
+  }
+  EXPECT_EQ(taken, 3);
+}
+
+TEST(RetryBudget, GrowsWithSuccessesUpToABound)
+{
+  RetryBudget budget;
+  while (budget.take()) {
+  }
+  for (int i = 0; i < 20; ++i) {
+    budget.succeeded();
+  }
+  EXPECT_TRUE(budget.take());
+  EXPECT_FALSE(budget.take());
+  for (int i = 0; i < 100'000; ++i) {
+    budget.succeeded();
+  }
+  int taken = 0;
+  while (budget.take()) {
+    ++taken;
+  }
+  EXPECT_EQ(taken, 10);
+}
+
+RC_GTEST_PROP(RetryBudget, ExtraAttemptsStayAFractionOfSuccesses, ())
+{
+  RetryBudget budget;
+  const auto steps =
+    *rc::gen::container<std::vector<int>>(500, rc::gen::inRange(0, 3));
+  double successes = 0;
+  double extra = 0;
+  for (const auto step : steps) {
+    if (step == 0) {
+      extra += budget.take() ? 1 : 0;
+    } else {
+      budget.succeeded();
+      ++successes;
+    }
+    RC_ASSERT(extra <= 3 + 0.05 * successes + 1e-6);
+  }
+}
+
+// Guards against waiters that return together after an outage.
+TEST(RetryBudget, BackoffIsBoundedAndSpread)
+{
+  const RetryBudget budget;
+  pcg32 random(42);
+  Millis least{ 1'000'000 };
+  Millis most{ 0 };
+  for (int i = 0; i < 1000; ++i) {
+    const auto wait = budget.backoff(30, random);
+    least = std::min(least, wait);
+    most = std::max(most, wait);
+  }
+  EXPECT_LT(least, Millis(100));
+  EXPECT_GT(most, Millis(1900));
+  EXPECT_LE(most, Millis(2000));
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/server_choice_test.cpp
@@ -0,0 +1,216 @@
+#include "core/server_choice.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace lentilrack::core {
+
+namespace {
+
+const TimePoint kStart{ Millis(1'000'000) };
+
+class ChoiceTest : public ::testing::Test
+{
+protected:
+  void add(int count)
+  {
+    std::vector<BackendServer> list;
+    for (int i = 0; i < count; ++i) {
+      BackendServer server;
+      server.id = name(i);
+      server.models = { "m" };
+      server.slots = 8;
+      list.push_back(server);
+    }
+    mServers.update(
+      list, [](const auto&) { return true; }, kStart);
+    mServers.advance(mNow);
+  }
+
+  static std::string name(int i) { return "s" + std::to_string(i); }
+
+  ServerView view() const
+  {
+    return { mServers,
+             mHealth,
+             mPrefixes,
+             [](std::int64_t slots) { return slots * 3 / 4; },
+             mNow };
+  }
+
+  static ChoiceRequest request(double tokens = 100)
+  {
+    ChoiceRequest made;
+    made.target = "m";
+    made.tokens = tokens;
+    made.promptChars = 10'000;
+    return made;
+  }
+
+  std::string choose(const ChoiceRequest& what)
+  {
+    const auto index = chooseBestServer(what, view(), mRandom);
+    return index ? mServers.at(*index).server.id : "";
+  }
+
+  ServerReport reportOf(std::int64_t running, Millis age) const
+  {
+    ServerReport report;
+    report.running = running;
+    report.models = { { "m", 1 } };
+    report.observed = mNow - age;
+    return report;
+  }
+
+  ServerSet mServers;
+  ServerHealth mHealth;
+  PrefixIndex mPrefixes;
+  pcg32 mRandom{ 42 };
+  TimePoint mNow = kStart + Millis(10'000);
+};
+
+} // namespace
+
+TEST_F(ChoiceTest, PrefersTheLeastLoaded)
+{
+  add(3);
+  for (int i = 0; i < 4; ++i) {
+    mServers.started(name(0), false);
+    mServers.started(name(2), false);
+  }
+  EXPECT_EQ(choose(request()), name(1));
+}
+
+// Guards against sending all work of idle servers to the first one.
+TEST_F(ChoiceTest, SpreadsOverEqualServers)
+{
+  add(8);
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 800; ++i) {
+    ++counts[choose(request())];
+  }
+  EXPECT_EQ(counts.size(), 8U);
+  for (const auto& [server, count] : counts) {
+    EXPECT_GT(count, 50) << server;
+  }
+}
+
+TEST_F(ChoiceTest, AvoidsSlowServers)
+{
+  add(4);
+  for (int i = 0; i < 4; ++i) {
+    mHealth.started(name(i), kStart);
+    mHealth.progress(name(i), i == 0 ? 2000 : 400, mNow);
+  }
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(choose(request()), name(0));
+  }
+}
+
+TEST_F(ChoiceTest, PrefersAServerThatHoldsThePrefix)
+{
+  add(100);
+  mPrefixes.assigned(name(77), "p");
+  auto what = request(10);
+  what.prefix = "p";
+  EXPECT_EQ(choose(what), name(77));
+}
+
+// Guards against overload of the one server that holds a popular prefix.
+TEST_F(ChoiceTest, PrefixDoesNotOverrideTheLoadBound)
+{
+  add(4);
+  mPrefixes.assigned(name(2), "p");
+  auto what = request(10);
+  what.prefix = "p";
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 24; ++i) {
+    const auto server = choose(what);
+    mServers.started(server, false);
+    ++counts[server];
+  }
+  EXPECT_LE(counts[name(2)], 8);
+  EXPECT_EQ(counts.size(), 4U);
+}
+
+// Guards against decisions by a load that was true seconds ago.
+TEST_F(ChoiceTest, LateReportsCountLess)
+{
+  add(2);
+  mServers.started(name(1), false);
+  mServers.report(name(0), reportOf(8, Millis(0)));
+  EXPECT_EQ(choose(request()), name(1));
+  mServers.report(name(1), reportOf(0, Millis(0)));
+  add(2);
+  mNow += Millis(10'000);
+  EXPECT_EQ(choose(request()), name(0));
+}
+
+TEST_F(ChoiceTest, KeepsToTheVersion)
+{
+  add(3);
+  mServers.setVersion(name(2), "m", 7, mNow);
+  auto what = request();
+  what.version = 7;
+  EXPECT_EQ(choose(what), name(2));
+  what.version = 8;
+  EXPECT_EQ(choose(what), "");
+}
+
+TEST_F(ChoiceTest, LongWorkLeavesSlotsFree)
+{
+  add(1);
+  for (int i = 0; i < 6; ++i) {
+    mServers.started(name(0), true);
+  }
+  auto what = request();
+  EXPECT_EQ(choose(what), name(0));
+  what.isLong = true;
+  EXPECT_EQ(choose(what), "");
+}
+
+// Guards against a sample that misses the only free server.
+TEST_F(ChoiceTest, FindsTheOnlyFreeServerOfMany)
+{
+  add(500);
+  for (int i = 0; i < 500; ++i) {
+    for (int slot = 0; slot < 8 && i != 321; ++slot) {
+      mServers.started(name(i), false);
+    }
+  }
+  EXPECT_EQ(choose(request()), name(321));
+  const auto index = chooseRandomServer(request(), view(), mRandom);
+  ASSERT_TRUE(index);
+  EXPECT_EQ(mServers.at(*index).server.id, name(321));
+  EXPECT_TRUE(canPlaceAnywhere(request(), view()));
+  for (int slot = 0; slot < 8; ++slot) {
+    mServers.started(name(321), false);
+  }
+  EXPECT_EQ(choose(request()), "");
+  EXPECT_FALSE(canPlaceAnywhere(request(), view()));
+}
+
+TEST_F(ChoiceTest, SkipsDownHeldAndAvoidedServers)
+{
+  add(4);
+  mHealth.failed(name(0), mNow);
+  mHealth.failed(name(0), mNow);
+  mServers.hold(name(1));
+  auto what = request();
+  what.avoid = { name(2) };
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(choose(what), name(3));
+  }
+}
+
+TEST_F(ChoiceTest, UnknownTargetHasNoServer)
+{
+  add(1);
+  auto what = request();
+  what.target = "other";
+  EXPECT_EQ(choose(what), "");
+  EXPECT_FALSE(chooseRandomServer(what, view(), mRandom));
+}
+
+} // namespace lentilrack::core
