--- a/src/core/scheduler_hooks.cpp
+++ b/src/core/scheduler_hooks.cpp
@@ -54,9 +54,11 @@
     return nullptr;
   };
   hooks.admissionWait = [](Millis /*estimated*/) { return Millis(0); };
-  hooks.compareServers = [](ServerHealth& /*health*/,
-                            const std::vector<std::string>& /*servers*/,
-                            TimePoint /*now*/) {};
+  hooks.compareServers = [](ServerHealth& health,
+                            const std::vector<std::string>& servers,
+                            TimePoint now) {
+    health.compare(servers, now, false);
+  };
   return hooks;
 }
 
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -101,7 +101,9 @@
 }
 
 void
-ServerHealth::compare(const std::vector<std::string>& peers, TimePoint now)
+ServerHealth::compare(const std::vector<std::string>& peers,
+                      TimePoint now,
+                      bool adjustShares)
 {
   std::vector<std::pair<double, Server*>> rates;
   std::size_t ejected = 0;
@@ -129,7 +131,7 @@
   for (const auto& name : peers) {
     mServers[name].peerRate = median;
   }
-  if (median <= 0) {
+  if (median <= 0 || !adjustShares) {
     return;
   }
   for (const auto& [rate, server] : rates) {
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -56,9 +56,11 @@
   void failed(const std::string& server, TimePoint now);
   void forget(const std::string& server);
 
-  /// Compares the servers of one target and updates their shares. Called a few
-  /// times a second.
-  void compare(const std::vector<std::string>& peers, TimePoint now);
+  /// Measures the servers of one target, updates their median rate and, unless
+  /// `adjustShares` is false, their shares. Called a few times a second.
+  void compare(const std::vector<std::string>& peers,
+               TimePoint now,
+               bool adjustShares = true);
 
   /// 1 for a normal server, its part of the median rate if it is slow.
   double share(const std::string& server) const;
--- /dev/null
+++ b/tests/core/scheduler_fixture.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "core/scheduler.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::core {
+
+inline const TimePoint kSchedulerStart{ Millis(1'000'000) };
+
+/// A scheduler with a few engines of the model "m" and virtual time.
+class SchedulerFixture : public ::testing::Test
+{
+protected:
+  void make(int engines,
+            std::int64_t slots,
+            SchedulerHooks hooks = defaultHooks(),
+            SchedulerOptions options = {})
+  {
+    mScheduler =
+      std::make_unique<Scheduler>(options, std::move(hooks), pcg32(42));
+    for (int i = 0; i < engines; ++i) {
+      BackendServer server;
+      server.id = "s" + std::to_string(i);
+      server.models = { "m" };
+      server.slots = slots;
+      mList.push_back(server);
+    }
+    applyList();
+    mNow += Millis(10'000);
+    mScheduler->advance(mNow);
+    setVersions(1);
+  }
+
+  void applyList()
+  {
+    mScheduler->servers().update(
+      mList, [](const auto&) { return true; }, mNow);
+  }
+
+  void setVersions(std::int64_t version)
+  {
+    for (const auto& server : mList) {
+      mScheduler->servers().setVersion(server.id, "m", version, mNow);
+    }
+  }
+
+  Submission submission(std::string request,
+                        WorkType type = WorkType::Order,
+                        std::int64_t tokens = 100) const
+  {
+    Submission made;
+    made.attempt = { std::move(request), 1 };
+    made.work.type = type;
+    made.work.principal = type == WorkType::Rollout ? "trainer" : "caller";
+    made.work.kind = "k";
+    made.work.target = "m";
+    made.work.maxTokens = tokens;
+    made.work.idempotent = type == WorkType::Rollout;
+    made.row.principal = made.work.principal;
+    made.row.kind = "k";
+    made.row.priority = type == WorkType::Rollout ? 7 : 2;
+    made.deadline = mNow + Millis(30'000);
+    return made;
+  }
+
+  JobId accept(Submission what)
+  {
+    const auto result = mScheduler->submit(std::move(what), mNow);
+    EXPECT_TRUE(std::holds_alternative<JobId>(result));
+    return std::get<JobId>(result);
+  }
+
+  Outcome refuse(Submission what)
+  {
+    const auto result = mScheduler->submit(std::move(what), mNow);
+    EXPECT_TRUE(std::holds_alternative<Outcome>(result));
+    return std::get<Outcome>(result);
+  }
+
+  JobStart startNext()
+  {
+    const auto start = mScheduler->next(mNow);
+    EXPECT_TRUE(start);
+    return *start;
+  }
+
+  static Outcome outcome(Verdict verdict, std::string reason = "")
+  {
+    Outcome made;
+    made.verdict = verdict;
+    made.reason = std::move(reason);
+    return made;
+  }
+
+  /// Teaches the scheduler a typical size of `tokens`.
+  void learn(std::int64_t tokens)
+  {
+    for (int i = 0; i < 30; ++i) {
+      const auto id = accept(
+        submission("learn" + std::to_string(i), WorkType::Order, tokens));
+      startNext();
+      mScheduler->begin(id, mNow);
+      mNow += Millis(500);
+      mScheduler->progress(id, { "", tokens, 1 }, mNow);
+      mScheduler->advance(mNow);
+      mScheduler->finished(id, outcome(Verdict::Done), mNow);
+    }
+  }
+
+  std::vector<BackendServer> mList;
+  std::unique_ptr<Scheduler> mScheduler;
+  TimePoint mNow = kSchedulerStart;
+};
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/scheduler_simulation.h
@@ -0,0 +1,260 @@
+#pragma once
+
+#include "core/scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lentilrack::core {
+
+/// One stream of requests with exponential gaps.
+struct SimulatedLoad
+{
+  std::string principal;
+  WorkType type = WorkType::Order;
+  double perSecond = 10;
+  std::int64_t tokens = 100;
+  std::int64_t priority = 5;
+  std::int64_t weight = 1;
+  Millis deadline{ 30'000 };
+};
+
+struct SimulatedResult
+{
+  std::int64_t offered = 0;
+  std::int64_t refused = 0;
+  std::int64_t done = 0;
+  /// Admitted and then not done in time.
+  std::int64_t late = 0;
+  double doneTokens = 0;
+  std::vector<double> seconds;
+
+  double quantile(double q)
+  {
+    if (seconds.empty()) {
+      return 0;
+    }
+    std::ranges::sort(seconds);
+    const auto last = static_cast<double>(seconds.size() - 1);
+    return seconds[static_cast<std::size_t>(q * last)];
+  }
+};
+
+/// Engines in virtual time: every slot makes tokens at the rate of its engine.
+/// Advances in steps of 10 ms.
+class Simulation
+{
+public:
+  Simulation(int engines, std::int64_t slots, double rate, SchedulerHooks hooks)
+    : mScheduler({}, std::move(hooks), pcg32(42))
+    , mRates(static_cast<std::size_t>(engines), rate)
+    , mNormalRate(rate)
+  {
+    std::vector<BackendServer> list;
+    for (int i = 0; i < engines; ++i) {
+      BackendServer server;
+      server.id = std::to_string(i);
+      server.models = { "m" };
+      server.slots = slots;
+      list.push_back(server);
+    }
+    mScheduler.servers().update(
+      list, [](const auto&) { return true; }, mNow);
+  }
+
+  void add(SimulatedLoad load) { mLoads.push_back({ std::move(load), mNow }); }
+
+  /// The first `count` engines are slowed by `factor` for half of each period.
+  void slow(std::size_t count, double factor, Millis period)
+  {
+    mSlowCount = count;
+    mSlowFactor = factor;
+    mSlowPeriod = period;
+  }
+
+  /// Results count from `warmup` on, by principal.
+  std::map<std::string, SimulatedResult> run(Millis warmup, Millis time)
+  {
+    const auto measured = mNow + warmup;
+    const auto end = measured + time;
+    while (mNow < end) {
+      mCounting = mNow >= measured;
+      step();
+    }
+    return mResults;
+  }
+
+private:
+  struct Stream
+  {
+    SimulatedLoad load;
+    TimePoint next;
+  };
+
+  struct Running
+  {
+    std::size_t engine = 0;
+    std::string principal;
+    double left = 0;
+    double credit = 0;
+    TimePoint submitted;
+    TimePoint deadline;
+  };
+
+  static constexpr Millis kStep{ 10 };
+
+  void step()
+  {
+    mNow += kStep;
+    setRates();
+    for (auto& stream : mLoads) {
+      while (stream.next <= mNow) {
+        submit(stream.load);
+        std::exponential_distribution<double> gap(stream.load.perSecond);
+        stream.next += std::chrono::duration_cast<Clock::duration>(
+          std::chrono::duration<double>(gap(mRandom)));
+      }
+    }
+    work();
+    for (const auto& ended : mScheduler.advance(mNow)) {
+      end(ended.job, ended.outcome);
+    }
+    startAll();
+    for (const auto job : mScheduler.preemptions(mNow)) {
+      stop(job, "cancelled");
+    }
+    startAll();
+  }
+
+  void setRates()
+  {
+    if (mSlowPeriod == Millis(0)) {
+      return;
+    }
+    const auto phase = (mNow - TimePoint()) % mSlowPeriod;
+    for (std::size_t i = 0; i < mSlowCount; ++i) {
+      mRates[i] = mNormalRate * (phase < mSlowPeriod / 2 ? mSlowFactor : 1);
+    }
+  }
+
+  void submit(const SimulatedLoad& load)
+  {
+    Submission made;
+    made.attempt = { std::to_string(++mLastRequest), 1 };
+    made.work.type = load.type;
+    made.work.principal = load.principal;
+    made.work.kind = "k";
+    made.work.target = "m";
+    made.work.maxTokens = load.tokens;
+    made.work.idempotent = load.type == WorkType::Rollout;
+    made.row.principal = load.principal;
+    made.row.kind = "k";
+    made.row.priority = load.priority;
+    made.row.weight = load.weight;
+    made.deadline = mNow + load.deadline;
+    auto& result = mResults[load.principal];
+    result.offered += mCounting ? 1 : 0;
+    const auto answer = mScheduler.submit(std::move(made), mNow);
+    if (std::holds_alternative<Outcome>(answer)) {
+      result.refused += mCounting ? 1 : 0;
+      return;
+    }
+    const auto id = std::get<JobId>(answer);
+    mJobs[id] = { 0, load.principal, static_cast<double>(load.tokens),
+                  0, mNow,           mNow + load.deadline };
+  }
+
+  void startAll()
+  {
+    while (const auto start = mScheduler.next(mNow)) {
+      auto& job = mJobs.at(start->job);
+      job.engine = std::stoul(start->server);
+      job.credit = 0;
+      mScheduler.begin(start->job, mNow);
+      mRunning.push_back(start->job);
+    }
+  }
+
+  void work()
+  {
+    const double seconds = std::chrono::duration<double>(kStep).count();
+    const auto running = mRunning;
+    for (const auto id : running) {
+      auto& job = mJobs.at(id);
+      job.credit += mRates[job.engine] * seconds;
+      const auto whole =
+        static_cast<std::int64_t>(std::min(std::floor(job.credit), job.left));
+      if (whole > 0) {
+        job.credit -= static_cast<double>(whole);
+        job.left -= static_cast<double>(whole);
+        mScheduler.progress(id, { "", whole, 1 }, mNow);
+      }
+      if (job.left <= 0) {
+        stop(id, "");
+      } else if (mNow >= job.deadline) {
+        stop(id, "timeout");
+      }
+    }
+  }
+
+  void stop(JobId id, const std::string& reason)
+  {
+    std::erase(mRunning, id);
+    Outcome outcome;
+    outcome.verdict = reason.empty() ? Verdict::Done : Verdict::Unknown;
+    outcome.reason = reason;
+    if (const auto result = mScheduler.finished(id, outcome, mNow)) {
+      end(id, *result);
+    }
+  }
+
+  void end(JobId id, const Outcome& outcome)
+  {
+    const auto found = mJobs.find(id);
+    auto& result = mResults[found->second.principal];
+    if (mCounting) {
+      const bool done = outcome.verdict == Verdict::Done;
+      (done ? result.done : result.late) += 1;
+      if (done) {
+        result.seconds.push_back(
+          std::chrono::duration<double>(mNow - found->second.submitted)
+            .count());
+      }
+    }
+    if (mCounting && outcome.verdict == Verdict::Done) {
+      result.doneTokens += tokensOf(found->second);
+    }
+    mJobs.erase(found);
+  }
+
+  double tokensOf(const Running& job) const
+  {
+    for (const auto& stream : mLoads) {
+      if (stream.load.principal == job.principal) {
+        return static_cast<double>(stream.load.tokens);
+      }
+    }
+    return 0;
+  }
+
+  Scheduler mScheduler;
+  std::vector<double> mRates;
+  double mNormalRate;
+  std::vector<Stream> mLoads;
+  std::map<JobId, Running> mJobs;
+  std::vector<JobId> mRunning;
+  std::map<std::string, SimulatedResult> mResults;
+  std::uint64_t mLastRequest = 0;
+  TimePoint mNow{ Millis(1'000'000) };
+  bool mCounting = false;
+  std::size_t mSlowCount = 0;
+  double mSlowFactor = 1;
+  Millis mSlowPeriod{ 0 };
+  std::mt19937_64 mRandom{ 42 };
+};
+
+} // namespace lentilrack::core
