--- a/src/core/table_diff.cpp
+++ b/src/core/table_diff.cpp
@@ -62,7 +62,7 @@
 {
   std::string text;
   for (const auto& [name, value] : fieldsOf(item)) {
-    text += " " + name + "=" + value;
+    text += fmt::format(" {}={}", name, value);
   }
   return text;
 }
--- a/src/node/table_editor.cpp
+++ b/src/node/table_editor.cpp
@@ -166,7 +166,8 @@
     const bool isRetry =
       std::holds_alternative<core::EditRun::Read>(run.step());
     if (isRetry) {
-      co_await state->pause(attempt++);
+      co_await state->pause(attempt);
+      ++attempt;
     }
   }
   state->floor = std::max(state->floor, run.floor());
--- /dev/null
+++ b/tests/ctl/command_test.cpp
@@ -0,0 +1,88 @@
+#include "ctl/command.h"
+
+#include "ctl/first_table.h"
+#include "ctl/random_text.h"
+#include "ctl/row_change.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::ctl {
+
+namespace {
+
+std::string
+usageError(const std::vector<std::string>& words)
+{
+  const auto command = parseCommand(words);
+  return command ? "" : command.error();
+}
+
+} // namespace
+
+TEST(CommandTest, FindsCommandAndArguments)
+{
+  const auto command =
+    parseCommand({ "table", "set", "carl/*", "weight=3", "hedge=true" });
+  ASSERT_TRUE(command.has_value());
+  EXPECT_EQ(command.value().verb, Verb::TableSet);
+  EXPECT_EQ(command.value().arguments,
+            (std::vector<std::string>{ "carl/*", "weight=3", "hedge=true" }));
+  EXPECT_EQ(parseCommand({ "members" }).value().verb, Verb::Members);
+}
+
+// Guards against an error that leaves the operator without a way on.
+TEST(CommandTest, ErrorsSayWhatIsAllowed)
+{
+  EXPECT_EQ(usageError({ "table", "set", "carl/*" }),
+            "wrong number of arguments; allowed: table set PRINCIPAL/KIND "
+            "FIELD=VALUE...");
+  EXPECT_EQ(usageError({ "members", "all" }),
+            "wrong number of arguments; allowed: members");
+  EXPECT_EQ(usageError({ "table", "drop" }),
+            "\"table drop\" is no command; allowed:\n" + commandHelp());
+  EXPECT_EQ(usageError({}), "\"\" is no command; allowed:\n" + commandHelp());
+}
+
+TEST(RowChangeTest, SetsFieldsAndExplainsWrongOnes)
+{
+  core::Row row;
+  EXPECT_EQ(assignFields(row, { "weight=3", "deadlineMs=250", "hedge=true" }),
+            std::nullopt);
+  EXPECT_EQ(row.weight, 3);
+  EXPECT_EQ(row.deadline, core::Millis(250));
+  EXPECT_TRUE(row.hedge);
+  EXPECT_EQ(assignFields(row, { "priority=10" }),
+            "priority: \"10\" is not allowed; allowed: an integer from 0 to 9");
+  EXPECT_EQ(assignFields(row, { "version=1" }),
+            "\"version=1\" sets no field; allowed: FIELD=VALUE with one of "
+            "weight, ratePerSecond, maxConcurrent, priority, deadlineMs, "
+            "stalenessBound, hedge");
+  EXPECT_NE(assignFields(row, { "weight" }), std::nullopt);
+}
+
+TEST(FirstTableTest, IsCheckedAsAWhole)
+{
+  const std::string rows = "principal,kind,weight\nshop,*,5\n";
+  const std::string principals =
+    "name,role,token\nroot,operator,r\nshop,caller,s\n";
+  const auto table = firstTable(rows, principals, "id");
+  ASSERT_TRUE(table.has_value()) << table.error();
+  EXPECT_EQ(table.value().revision, 1);
+  EXPECT_EQ(table.value().findRow("shop", "order")->version, 1);
+  EXPECT_EQ(table.value().authenticate("r")->name, "root");
+  EXPECT_EQ(firstTable(rows, "name,role,token\nshop,caller,s\n", "id").error(),
+            "the table is not allowed: at least one operator must stay");
+  EXPECT_EQ(
+    firstTable("principal,kind,weight\nshop,*,x\n", principals, "id").error(),
+    "table file, line 2, column 8: weight must be an integer from 1 "
+    "to 1000, not \"x\"");
+}
+
+// Guards against tokens that are short or repeat.
+TEST(RandomTextTest, HasTheAskedLengthAndDiffers)
+{
+  EXPECT_EQ(randomText(32).size(), 43);
+  EXPECT_NE(randomText(32), randomText(32));
+}
+
+} // namespace lentilrack::ctl
