--- /dev/null
+++ b/src/dispatch/chunk_store.cpp
@@ -0,0 +1,222 @@
+#include "dispatch/chunk_store.h"
+
+#include "platform/weight_store_client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+namespace lentilrack::dispatch {
+
+namespace fs = std::filesystem;
+
+namespace {
+
+// Cannot occur in the name of a cacheable model.
+constexpr char kSeparator = '@';
+constexpr const char* kTemporary = ".tmp";
+constexpr std::size_t kNameParts = 4;
+constexpr std::size_t kLongestModel = 128;
+
+bool
+isNameCharacter(char c)
+{
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-' || c == '~';
+}
+
+std::string
+fileName(const ChunkKey& key, const std::string& checksum)
+{
+  std::ostringstream name;
+  name << key.model << kSeparator << key.version << kSeparator << key.number
+       << kSeparator << checksum;
+  return name.str();
+}
+
+struct ParsedName
+{
+  ChunkKey key;
+  std::string checksum;
+};
+
+std::optional<ParsedName>
+parseName(const std::string& name)
+{
+  std::vector<std::string> parts;
+  std::istringstream stream(name);
+  for (std::string part; std::getline(stream, part, kSeparator);) {
+    parts.push_back(part);
+  }
+  if (parts.size() != kNameParts || !isCacheableModel(parts[0])) {
+    return std::nullopt;
+  }
+  const auto version = parseCount(parts[1]);
+  const auto number = parseCount(parts[2]);
+  if (!version || !number) {
+    return std::nullopt;
+  }
+  return ParsedName{ { parts[0], *version, *number }, parts[3] };
+}
+
+std::optional<std::string>
+readFile(const fs::path& path)
+{
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream data;
+  data << file.rdbuf();
+  return std::move(data).str();
+}
+
+bool
+writeFile(const fs::path& path, const std::string& data)
+{
+  std::ofstream file(path, std::ios::binary | std::ios::trunc);
+  file.write(data.data(), static_cast<std::streamsize>(data.size()));
+  file.close();
+  return file.good();
+}
+
+} // namespace
+
+std::optional<std::int64_t>
+parseCount(const std::string& text)
+{
+  std::int64_t value = 0;
+  const auto* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  const bool whole = result.ec == std::errc() && result.ptr == end;
+  return whole && value >= 0 ? std::optional(value) : std::nullopt;
+}
+
+bool
+isCacheableModel(const std::string& model)
+{
+  return !model.empty() && model.size() <= kLongestModel &&
+         model.front() != '.' && std::ranges::all_of(model, isNameCharacter);
+}
+
+ChunkStore::ChunkStore(fs::path directory, std::uint64_t limit)
+  : mDirectory(std::move(directory))
+  , mLimit(limit)
+{
+}
+
+bool
+ChunkStore::open()
+{
+  std::error_code error;
+  fs::create_directories(mDirectory, error);
+  if (error) {
+    return false;
+  }
+  std::vector<std::pair<fs::file_time_type, fs::path>> files;
+  for (fs::directory_iterator entry(mDirectory, error), end;
+       !error && entry != end;
+       entry.increment(error)) {
+    const auto path = entry->path();
+    std::error_code ignored;
+    if (!parseName(path.filename().string())) {
+      if (path.extension() == kTemporary) {
+        fs::remove(path, ignored);
+      }
+      continue;
+    }
+    files.emplace_back(fs::last_write_time(path, ignored), path);
+  }
+  std::ranges::sort(files);
+  for (const auto& [time, path] : files) {
+    std::error_code ignored;
+    const auto size = fs::file_size(path, ignored);
+    const auto parsed = parseName(path.filename().string());
+    if (ignored || mChunks.contains(parsed->key)) {
+      fs::remove(path, ignored);
+      continue;
+    }
+    add(parsed->key, path, size, parsed->checksum);
+  }
+  // The limit may have been lowered since the last start.
+  while (mBytes > mLimit) {
+    remove(mUses.front());
+  }
+  return !error;
+}
+
+void
+ChunkStore::add(const ChunkKey& key,
+                fs::path path,
+                std::uint64_t bytes,
+                std::string checksum)
+{
+  mUses.push_back(key);
+  mChunks[key] = {
+    std::move(path), bytes, std::move(checksum), std::prev(mUses.end())
+  };
+  mBytes += bytes;
+}
+
+void
+ChunkStore::remove(const ChunkKey& key)
+{
+  const auto found = mChunks.find(key);
+  if (found == mChunks.end()) {
+    return;
+  }
+  std::error_code ignored;
+  fs::remove(found->second.path, ignored);
+  mBytes -= found->second.bytes;
+  mUses.erase(found->second.use);
+  mChunks.erase(found);
+}
+
+std::optional<std::string>
+ChunkStore::read(const ChunkKey& key)
+{
+  const auto found = mChunks.find(key);
+  if (found == mChunks.end()) {
+    return std::nullopt;
+  }
+  auto data = readFile(found->second.path);
+  if (!data || platform::chunkChecksum(*data) != found->second.checksum) {
+    remove(ChunkKey(key));
+    return std::nullopt;
+  }
+  mUses.splice(mUses.end(), mUses, found->second.use);
+  return data;
+}
+
+bool
+ChunkStore::write(const ChunkKey& key, const std::string& data)
+{
+  if (data.size() > mLimit || !isCacheableModel(key.model)) {
+    return false;
+  }
+  remove(key);
+  while (mBytes + data.size() > mLimit) {
+    remove(ChunkKey(mUses.front()));
+  }
+  const auto checksum = platform::chunkChecksum(data);
+  const auto path = mDirectory / fileName(key, checksum);
+  auto temporary = path;
+  temporary += kTemporary;
+  std::error_code error;
+  if (writeFile(temporary, data)) {
+    fs::rename(temporary, path, error);
+  } else {
+    error = std::make_error_code(std::errc::io_error);
+  }
+  if (error) {
+    std::error_code ignored;
+    fs::remove(temporary, ignored);
+    return false;
+  }
+  add(key, path, data.size(), checksum);
+  return true;
+}
+
+} // namespace lentilrack::dispatch
--- a/src/dispatch/weight_updater.cpp
+++ b/src/dispatch/weight_updater.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/weight_updater.h"
 
+#include "dispatch/chunk_store.h"
 #include "net/random.h"
 
 #include <xxhash.h>
@@ -27,6 +28,9 @@
             const std::string& model,
             std::int64_t version)
 {
+  if (!isCacheableModel(model)) {
+    return nullptr;
+  }
   const WeightCacheAddress* best = nullptr;
   std::uint64_t bestRank = 0;
   for (const auto& cache : caches) {
@@ -160,7 +164,7 @@
 WeightUpdater::versionSource(const std::string& model,
                              std::int64_t emptyPolls) const
 {
-  if (mOptions.hasCache || emptyPolls >= kPollsOfCache) {
+  if (emptyPolls >= kPollsOfCache) {
     return mOptions.store;
   }
   const auto caches = mHooks.caches();
--- a/src/dispatch/weight_updater.h
+++ b/src/dispatch/weight_updater.h
@@ -57,9 +57,6 @@
 {
   core::Endpoint store;
   std::string failureDomain;
-  /// Whether this process has a cache: it then follows the store itself, since
-  /// others follow its cache.
-  bool hasCache = false;
   core::WeightRolloutPolicy policy = core::defaultWeightRolloutPolicy();
   core::Millis pollWait{ 5'000 };
   core::Millis pollRetry{ 500 };
