Mend decoding of nested objects and the start of members

The entries under members/ were there, but decoding failed with "id.name has the wrong type": ObjectReader kept a reference to a temporary. Ruled out: the listing (the service returned all entries), the links (never used).

Change: nested() reads in place, a temporary is a compile error; a listed member that cannot be decoded is logged. dispatch_app opens the weight cache.

--- a/scripts/stack.sh
+++ b/scripts/stack.sh
@@ -16,8 +16,9 @@
   kv=$(jq -r .kv "$run/standins.json")
   instances=$(jq -r .instance_list "$run/standins.json")
   weights=$(jq -r .weights "$run/standins.json")
+  stack_tokens "$example" "$run"
   "$BIN/lentilrackctl" bootstrap --kv "$kv" --table "$example/table.csv" \
-    --principals "$example/principals" >"$run/tokens"
+    --principals "$run/principals.csv" >/dev/null
   local name domain disk
   while read -r name domain disk; do
     local common=(--name "$name" --failure-domain "$domain" --kv "$kv"
@@ -44,6 +45,18 @@
   stack_describe "$example" "$run" >"$run/stack.json"
 }
 
+# Draws a bearer token for each principal.
+stack_tokens() {
+  local example=$1 run=$2 name role token
+  echo name,role,token >"$run/principals.csv"
+  while IFS=, read -r name role; do
+    [ "$name" = name ] && continue
+    token=$(head -c 18 /dev/urandom | base64 | tr '+/' '-_')
+    echo "$name,$role,$token" >>"$run/principals.csv"
+    echo "$name $role $token" >>"$run/tokens"
+  done <"$example/principals.csv"
+}
+
 stack_wait_file() {
   local i
   for i in $(seq 200); do
@@ -72,12 +85,23 @@
       fi
     done
     [ "$ready" = "$expected" ] && return 0
+    stack_all_alive "$run" || return 1
     sleep 0.1
   done
   echo "only $ready of $expected processes are ready" >&2
   return 1
 }
 
+stack_all_alive() {
+  local file
+  for file in "$1"/pid/*; do
+    kill -0 "$(cat "$file")" 2>/dev/null || {
+      echo "$(basename "$file") has ended: $(tail -n 2 "$1/log/$(basename "$file")")" >&2
+      return 1
+    }
+  done
+}
+
 # One JSON object for lentilrack-load.
 stack_describe() {
   local example=$1 run=$2
--- a/src/dispatch/dispatch_app.cpp
+++ b/src/dispatch/dispatch_app.cpp
@@ -14,6 +14,15 @@
   return policy == "baseline" ? core::baselineHooks() : core::defaultHooks();
 }
 
+WeightUpdaterOptions
+updaterOptions(const node::NodeSettings& settings)
+{
+  WeightUpdaterOptions options;
+  options.store = settings.weightStore;
+  options.failureDomain = settings.failureDomain;
+  return options;
+}
+
 pcg32
 seededRandom()
 {
@@ -34,16 +43,14 @@
       mFencing,
       [this](const std::string& server) { mMonitor.raiseFencing(server); })
   , mEngines(node.http())
-  , mUpdater(std::make_shared<WeightUpdater>(
-      node.io(),
-      node.http(),
-      node.metrics(),
-      node.log().part("weights"),
-      WeightUpdaterOptions{ node.settings().weightStore,
-                            node.settings().failureDomain,
-                            !node.settings().dataDirectory.empty() },
-      updaterHooks()))
+  , mUpdater(std::make_shared<WeightUpdater>(node.io(),
+                                             node.http(),
+                                             node.metrics(),
+                                             node.log().part("weights"),
+                                             updaterOptions(node.settings()),
+                                             updaterHooks()))
 {
+  openCache();
   mService.addHandlers(node.linkServer());
   mMonitor.keepOwned(
     [this] { return mService.draining() && !mService.inFlight().empty(); });
@@ -90,6 +97,29 @@
   return hooks;
 }
 
+void
+DispatchApp::openCache()
+{
+  const auto& settings = mNode.settings();
+  if (settings.dataDirectory.empty() || settings.weightStore.port == 0) {
+    return;
+  }
+  WeightCacheOptions options;
+  options.store = settings.weightStore;
+  options.directory = settings.dataDirectory + "/weights";
+  mCache = std::make_shared<WeightCache>(mNode.io(),
+                                         mNode.http(),
+                                         mNode.metrics(),
+                                         mNode.log().part("cache"),
+                                         std::move(options));
+  if (mCache->open()) {
+    mCache->addRoutes(mNode.router());
+  } else {
+    mCache.reset();
+  }
+  mNode.members().self().hasWeightCache = mCache != nullptr;
+}
+
 WeightUpdaterHooks
 DispatchApp::updaterHooks()
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -49,8 +49,6 @@
   self.id = { settings.name + roleSuffix(settings.role), randomIncarnation() };
   self.role = settings.role;
   self.failureDomain = settings.failureDomain;
-  self.hasWeightCache = settings.role == core::MemberRole::Dispatch &&
-                        !settings.dataDirectory.empty();
   return self;
 }
 
@@ -164,11 +162,15 @@
 {
   const auto entries = co_await kv.list("members/");
   if (!entries) {
+    log.debug("Members cannot be listed: {}.", entries.error().message());
     co_return false;
   }
   for (const auto& entry : entries.value()) {
     const auto member = wire::decode<core::Member>(entry.value);
-    if (member && member.value().id.name != members.self().id.name) {
+    if (!member) {
+      log.warning(
+        "Entry {} is not valid: {}.", entry.key, member.error().text());
+    } else if (member.value().id.name != members.self().id.name) {
       net::spawn(io, joinThrough(member.value().link));
     }
   }
--- a/src/wire/object_reader.cpp
+++ b/src/wire/object_reader.cpp
@@ -48,6 +48,16 @@
                                               : integer(name, low, high);
 }
 
+ObjectReader
+ObjectReader::nested(const char* name)
+{
+  const Json* field = find(name);
+  if (field == nullptr) {
+    fail(name, "is missing");
+  }
+  return ObjectReader(*field, mPath.empty() ? name : mPath + "." + name);
+}
+
 const Json*
 ObjectReader::find(const char* name)
 {
--- a/src/wire/object_reader.h
+++ b/src/wire/object_reader.h
@@ -47,6 +47,8 @@
   /// Throws DecodeException if `value` is not an object. `path` prefixes the
   /// field names in errors.
   explicit ObjectReader(const Json& value, std::string path = "");
+  /// The reader keeps a reference, so a temporary is not accepted.
+  explicit ObjectReader(Json&& value, std::string path = "") = delete;
 
   template<typename T>
   T required(const char* name)
@@ -83,6 +85,9 @@
                          std::int64_t high,
                          std::int64_t fallback);
 
+  /// A reader of a required field that is an object.
+  ObjectReader nested(const char* name);
+
   /// The raw field, or null if it is absent.
   const Json* find(const char* name);
 
