Measure load scenarios over a window after a warm-up

Cause: the first run of mixed-length counted the tail of long orders as time without work, and two phases used the same prompts, which the ledger check took for second runs.

Change: one run has a warm-up and a measured window; prompts are numbered over the whole scenario.

--- a/src/load/context.h
+++ b/src/load/context.h
@@ -19,6 +19,8 @@
   pcg32 random;
   /// Makes prompts unique over all runs against one deployment.
   std::string runId;
+  /// Orders placed so far.
+  std::uint64_t placed = 0;
 };
 
 /// One JSON call with the token of a principal (none if empty).
--- a/src/load/order_client.cpp
+++ b/src/load/order_client.cpp
@@ -185,7 +185,7 @@
   const auto id = home.ticket + "." + std::to_string(++home.sequence);
   auto endpoint = home.endpoint;
   result.prompt = "len=" + std::to_string(spec.tokens) + " " + mContext.runId +
-                  " " + mPrincipal + " " + std::to_string(++mPlaced);
+                  " " + mPrincipal + " " + std::to_string(++mContext.placed);
   const Json body{ { "id", id },
                    { "kind", spec.kind },
                    { "model", spec.model },
--- a/src/load/order_client.h
+++ b/src/load/order_client.h
@@ -59,7 +59,6 @@
   std::vector<Address> mAddresses;
   core::TimePoint mExpiry;
   bool mRefreshing = false;
-  std::uint64_t mPlaced = 0;
 };
 
 } // namespace lentilrack::load
--- a/src/load/order_load.cpp
+++ b/src/load/order_load.cpp
@@ -28,13 +28,25 @@
   return *client;
 }
 
+bool
+OrderLoad::isMeasuring() const
+{
+  const auto now = core::Clock::now();
+  return now >= mStart && now < mEnd;
+}
+
 Awaitable<void>
-OrderLoad::run(std::vector<MixPart> mix, core::Millis duration, bool record)
+OrderLoad::run(std::vector<MixPart> mix,
+               core::Millis warmUp,
+               core::Millis measured)
 {
-  const auto end = core::Clock::now() + duration;
+  mStart = core::Clock::now() + warmUp;
+  mEnd = mStart + measured;
+  mDoneTokens = 0;
+  mLongTokens = 0;
   for (const auto& part : mix) {
     ++mSources;
-    net::spawn(mContext.io, arrivals(part, end, record));
+    net::spawn(mContext.io, arrivals(part));
   }
   while (mSources > 0 || mOpen > 0) {
     co_await net::sleepFor(kPoll);
@@ -42,7 +54,7 @@
 }
 
 Awaitable<void>
-OrderLoad::arrivals(MixPart part, core::TimePoint end, bool record)
+OrderLoad::arrivals(MixPart part)
 {
   std::exponential_distribution<double> gap(part.rate);
   auto next = core::Clock::now();
@@ -50,7 +62,7 @@
   for (;;) {
     next += std::chrono::duration_cast<core::Clock::duration>(
       std::chrono::duration<double>(gap(mContext.random)));
-    if (next >= end) {
+    if (next >= mEnd) {
       break;
     }
     timer.expires_at(next);
@@ -58,14 +70,15 @@
     co_await timer.async_wait(
       net::asio::redirect_error(net::asio::use_awaitable, ignored));
     ++mOpen;
-    net::spawn(mContext.io, one(part, record));
+    net::spawn(mContext.io, one(part));
   }
   --mSources;
 }
 
 Awaitable<void>
-OrderLoad::one(MixPart part, bool record)
+OrderLoad::one(MixPart part)
 {
+  const bool isRecorded = core::Clock::now() >= mStart;
   const auto result = co_await client(part.principal).place(part.spec);
   --mOpen;
   ++mReport.requests;
@@ -73,8 +86,11 @@
   switch (result.verdict) {
     case core::Verdict::Done:
       ++mReport.done;
-      mDoneTokens += result.tokens;
-      if (record) {
+      if (isMeasuring()) {
+        mDoneTokens += result.tokens;
+        mLongTokens += part.isLong ? result.tokens : 0;
+      }
+      if (isRecorded) {
         auto& latency =
           part.isLong ? mReport.longLatency : mReport.shortLatency;
         latency.add(result.millis);
--- a/src/load/order_load.h
+++ b/src/load/order_load.h
@@ -31,19 +31,24 @@
 
   /// Called with every result, besides the counting.
   void onResult(Hook hook) { mHook = std::move(hook); }
-  /// Sends the mix for the time and waits for all answers. Latencies are
-  /// counted only if `record` is set; verdicts always.
+  /// Sends the mix for the warm-up and the measured time without a pause, and
+  /// waits for all answers. Verdicts of all orders are counted; latencies and
+  /// tokens only of the measured time.
   net::Awaitable<void> run(std::vector<MixPart> mix,
-                           core::Millis duration,
-                           bool record);
+                           core::Millis warmUp,
+                           core::Millis measured);
   /// Compares everything that was told with the ledgers of the engines.
   net::Awaitable<void> check(std::string model);
-  /// Tokens of whole answers so far.
+  /// Tokens of whole answers that came in the measured time of the last run.
   std::int64_t doneTokens() const { return mDoneTokens; }
+  /// Those of long orders.
+  std::int64_t longTokens() const { return mLongTokens; }
+  /// Whether the measured time of the last run goes on.
+  bool isMeasuring() const;
 
 private:
-  net::Awaitable<void> arrivals(MixPart part, core::TimePoint end, bool record);
-  net::Awaitable<void> one(MixPart part, bool record);
+  net::Awaitable<void> arrivals(MixPart part);
+  net::Awaitable<void> one(MixPart part);
   OrderClient& client(const std::string& principal);
 
   Context& mContext;
@@ -54,6 +59,9 @@
   std::int64_t mOpen = 0;
   std::int64_t mSources = 0;
   std::int64_t mDoneTokens = 0;
+  std::int64_t mLongTokens = 0;
+  core::TimePoint mStart;
+  core::TimePoint mEnd;
 };
 
 } // namespace lentilrack::load
--- a/src/load/order_scenarios.cpp
+++ b/src/load/order_scenarios.cpp
@@ -82,23 +82,21 @@
 runMixedLength(Context& context, Report& report)
 {
   constexpr double kLoad = 0.8;
-  OrderLoad load(context, report);
-  co_await load.run(mixedLengths(context, kLoad), kWarmUp, false);
+  // Long orders take 3 s alone; the queue needs some of them to settle.
+  constexpr core::Millis kLongWarmUp{ 6000 };
   Report alone;
   OrderLoad shortLoad(context, alone);
-  co_await shortLoad.run(shortOnly(context, kLoad), context.duration, true);
-  const auto before = load.doneTokens();
-  std::int64_t longTokens = 0;
-  load.onResult([&](const MixPart& mix, const OrderResult& result) {
-    longTokens += mix.isLong ? result.tokens : 0;
-  });
-  const auto start = core::Clock::now();
-  co_await load.run(mixedLengths(context, kLoad), context.duration, true);
-  const double seconds = millisSince(start) / 1000;
-  report.goodputRatio = static_cast<double>(load.doneTokens() - before) /
+  co_await shortLoad.run(shortOnly(context, kLoad), kWarmUp, context.duration);
+  OrderLoad load(context, report);
+  co_await load.run(
+    mixedLengths(context, kLoad), kLongWarmUp, context.duration);
+  const double seconds =
+    std::chrono::duration<double>(context.duration).count();
+  report.goodputRatio = static_cast<double>(load.doneTokens()) /
                         (seconds * context.stack.capacity.at(kModel));
   report.extra["short_alone_p99_ms"] = alone.shortLatency.quantile(0.99);
-  report.extra["long_tokens_per_s"] = static_cast<double>(longTokens) / seconds;
+  report.extra["long_tokens_per_s"] =
+    static_cast<double>(load.longTokens()) / seconds;
   co_await load.check(kModel);
 }
 
@@ -106,16 +104,17 @@
 runSlowServers(Context& context, Report& report)
 {
   constexpr double kLoad = 0.6;
-  OrderLoad load(context, report);
-  co_await load.run(shortOnly(context, kLoad), kWarmUp, false);
   Report healthy;
   OrderLoad healthyLoad(context, healthy);
-  co_await healthyLoad.run(shortOnly(context, kLoad), context.duration, true);
+  co_await healthyLoad.run(
+    shortOnly(context, kLoad), kWarmUp, context.duration);
+  OrderLoad load(context, report);
   bool finished = false;
-  net::spawn(
-    context.io,
-    slowTwoAtATime(context, core::Clock::now() + context.duration, finished));
-  co_await load.run(shortOnly(context, kLoad), context.duration, true);
+  net::spawn(context.io,
+             slowTwoAtATime(context,
+                            core::Clock::now() + kWarmUp + context.duration,
+                            finished));
+  co_await load.run(shortOnly(context, kLoad), kWarmUp, context.duration);
   while (!finished) {
     co_await net::sleepFor(core::Millis(20));
   }
@@ -131,28 +130,24 @@
   const double capacity = context.stack.capacity.at(kModel);
   const double rate = kOverload * capacity / kTokens / 2;
   OrderLoad load(context, report);
-  const std::vector<MixPart> mix{ part("gold", "bulk", kTokens, rate),
-                                  part("silver", "bulk", kTokens, rate) };
-  co_await load.run(mix, kWarmUp, false);
-  const auto before = load.doneTokens();
   std::map<std::string, double> tokens;
   Samples refusals;
-  const auto start = core::Clock::now();
-  const auto end = start + context.duration;
-  double inTime = 0;
   load.onResult([&](const MixPart& from, const OrderResult& result) {
+    if (!load.isMeasuring()) {
+      return;
+    }
     if (result.verdict == core::Verdict::NotRun) {
       refusals.add(result.millis);
-    } else if (core::Clock::now() < end) {
-      tokens[from.principal] += static_cast<double>(result.tokens);
-      inTime += static_cast<double>(result.tokens);
     }
+    tokens[from.principal] += static_cast<double>(result.tokens);
   });
-  co_await load.run(mix, context.duration, true);
+  const std::vector<MixPart> mix{ part("gold", "bulk", kTokens, rate),
+                                  part("silver", "bulk", kTokens, rate) };
+  co_await load.run(mix, kWarmUp, context.duration);
   const double seconds =
     std::chrono::duration<double>(context.duration).count();
-  report.goodputRatio = inTime / (seconds * capacity);
-  report.extra["done_tokens"] = static_cast<double>(load.doneTokens() - before);
+  report.goodputRatio =
+    static_cast<double>(load.doneTokens()) / (seconds * capacity);
   report.extra["gold_over_silver"] =
     tokens["gold"] / std::max(tokens["silver"], 1.0);
   report.extra["refused_p50_ms"] = refusals.quantile(0.5);
@@ -165,18 +160,19 @@
 {
   constexpr double kLoad = 0.5;
   OrderLoad load(context, report);
-  co_await load.run(shortOnly(context, kLoad), kWarmUp, true);
+  const auto mix = shortOnly(context, kLoad);
+  co_await load.run(mix, kWarmUp, core::Millis(0));
   Json down{ { "down", true } };
   co_await control(context, context.stack.kv, std::move(down));
-  co_await load.run(shortOnly(context, kLoad), context.duration, true);
+  co_await load.run(mix, core::Millis(0), context.duration);
   Json up{ { "down", false } };
   co_await control(context, context.stack.kv, std::move(up));
-  co_await load.run(shortOnly(context, kLoad), kWarmUp, true);
+  co_await load.run(mix, core::Millis(0), kWarmUp);
   const auto ledger =
     co_await callJson(context, context.stack.kv, "GET", "/ledger", "", nullptr);
   const auto json = Json::parse(ledger.response.body, nullptr, false);
-  if (json.is_object() && json.contains("calls_per_second_max")) {
-    report.extra["kv_calls_per_second_max"] = json["calls_per_second_max"];
+  if (json.is_object() && json.contains("max_calls_per_second")) {
+    report.extra["kv_max_calls_per_second"] = json["max_calls_per_second"];
   }
   co_await load.check(kModel);
 }
@@ -190,7 +186,7 @@
   idempotent.spec.idempotent = true;
   mix.push_back(idempotent);
   OrderLoad load(context, report);
-  co_await load.run(mix, context.duration, true);
+  co_await load.run(mix, core::Millis(0), context.duration);
   co_await load.check(kModel);
 }
 
--- a/src/load/trainer_scenarios.cpp
+++ b/src/load/trainer_scenarios.cpp
@@ -3,6 +3,7 @@
 #include "load/trainer_client.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <random>
 
@@ -148,7 +149,7 @@
   const std::vector<MixPart> mix{ orders };
   Report before;
   OrderLoad quiet(context, before);
-  co_await quiet.run(mix, context.duration / 2, true);
+  co_await quiet.run(mix, core::Millis(1000), context.duration / 2);
   TrainerClient trainer(context, report, kTrainer);
   const auto end = core::Clock::now() + context.duration;
   bool stepsFinished = false;
@@ -156,7 +157,7 @@
   net::spawn(context.io, steps(context, report, trainer, end, stepsFinished));
   net::spawn(context.io, announce(context, trainer, end, announceFinished));
   OrderLoad load(context, report);
-  co_await load.run(mix, context.duration, true);
+  co_await load.run(mix, core::Millis(0), context.duration);
   co_await waitFor(stepsFinished);
   co_await waitFor(announceFinished);
   report.extra["quiet_p99_ms"] = before.shortLatency.quantile(0.99);
