--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -55,11 +55,11 @@
 {
   Stream(net::HttpExchange& target,
          const GenerateBody& request,
-         std::shared_ptr<RunControl> control_,
+         std::shared_ptr<RunControl> stopper,
          EngineRun& record)
     : exchange(target)
     , body(request)
-    , control(std::move(control_))
+    , control(std::move(stopper))
     , run(record)
     , text(request.prompt)
     , next(request.offset)
--- a/tests/platform/kv_client_test.cpp
+++ b/tests/platform/kv_client_test.cpp
@@ -38,6 +38,13 @@
     return put;
   }
 
+  /// A write that must succeed.
+  static Awaitable<void> store(KvClient& client, KvPut put)
+  {
+    const auto revision = co_await client.put(std::move(put));
+    EXPECT_TRUE(revision);
+  }
+
   /// Starts a read whose result is added to `errors`.
   static Awaitable<void> readInto(KvClient& client,
                                   std::vector<std::error_code>& errors)
@@ -61,7 +68,7 @@
     EXPECT_EQ(again.error(), PlatformError::Conflict);
     const auto swapped = co_await client.put(write("config/a b+%", 3, 1));
     EXPECT_EQ(swapped.value(), 2);
-    co_await client.put(write("other", 9));
+    co_await store(client, write("other", 9));
     const auto entry = co_await client.read("config/a b+%");
     EXPECT_EQ(entry.value().value, 3);
     EXPECT_EQ(entry.value().revision, 2);
@@ -208,9 +215,9 @@
 {
   KvClient client(mIo, options());
   run([&]() -> Awaitable<void> {
-    co_await client.put(write("a", 1));
-    co_await client.put(write("a", 2));
-    co_await client.put(write("a", 3));
+    co_await store(client, write("a", 1));
+    co_await store(client, write("a", 2));
+    co_await store(client, write("a", 3));
     const auto seen = co_await client.watch("a", 1, Millis(60'000));
     EXPECT_EQ(seen.value()->value, 3);
     EXPECT_EQ(seen.value()->revision, 3);
@@ -224,13 +231,13 @@
 {
   KvClient client(mIo, options());
   run([&]() -> Awaitable<void> {
-    co_await client.put(write("a", 1));
+    co_await store(client, write("a", 1));
     const auto cutter = [&]() -> Awaitable<void> {
       while (mKv.waitingWatches() == 0) {
         co_await net::sleepFor(Millis(1));
       }
       co_await control(mKv.server(), R"({"cut_watches":true})");
-      co_await client.put(write("a", 2));
+      co_await store(client, write("a", 2));
     };
     net::spawn(mIo, cutter());
     const auto cut = co_await client.watch("a", 1, Millis(60'000));
@@ -337,7 +344,8 @@
     // A short one that finds out whether the service answers, then the watch.
     EXPECT_EQ(watcher.calls() - before, 2U);
     // Without an outage a watch is one call.
-    co_await client.watch("a", 0, Millis(1));
+    const auto idle = co_await client.watch("a", 0, Millis(1));
+    EXPECT_FALSE(idle.value());
     EXPECT_EQ(client.calls(), 1U);
     EXPECT_EQ(server.targets().at(0), "/watch/a?after=0&timeout_ms=1");
   });
@@ -351,7 +359,7 @@
   frugal.timeout = Millis(100);
   KvClient client(mIo, frugal);
   run([&]() -> Awaitable<void> {
-    co_await client.put(write("a", 1));
+    co_await store(client, write("a", 1));
     const auto second = co_await client.put(write("a", 2));
     EXPECT_EQ(second.error(), PlatformError::RateLimited);
     EXPECT_EQ(mKv.server().requests(), 1);
--- a/tests/platform/service_clients_test.cpp
+++ b/tests/platform/service_clients_test.cpp
@@ -151,7 +151,7 @@
 // Guards against scores being given to the wrong or to too few samples.
 TEST_F(ServiceClientsTest, OneScoreForEachSample)
 {
-  FixedServer short_(mIo, fixedResponse(200, R"({"scores":[0.5]})"));
+  FixedServer partial(mIo, fixedResponse(200, R"({"scores":[0.5]})"));
   run([&]() -> Awaitable<void> {
     const std::vector<ScoreItem> items = { { "p", "one" }, { "p", "two" } };
     const auto scorer = mFleet.scorers().at(0)->server().endpoint();
@@ -162,7 +162,7 @@
     };
     EXPECT_EQ(scores.value(), expected);
     const auto few =
-      co_await mScorers.score(short_.endpoint(), items, Millis(5000));
+      co_await mScorers.score(partial.endpoint(), items, Millis(5000));
     EXPECT_EQ(few.error(), PlatformError::BadAnswer);
     co_await control(mFleet.scorers().at(0)->server(), R"({"down":true})");
     const auto none = co_await mScorers.score(scorer, items, Millis(5000));
@@ -203,7 +203,7 @@
   auto damaged = fixedResponse(200, "weights");
   damaged.headers.emplace_back("X-Checksum", chunkChecksum("other"));
   FixedServer broken(mIo, damaged);
-  FixedServer unsigned_(mIo, fixedResponse(200, "weights"));
+  FixedServer unchecked(mIo, fixedResponse(200, "weights"));
   run([&]() -> Awaitable<void> {
     const auto absent = co_await mWeights.chunk(store(), "tasting-note", 9, 0);
     EXPECT_EQ(absent.error(), PlatformError::NotFound);
@@ -215,7 +215,7 @@
       co_await mWeights.chunk(broken.endpoint(), "tasting-note", 3, 0);
     EXPECT_EQ(bad.error(), PlatformError::BadAnswer);
     const auto without =
-      co_await mWeights.chunk(unsigned_.endpoint(), "tasting-note", 3, 0);
+      co_await mWeights.chunk(unchecked.endpoint(), "tasting-note", 3, 0);
     EXPECT_EQ(without.error(), PlatformError::BadAnswer);
   });
 }
