Refuse calls whose text would break the request head

Calls that fail together at one endpoint of the key-value service move on by one endpoint only. A plain service has no refusal in its protocol, so its stand-in goes on answering while it leaves.

--- a/src/platform/kv_caller.cpp
+++ b/src/platform/kv_caller.cpp
@@ -114,7 +114,9 @@
 {
   Round round;
   round.error = PlatformError::Unavailable;
-  for (std::size_t i = 0; i < mOptions.endpoints.size(); ++i) {
+  const auto count = mOptions.endpoints.size();
+  const auto first = mPreferred;
+  for (std::size_t i = 0; i < count; ++i) {
     if (i > 0) {
       const auto soon = std::max(latest, Clock::now() + mOptions.timeout);
       const bool isPaid = co_await pay(soon);
@@ -122,14 +124,18 @@
         co_return round;
       }
     }
-    auto result = co_await send(request);
+    const auto index = (first + i) % count;
+    auto result = co_await send(request, index);
     const bool isAnswer = !result.error && result.response.status / 100 != 5;
     if (isAnswer) {
       round.response = std::move(result.response);
       round.error = {};
       co_return round;
     }
-    mPreferred = (mPreferred + 1) % mOptions.endpoints.size();
+    // Calls that fail at the same endpoint together move on by one only.
+    if (mPreferred == index) {
+      mPreferred = (index + 1) % count;
+    }
     if (result.sent && !request.repeatable) {
       round.error = PlatformError::OutcomeUnknown;
       co_return round;
@@ -139,10 +145,10 @@
 }
 
 net::Awaitable<net::HttpResult>
-KvCaller::send(KvRequest request)
+KvCaller::send(KvRequest request, std::size_t endpoint)
 {
   net::HttpCall call;
-  call.endpoint = mOptions.endpoints[mPreferred];
+  call.endpoint = mOptions.endpoints[endpoint];
   call.timeout = mOptions.timeout + request.wait.value_or(core::Millis(0));
   call.connectTimeout = mOptions.timeout;
   call.cancel = mClosed;
--- a/src/platform/kv_caller.h
+++ b/src/platform/kv_caller.h
@@ -48,7 +48,7 @@
   /// False if the budget allows no call before `latest`.
   net::Awaitable<bool> pay(core::TimePoint latest);
   net::Awaitable<Round> tryEndpoints(KvRequest request, core::TimePoint latest);
-  net::Awaitable<net::HttpResult> send(KvRequest request);
+  net::Awaitable<net::HttpResult> send(KvRequest request, std::size_t endpoint);
   void noteAnswer(core::TimePoint now);
 
   net::HttpClient mHttp;
@@ -56,6 +56,7 @@
   KvBudget mBudget;
   KvBackoff mBackoff;
   std::shared_ptr<net::CancelSignal> mClosed;
+  /// Index of the endpoint that is tried first.
   std::size_t mPreferred = 0;
   bool mAvailable = false;
   std::uint64_t mCalls = 0;
--- a/src/platform/service_client.cpp
+++ b/src/platform/service_client.cpp
@@ -2,8 +2,33 @@
 
 #include "platform/call_outcome.h"
 
+#include <algorithm>
+
 namespace lentilrack::platform {
 
+namespace {
+
+bool
+hasControlCharacter(const std::string& text)
+{
+  return std::ranges::any_of(
+    text, [](unsigned char c) { return c < ' ' || c == 0x7F; });
+}
+
+/// Whether the parts can stand in the head of a request without changing its
+/// meaning.
+bool
+isValidHead(const ServiceCall& call)
+{
+  const auto line = call.content.method + call.content.path;
+  return !call.content.method.empty() && line.find(' ') == std::string::npos &&
+         !hasControlCharacter(line) &&
+         !hasControlCharacter(call.content.contentType) &&
+         !hasControlCharacter(call.requestId);
+}
+
+} // namespace
+
 ServiceClient::ServiceClient(net::HttpClient& http)
   : mHttp(http)
 {
@@ -12,6 +37,9 @@
 net::Awaitable<core::Outcome>
 ServiceClient::call(core::Endpoint service, ServiceCall call)
 {
+  if (!isValidHead(call)) {
+    co_return outcomeWith(core::Verdict::NotRun, "bad_request");
+  }
   net::HttpCall exchange;
   exchange.endpoint = std::move(service);
   exchange.timeout = call.timeout;
--- a/src/platform/service_client.h
+++ b/src/platform/service_client.h
@@ -28,7 +28,8 @@
   explicit ServiceClient(net::HttpClient& http);
 
   /// Done with status and content type for any whole answer, whatever its
-  /// status; NotRun and Unknown as EngineClient::generate().
+  /// status; NotRun and Unknown as EngineClient::generate(), and NotRun
+  /// "bad_request" if the call cannot be written as an HTTP request.
   net::Awaitable<core::Outcome> call(core::Endpoint service, ServiceCall call);
 
 private:
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -13,6 +13,17 @@
   return options;
 }
 
+/// The weight store has version 1 of every model that the configuration gives
+/// no version.
+FleetConfig
+withAllModels(FleetConfig config)
+{
+  for (const auto& group : config.engines) {
+    config.weights.models.try_emplace(group.options.model, 1);
+  }
+  return config;
+}
+
 template<typename Options>
 std::string
 identifier(const Group<Options>& group, std::int64_t index)
@@ -37,7 +48,7 @@
 
 Fleet::Fleet(net::asio::io_context& io, FleetConfig config)
   : mIo(io)
-  , mConfig(std::move(config))
+  , mConfig(withAllModels(std::move(config)))
   , mHttp(io)
   , mKv(io, withDelay(mConfig.kv, mConfig.delay))
   , mList(io, withDelay(mConfig.instanceList, mConfig.delay))
@@ -59,12 +70,10 @@
 void
 Fleet::addEngines(const Group<EngineStandin::Options>& group)
 {
-  const auto& versions = mConfig.weights.models;
   for (std::int64_t i = 0; i < group.count; ++i) {
     auto options = withDelay(group.options, mConfig.delay);
     options.id = identifier(group, i);
-    const auto version = versions.find(options.model);
-    options.version = version == versions.end() ? 1 : version->second;
+    options.version = mConfig.weights.models.at(options.model);
     mEngines.push_back(std::make_unique<EngineStandin>(mIo, mHttp, options));
     core::BackendServer server;
     server.id = options.id;
--- a/src/standins/service_standin.cpp
+++ b/src/standins/service_standin.cpp
@@ -46,11 +46,6 @@
 ServiceStandin::call(net::HttpExchange& exchange)
 {
   const auto& request = exchange.request();
-  if (mServer.faults().leaving) {
-    wire::Json refusal = { { "error", "refused" } };
-    co_await mServer.replyJson(exchange, 503, std::move(refusal));
-    co_return;
-  }
   const auto number = mCalls.size() + 1;
   const auto path = request.target.substr(std::string_view("/call/").size());
   mCalls.push_back(
--- a/tests/platform/kv_client_test.cpp
+++ b/tests/platform/kv_client_test.cpp
@@ -50,7 +50,7 @@
                                   std::vector<std::error_code>& errors)
   {
     const auto result = co_await client.read("a");
-    errors.push_back(result ? std::error_code() : result.error());
+    errors.push_back(errorOf(result));
   }
 
   KvStandin mKv{ mIo, {} };
@@ -65,7 +65,7 @@
     const auto created = co_await client.put(write("config/a b+%", 1, 0));
     EXPECT_EQ(created.value(), 1);
     const auto again = co_await client.put(write("config/a b+%", 2, 0));
-    EXPECT_EQ(again.error(), PlatformError::Conflict);
+    EXPECT_EQ(errorOf(again), PlatformError::Conflict);
     const auto swapped = co_await client.put(write("config/a b+%", 3, 1));
     EXPECT_EQ(swapped.value(), 2);
     co_await store(client, write("other", 9));
@@ -78,7 +78,7 @@
     const auto removed = co_await client.remove("other");
     EXPECT_FALSE(removed);
     const auto missing = co_await client.read("other");
-    EXPECT_EQ(missing.error(), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(missing), PlatformError::NotFound);
     EXPECT_TRUE(client.available());
   });
 }
@@ -90,7 +90,7 @@
   run([&]() -> Awaitable<void> {
     co_await control(mKv.server(), R"({"lose_replies":1})");
     const auto put = co_await client.put(write("a", 1, 0));
-    EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+    EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
     EXPECT_FALSE(client.available());
     const auto entry = co_await client.read("a");
     EXPECT_EQ(entry.value().value, 1);
@@ -109,10 +109,10 @@
   run([&]() -> Awaitable<void> {
     co_await control(mKv.server(), R"({"latency_ms":300})");
     const auto put = co_await client.put(write("a", 1, 0));
-    EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+    EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
     EXPECT_EQ(client.calls(), 1U);
     const auto read = co_await client.read("a");
-    EXPECT_EQ(read.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(read), PlatformError::Unavailable);
     EXPECT_EQ(client.calls(), 3U);
   });
 }
@@ -125,7 +125,7 @@
   KvClient client(mIo, closed);
   run([&]() -> Awaitable<void> {
     const auto put = co_await client.put(write("a", 1));
-    EXPECT_EQ(put.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(put), PlatformError::Unavailable);
     EXPECT_FALSE(client.available());
   });
 }
@@ -146,6 +146,24 @@
   });
 }
 
+// Guards against calls that fail together skipping the endpoint that answers.
+TEST_F(KvClientTest, SimultaneousCallsAllFindTheLiveEndpoint)
+{
+  auto two = options();
+  two.endpoints.insert(two.endpoints.begin(), closedEndpoint());
+  KvClient client(mIo, two);
+  run([&]() -> Awaitable<void> {
+    std::vector<std::error_code> errors;
+    for (int i = 0; i < 20; ++i) {
+      net::spawn(mIo, readInto(client, errors));
+    }
+    while (errors.size() < 20) {
+      co_await net::sleepFor(Millis(1));
+    }
+    EXPECT_EQ(std::ranges::count(errors, PlatformError::NotFound), 20);
+  });
+}
+
 // Guards against an answer that does not tell the outcome being taken for a
 // success or a failure.
 TEST_F(KvClientTest, MalformedAnswersLeaveTheWriteUnknown)
@@ -159,7 +177,7 @@
       fixed.endpoints = { server.endpoint() };
       KvClient client(mIo, fixed);
       const auto put = co_await client.put(write("a", 1));
-      EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+      EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
     }
   });
 }
@@ -172,7 +190,7 @@
   KvClient client(mIo, fixed);
   run([&]() -> Awaitable<void> {
     const auto read = co_await client.read("a");
-    EXPECT_EQ(read.error(), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(read), PlatformError::BadAnswer);
   });
 }
 
@@ -192,9 +210,9 @@
     const auto lapsed = co_await client.renewLease(lease.value());
     EXPECT_EQ(lapsed, PlatformError::NotFound);
     const auto read = co_await client.read("member/a");
-    EXPECT_EQ(read.error(), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(read), PlatformError::NotFound);
     const auto second = co_await client.put(put);
-    EXPECT_EQ(second.error(), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(second), PlatformError::NotFound);
   });
 }
 
@@ -241,7 +259,7 @@
     };
     net::spawn(mIo, cutter());
     const auto cut = co_await client.watch("a", 1, Millis(60'000));
-    EXPECT_EQ(cut.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(cut), PlatformError::Unavailable);
     const auto seen = co_await client.watch("a", 1, Millis(60'000));
     EXPECT_EQ(seen.value()->value, 2);
   });
@@ -256,7 +274,7 @@
   KvClient client(mIo, fixed);
   run([&]() -> Awaitable<void> {
     const auto seen = co_await client.watch("a", 4, Millis(1000));
-    EXPECT_EQ(seen.error(), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(seen), PlatformError::BadAnswer);
   });
 }
 
@@ -336,7 +354,7 @@
     co_await control(mKv.server(), R"({"down":true})");
     KvClient watcher(mIo, broken);
     const auto failed = co_await watcher.watch("a", 0, Millis(100));
-    EXPECT_EQ(failed.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(failed), PlatformError::Unavailable);
     co_await control(mKv.server(), R"({"down":false})");
     const auto before = watcher.calls();
     const auto nothing = co_await watcher.watch("a", 0, Millis(1));
@@ -361,7 +379,7 @@
   run([&]() -> Awaitable<void> {
     co_await store(client, write("a", 1));
     const auto second = co_await client.put(write("a", 2));
-    EXPECT_EQ(second.error(), PlatformError::RateLimited);
+    EXPECT_EQ(errorOf(second), PlatformError::RateLimited);
     EXPECT_EQ(mKv.server().requests(), 1);
     EXPECT_EQ(mKv.table().find("a")->value, 1);
   });
@@ -380,7 +398,7 @@
     };
     net::spawn(mIo, ender());
     const auto seen = co_await client->watch("a", 0, Millis(60'000));
-    EXPECT_EQ(seen.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(seen), PlatformError::Unavailable);
   });
 }
 
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -12,6 +12,14 @@
 
 namespace lentilrack::platform {
 
+/// The error of a result; none if it has a value.
+template<typename T>
+std::error_code
+errorOf(const core::Result<T>& result)
+{
+  return result ? std::error_code() : result.error();
+}
+
 /// Runs coroutines and stand-ins on one io_context.
 class PlatformTest : public ::testing::Test
 {
--- a/tests/platform/service_clients_test.cpp
+++ b/tests/platform/service_clients_test.cpp
@@ -126,6 +126,25 @@
   });
 }
 
+// Guards against a caller's text that adds headers or a second request.
+TEST_F(ServiceClientsTest, TextThatBreaksTheRequestHeadIsNotSent)
+{
+  auto path = call("id-1", "");
+  path.content.path = "x HTTP/1.1\r\nA: b";
+  auto method = call("id-2", "");
+  method.content.method = "GET /call/other";
+  const auto identifier = call("id-3\r\nA: b", "");
+  run([&]() -> Awaitable<void> {
+    for (const auto& bad : { path, method, identifier }) {
+      const auto outcome =
+        co_await mServices.call(stock().server().endpoint(), bad);
+      EXPECT_EQ(outcome.verdict, Verdict::NotRun);
+      EXPECT_EQ(outcome.reason, "bad_request");
+    }
+    EXPECT_TRUE(stock().calls().empty());
+  });
+}
+
 // Guards against an address that stays closed after an instance returns, and
 // against a kept connection to the old one being used.
 TEST_F(ServiceClientsTest, ClosedPortOpensAgain)
@@ -163,10 +182,10 @@
     EXPECT_EQ(scores.value(), expected);
     const auto few =
       co_await mScorers.score(partial.endpoint(), items, Millis(5000));
-    EXPECT_EQ(few.error(), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(few), PlatformError::BadAnswer);
     co_await control(mFleet.scorers().at(0)->server(), R"({"down":true})");
     const auto none = co_await mScorers.score(scorer, items, Millis(5000));
-    EXPECT_EQ(none.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(none), PlatformError::Unavailable);
   });
 }
 
@@ -206,17 +225,17 @@
   FixedServer unchecked(mIo, fixedResponse(200, "weights"));
   run([&]() -> Awaitable<void> {
     const auto absent = co_await mWeights.chunk(store(), "tasting-note", 9, 0);
-    EXPECT_EQ(absent.error(), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(absent), PlatformError::NotFound);
     const auto chunk = co_await mWeights.chunk(store(), "tasting-note", 3, 0);
     EXPECT_EQ(chunk.value().size(), 65536U);
     const auto limited = co_await mWeights.chunk(store(), "tasting-note", 3, 1);
-    EXPECT_EQ(limited.error(), PlatformError::RateLimited);
+    EXPECT_EQ(errorOf(limited), PlatformError::RateLimited);
     const auto bad =
       co_await mWeights.chunk(broken.endpoint(), "tasting-note", 3, 0);
-    EXPECT_EQ(bad.error(), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(bad), PlatformError::BadAnswer);
     const auto without =
       co_await mWeights.chunk(unchecked.endpoint(), "tasting-note", 3, 0);
-    EXPECT_EQ(without.error(), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(without), PlatformError::BadAnswer);
   });
 }
 
@@ -254,7 +273,7 @@
   InstanceListClient list(mHttp, server.endpoint());
   run([&]() -> Awaitable<void> {
     const auto result = co_await list.fetch();
-    EXPECT_EQ(result.error(), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(result), PlatformError::BadAnswer);
   });
 }
 
