--- a/tests/platform/kv_client_test.cpp
+++ b/tests/platform/kv_client_test.cpp
@@ -345,27 +345,34 @@
 // Guards against a waiting watch that holds back all calls after an outage.
 TEST_F(KvClientTest, WatchAfterAnOutageAsksShortlyFirst)
 {
-  FixedServer server(mIo, fixedResponse(204, ""));
-  auto two = options();
-  two.endpoints = { server.endpoint() };
-  KvClient client(mIo, two);
-  auto broken = options();
+  std::vector<std::string> targets;
+  net::HttpServer server(
+    mIo, {}, [&](net::HttpExchange& exchange) -> Awaitable<void> {
+      targets.push_back(exchange.request().target);
+      if (targets.size() == 1) {
+        exchange.abort();
+        co_return;
+      }
+      auto nothing = fixedResponse(204, "");
+      co_await exchange.respond(std::move(nothing));
+    });
+  auto own = options();
+  own.endpoints = { server.listen({ "127.0.0.1", 0 }).value() };
+  KvClient client(mIo, own);
   run([&]() -> Awaitable<void> {
-    co_await control(mKv.server(), R"({"down":true})");
-    KvClient watcher(mIo, broken);
-    const auto failed = co_await watcher.watch("a", 0, Millis(100));
-    EXPECT_EQ(errorOf(failed), PlatformError::Unavailable);
-    co_await control(mKv.server(), R"({"down":false})");
-    const auto before = watcher.calls();
-    const auto nothing = co_await watcher.watch("a", 0, Millis(1));
-    EXPECT_FALSE(nothing.value());
-    // A short one that finds out whether the service answers, then the watch.
-    EXPECT_EQ(watcher.calls() - before, 2U);
-    // Without an outage a watch is one call.
-    const auto idle = co_await client.watch("a", 0, Millis(1));
-    EXPECT_FALSE(idle.value());
-    EXPECT_EQ(client.calls(), 1U);
-    EXPECT_EQ(server.targets().at(0), "/watch/a?after=0&timeout_ms=1");
+    const auto cut = co_await client.watch("a", 7, Millis(900));
+    EXPECT_EQ(errorOf(cut), PlatformError::Unavailable);
+    for (int i = 0; i < 2; ++i) {
+      const auto nothing = co_await client.watch("a", 7, Millis(900));
+      EXPECT_FALSE(errorOf(nothing));
+    }
+    // The second one finds out whether the service answers; without an outage
+    // a watch is one call.
+    const std::string whole = "/watch/a?after=7&timeout_ms=900";
+    const std::string probe = "/watch/a?after=7&timeout_ms=0";
+    EXPECT_EQ(targets,
+              (std::vector<std::string>{ whole, probe, whole, whole }));
+    EXPECT_EQ(client.calls(), 4U);
   });
 }
 
