--- /dev/null
+++ b/tests/platform/engine_fixture.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "platform/engine_client.h"
+#include "platform/platform_fixture.h"
+#include "standins/engine_standin.h"
+#include "standins/weight_store_standin.h"
+
+namespace lentilrack::platform {
+
+using core::Millis;
+using core::Verdict;
+using net::Awaitable;
+using standins::EngineStandin;
+
+inline constexpr const char* kModel = "tasting-note";
+
+/// An engine, a weight store and a client.
+class EngineTest : public PlatformTest
+{
+protected:
+  static EngineStandin::Options engineOptions()
+  {
+    EngineStandin::Options options;
+    options.id = "tasting-note-1";
+    options.model = kModel;
+    options.slots = 2;
+    options.tokenRate = 2000;
+    options.loadTime = Millis(1);
+    options.reportLag = Millis(0);
+    return options;
+  }
+
+  EngineTest()
+  {
+    mEngine.server().listen();
+    mStore.server().listen();
+  }
+
+  /// A call whose chunks are added to `mText` and `mChunks`.
+  GenerateCall call(std::string attempt, std::string prompt)
+  {
+    GenerateCall call;
+    call.request.attempt = std::move(attempt);
+    call.request.model = kModel;
+    call.request.prompt = std::move(prompt);
+    call.request.maxTokens = 1000;
+    call.onChunk = [this](core::Chunk chunk) {
+      mText += chunk.text;
+      mChunks.push_back(std::move(chunk));
+    };
+    return call;
+  }
+
+  Awaitable<core::Outcome> generate(GenerateCall call)
+  {
+    return mClient.generate(mEngine.server().endpoint(), std::move(call));
+  }
+
+  /// Keeps a slot busy until the test ends the run.
+  Awaitable<void> occupy(std::string attempt)
+  {
+    GenerateCall holder;
+    holder.request.attempt = std::move(attempt);
+    holder.request.model = kModel;
+    holder.request.prompt = "long";
+    holder.request.maxTokens = 1'000'000;
+    co_await generate(std::move(holder));
+  }
+
+  Awaitable<void> untilRuns(std::size_t count)
+  {
+    while (mEngine.runs().size() < count) {
+      co_await net::sleepFor(Millis(1));
+    }
+  }
+
+  EngineStandin mEngine{ mIo, mHttp, engineOptions() };
+  standins::WeightStoreStandin mStore{ mIo, { { { kModel, 1 } } } };
+  EngineClient mClient{ mHttp };
+  std::string mText;
+  std::vector<core::Chunk> mChunks;
+};
+
+} // namespace lentilrack::platform
--- a/tests/platform/kv_client_test.cpp
+++ b/tests/platform/kv_client_test.cpp
@@ -1,6 +1,6 @@
 #include "platform/error.h"
 #include "platform/kv_client.h"
-#include "platform_fixture.h"
+#include "platform/platform_fixture.h"
 #include "standins/kv_standin.h"
 
 namespace lentilrack::platform {
--- a/tests/platform/service_clients_test.cpp
+++ b/tests/platform/service_clients_test.cpp
@@ -1,9 +1,9 @@
 #include "platform/error.h"
 #include "platform/instance_list.h"
+#include "platform/platform_fixture.h"
 #include "platform/scorer_client.h"
 #include "platform/service_client.h"
 #include "platform/weight_store_client.h"
-#include "platform_fixture.h"
 #include "standins/fleet.h"
 
 namespace lentilrack::platform {
