--- a/tests/platform/kv_client_test.cpp
+++ b/tests/platform/kv_client_test.cpp
@@ -1,6 +1,6 @@
 #include "platform/error.h"
 #include "platform/kv_client.h"
-#include "platform_fixture.h"
+#include "platform/platform_fixture.h"
 #include "standins/kv_standin.h"
 
 namespace lentilrack::platform {
@@ -38,12 +38,19 @@
     return put;
   }
 
+  /// A write that must succeed.
+  static Awaitable<void> store(KvClient& client, KvPut put)
+  {
+    const auto revision = co_await client.put(std::move(put));
+    EXPECT_TRUE(revision);
+  }
+
   /// Starts a read whose result is added to `errors`.
   static Awaitable<void> readInto(KvClient& client,
                                   std::vector<std::error_code>& errors)
   {
     const auto result = co_await client.read("a");
-    errors.push_back(result ? std::error_code() : result.error());
+    errors.push_back(errorOf(result));
   }
 
   KvStandin mKv{ mIo, {} };
@@ -58,10 +65,10 @@
     const auto created = co_await client.put(write("config/a b+%", 1, 0));
     EXPECT_EQ(created.value(), 1);
     const auto again = co_await client.put(write("config/a b+%", 2, 0));
-    EXPECT_EQ(again.error(), PlatformError::Conflict);
+    EXPECT_EQ(errorOf(again), PlatformError::Conflict);
     const auto swapped = co_await client.put(write("config/a b+%", 3, 1));
     EXPECT_EQ(swapped.value(), 2);
-    co_await client.put(write("other", 9));
+    co_await store(client, write("other", 9));
     const auto entry = co_await client.read("config/a b+%");
     EXPECT_EQ(entry.value().value, 3);
     EXPECT_EQ(entry.value().revision, 2);
@@ -71,7 +78,7 @@
     const auto removed = co_await client.remove("other");
     EXPECT_FALSE(removed);
     const auto missing = co_await client.read("other");
-    EXPECT_EQ(missing.error(), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(missing), PlatformError::NotFound);
     EXPECT_TRUE(client.available());
   });
 }
@@ -83,7 +90,7 @@
   run([&]() -> Awaitable<void> {
     co_await control(mKv.server(), R"({"lose_replies":1})");
     const auto put = co_await client.put(write("a", 1, 0));
-    EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+    EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
     EXPECT_FALSE(client.available());
     const auto entry = co_await client.read("a");
     EXPECT_EQ(entry.value().value, 1);
@@ -102,10 +109,10 @@
   run([&]() -> Awaitable<void> {
     co_await control(mKv.server(), R"({"latency_ms":300})");
     const auto put = co_await client.put(write("a", 1, 0));
-    EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+    EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
     EXPECT_EQ(client.calls(), 1U);
     const auto read = co_await client.read("a");
-    EXPECT_EQ(read.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(read), PlatformError::Unavailable);
     EXPECT_EQ(client.calls(), 3U);
   });
 }
@@ -118,7 +125,7 @@
   KvClient client(mIo, closed);
   run([&]() -> Awaitable<void> {
     const auto put = co_await client.put(write("a", 1));
-    EXPECT_EQ(put.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(put), PlatformError::Unavailable);
     EXPECT_FALSE(client.available());
   });
 }
@@ -139,6 +146,24 @@
   });
 }
 
+// Guards against calls that fail together skipping the endpoint that answers.
+TEST_F(KvClientTest, SimultaneousCallsAllFindTheLiveEndpoint)
+{
+  auto two = options();
+  two.endpoints.insert(two.endpoints.begin(), closedEndpoint());
+  KvClient client(mIo, two);
+  run([&]() -> Awaitable<void> {
+    std::vector<std::error_code> errors;
+    for (int i = 0; i < 20; ++i) {
+      net::spawn(mIo, readInto(client, errors));
+    }
+    while (errors.size() < 20) {
+      co_await net::sleepFor(Millis(1));
+    }
+    EXPECT_EQ(std::ranges::count(errors, PlatformError::NotFound), 20);
+  });
+}
+
 // Guards against an answer that does not tell the outcome being taken for a
 // success or a failure.
 TEST_F(KvClientTest, MalformedAnswersLeaveTheWriteUnknown)
@@ -152,7 +177,7 @@
       fixed.endpoints = { server.endpoint() };
       KvClient client(mIo, fixed);
       const auto put = co_await client.put(write("a", 1));
-      EXPECT_EQ(put.error(), PlatformError::OutcomeUnknown);
+      EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
     }
   });
 }
@@ -165,7 +190,7 @@
   KvClient client(mIo, fixed);
   run([&]() -> Awaitable<void> {
     const auto read = co_await client.read("a");
-    EXPECT_EQ(read.error(), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(read), PlatformError::BadAnswer);
   });
 }
 
@@ -185,9 +210,9 @@
     const auto lapsed = co_await client.renewLease(lease.value());
     EXPECT_EQ(lapsed, PlatformError::NotFound);
     const auto read = co_await client.read("member/a");
-    EXPECT_EQ(read.error(), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(read), PlatformError::NotFound);
     const auto second = co_await client.put(put);
-    EXPECT_EQ(second.error(), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(second), PlatformError::NotFound);
   });
 }
 
@@ -208,9 +233,9 @@
 {
   KvClient client(mIo, options());
   run([&]() -> Awaitable<void> {
-    co_await client.put(write("a", 1));
-    co_await client.put(write("a", 2));
-    co_await client.put(write("a", 3));
+    co_await store(client, write("a", 1));
+    co_await store(client, write("a", 2));
+    co_await store(client, write("a", 3));
     const auto seen = co_await client.watch("a", 1, Millis(60'000));
     EXPECT_EQ(seen.value()->value, 3);
     EXPECT_EQ(seen.value()->revision, 3);
@@ -224,17 +249,17 @@
 {
   KvClient client(mIo, options());
   run([&]() -> Awaitable<void> {
-    co_await client.put(write("a", 1));
+    co_await store(client, write("a", 1));
     const auto cutter = [&]() -> Awaitable<void> {
       while (mKv.waitingWatches() == 0) {
         co_await net::sleepFor(Millis(1));
       }
       co_await control(mKv.server(), R"({"cut_watches":true})");
-      co_await client.put(write("a", 2));
+      co_await store(client, write("a", 2));
     };
     net::spawn(mIo, cutter());
     const auto cut = co_await client.watch("a", 1, Millis(60'000));
-    EXPECT_EQ(cut.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(cut), PlatformError::Unavailable);
     const auto seen = co_await client.watch("a", 1, Millis(60'000));
     EXPECT_EQ(seen.value()->value, 2);
   });
@@ -249,7 +274,7 @@
   KvClient client(mIo, fixed);
   run([&]() -> Awaitable<void> {
     const auto seen = co_await client.watch("a", 4, Millis(1000));
-    EXPECT_EQ(seen.error(), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(seen), PlatformError::BadAnswer);
   });
 }
 
@@ -320,26 +345,34 @@
 // Guards against a waiting watch that holds back all calls after an outage.
 TEST_F(KvClientTest, WatchAfterAnOutageAsksShortlyFirst)
 {
-  FixedServer server(mIo, fixedResponse(204, ""));
-  auto two = options();
-  two.endpoints = { server.endpoint() };
-  KvClient client(mIo, two);
-  auto broken = options();
+  std::vector<std::string> targets;
+  net::HttpServer server(
+    mIo, {}, [&](net::HttpExchange& exchange) -> Awaitable<void> {
+      targets.push_back(exchange.request().target);
+      if (targets.size() == 1) {
+        exchange.abort();
+        co_return;
+      }
+      auto nothing = fixedResponse(204, "");
+      co_await exchange.respond(std::move(nothing));
+    });
+  auto own = options();
+  own.endpoints = { server.listen({ "127.0.0.1", 0 }).value() };
+  KvClient client(mIo, own);
   run([&]() -> Awaitable<void> {
-    co_await control(mKv.server(), R"({"down":true})");
-    KvClient watcher(mIo, broken);
-    const auto failed = co_await watcher.watch("a", 0, Millis(100));
-    EXPECT_EQ(failed.error(), PlatformError::Unavailable);
-    co_await control(mKv.server(), R"({"down":false})");
-    const auto before = watcher.calls();
-    const auto nothing = co_await watcher.watch("a", 0, Millis(1));
-    EXPECT_FALSE(nothing.value());
-    // A short one that finds out whether the service answers, then the watch.
-    EXPECT_EQ(watcher.calls() - before, 2U);
-    // Without an outage a watch is one call.
-    co_await client.watch("a", 0, Millis(1));
-    EXPECT_EQ(client.calls(), 1U);
-    EXPECT_EQ(server.targets().at(0), "/watch/a?after=0&timeout_ms=1");
+    const auto cut = co_await client.watch("a", 7, Millis(900));
+    EXPECT_EQ(errorOf(cut), PlatformError::Unavailable);
+    for (int i = 0; i < 2; ++i) {
+      const auto nothing = co_await client.watch("a", 7, Millis(900));
+      EXPECT_FALSE(errorOf(nothing));
+    }
+    // The second one finds out whether the service answers; without an outage
+    // a watch is one call.
+    const std::string whole = "/watch/a?after=7&timeout_ms=900";
+    const std::string probe = "/watch/a?after=7&timeout_ms=0";
+    EXPECT_EQ(targets,
+              (std::vector<std::string>{ whole, probe, whole, whole }));
+    EXPECT_EQ(client.calls(), 4U);
   });
 }
 
@@ -351,9 +384,9 @@
   frugal.timeout = Millis(100);
   KvClient client(mIo, frugal);
   run([&]() -> Awaitable<void> {
-    co_await client.put(write("a", 1));
+    co_await store(client, write("a", 1));
     const auto second = co_await client.put(write("a", 2));
-    EXPECT_EQ(second.error(), PlatformError::RateLimited);
+    EXPECT_EQ(errorOf(second), PlatformError::RateLimited);
     EXPECT_EQ(mKv.server().requests(), 1);
     EXPECT_EQ(mKv.table().find("a")->value, 1);
   });
@@ -372,7 +405,7 @@
     };
     net::spawn(mIo, ender());
     const auto seen = co_await client->watch("a", 0, Millis(60'000));
-    EXPECT_EQ(seen.error(), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(seen), PlatformError::Unavailable);
   });
 }
 
