--- /dev/null
+++ b/tests/entry/admin_api_test.cpp
@@ -0,0 +1,256 @@
+#include "entry/admin_fixture.h"
+#include "entry/admin_views.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::entry {
+
+namespace {
+
+using core::testing::row;
+using core::testing::smallTable;
+using net::Awaitable;
+
+class AdminApiTest : public testing::AdminFixture
+{};
+
+core::Edit
+weightEdit(const std::string& id, std::int64_t weight, std::int64_t seen)
+{
+  auto changed = row("carl", "*");
+  changed.weight = weight;
+  return { id, core::SetRow{ changed, seen } };
+}
+
+std::int64_t
+weightOf(const core::TableReplica& replica)
+{
+  return replica.table().rows.at({ "carl", "*" }).weight;
+}
+
+core::Member
+member(const std::string& name, core::MemberState state, std::int64_t revision)
+{
+  core::Member one;
+  one.id = { name, 1 };
+  one.state = state;
+  one.tableRevision = revision;
+  one.reportNumber = 1;
+  return one;
+}
+
+} // namespace
+
+// Guards against a table that anybody may read or change.
+TEST_F(AdminApiTest, OnlyOperatorsAreServed)
+{
+  run([this]() -> Awaitable<void> {
+    auto reply = co_await call("GET", "/admin/table");
+    EXPECT_EQ(reply.status, 503);
+    EXPECT_EQ(reply.json.at("error"), "no_table");
+    co_await install(smallTable());
+    reply = co_await call("GET", "/admin/table", "", "");
+    EXPECT_EQ(reply.status, 401);
+    reply = co_await call("GET", "/admin/table", "", "wrong");
+    EXPECT_EQ(reply.status, 401);
+    reply = co_await call("POST", "/admin/edits", "{}", "token of tina");
+    EXPECT_EQ(reply.status, 403);
+    reply = co_await call("GET", "/admin/table");
+    EXPECT_EQ(reply.status, 200);
+    EXPECT_EQ(wire::decodeTable(reply.json).value(), smallTable());
+  });
+}
+
+TEST_F(AdminApiTest, AcceptedEditIsInForceAtOnceAndInTheHistory)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    const auto first = weightEdit("a", 7, 1);
+    auto reply = co_await edit(first);
+    EXPECT_EQ(reply.status, 200) << reply.body;
+    EXPECT_EQ(reply.json.at("revision"), 2);
+    EXPECT_EQ(weightOf(mReplica), 7);
+    const auto second = weightEdit("b", 8, 2);
+    reply = co_await edit(second);
+    EXPECT_EQ(reply.json.at("revision"), 3);
+    while (mKvService.table().find("config/history/3") == nullptr) {
+      co_await net::sleepFor(core::Millis(1));
+    }
+    reply = co_await call("GET", "/admin/history");
+    const auto entries = reply.json.at("entries");
+    EXPECT_EQ(entries.size(), 2);
+    EXPECT_EQ(entries.at(0).at("revision"), 3);
+    EXPECT_EQ(entries.at(0).at("changes").at(0), "~ row carl/* weight 7 -> 8");
+    reply = co_await call("GET", "/admin/history?revision=2");
+    EXPECT_EQ(reply.json.at("revision"), 2);
+    reply = co_await call("GET", "/admin/history?revision=9");
+    EXPECT_EQ(reply.status, 404);
+    reply = co_await call("GET", "/admin/history?revision=x");
+    EXPECT_EQ(reply.status, 400);
+  });
+}
+
+// Guards against one operator silently overwriting the other one's change.
+TEST_F(AdminApiTest, ConflictShowsTheCurrentRow)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    const auto first = weightEdit("a", 7, 1);
+    const auto second = weightEdit("b", 8, 1);
+    co_await edit(first);
+    const auto reply = co_await edit(second);
+    EXPECT_EQ(reply.status, 409);
+    EXPECT_EQ(reply.json.at("verdict"), "not_run");
+    EXPECT_EQ(reply.json.at("current").at("weight"), 7);
+    EXPECT_EQ(weightOf(mReplica), 7);
+  });
+}
+
+// Guards against a lost reply that is reported as a refusal, and against an
+// edit that takes effect twice.
+TEST_F(AdminApiTest, LostReplyOfTheWriteIsReadBack)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    co_await control(R"({"lose_replies":1})");
+    const auto first = weightEdit("a", 7, 1);
+    auto reply = co_await edit(first);
+    EXPECT_EQ(reply.status, 200) << reply.body;
+    EXPECT_EQ(reply.json.at("revision"), 2);
+    reply = co_await edit(first);
+    EXPECT_EQ(reply.json.at("revision"), 2);
+    EXPECT_EQ(mReplica.revision(), 2);
+  });
+}
+
+// Guards against an outage that is taken for an answer, and against a table
+// that changes during one.
+TEST_F(AdminApiTest, OutageRefusesEditsAndKeepsTheTable)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    co_await control(R"({"down":true})");
+    const auto first = weightEdit("a", 7, 1);
+    const auto reply = co_await edit(first);
+    EXPECT_EQ(reply.status, 503);
+    EXPECT_EQ(reply.json.at("error"), "unavailable");
+    EXPECT_EQ(reply.json.at("verdict"), "not_run");
+    EXPECT_EQ(weightOf(mReplica), 1);
+    const auto table = co_await call("GET", "/admin/table");
+    EXPECT_EQ(table.status, 200);
+  });
+}
+
+// Guards against claiming either outcome when the write took effect and the
+// service then went away; the same edit id settles it later.
+TEST_F(AdminApiTest, OutageAfterALostReplyIsUnknownUntilSentAgain)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    co_await control(R"({"lose_replies":1})");
+    const auto written = mKvService.table().revision();
+    const auto cut = [this, written]() -> Awaitable<void> {
+      while (mKvService.table().revision() == written) {
+        co_await net::sleepFor(core::Millis(1));
+      }
+      co_await control(R"({"down":true})");
+    };
+    net::spawn(mIo, cut());
+    const auto first = weightEdit("a", 7, 1);
+    auto reply = co_await edit(first);
+    EXPECT_EQ(reply.status, 503);
+    EXPECT_EQ(reply.json.at("error"), "unknown") << reply.body;
+    EXPECT_EQ(reply.json.at("verdict"), "unknown");
+    co_await control(R"({"down":false})");
+    do {
+      reply = co_await edit(first);
+    } while (reply.status == 503);
+    EXPECT_EQ(reply.json.at("revision"), 2) << reply.body;
+    EXPECT_EQ(weightOf(mReplica), 7);
+  });
+}
+
+TEST_F(AdminApiTest, BadEditsNameTheField)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    auto reply = co_await call("POST", "/admin/edits", "{");
+    EXPECT_EQ(reply.status, 400);
+    EXPECT_EQ(reply.json.at("message"), "the body is not valid JSON at byte 2");
+    reply = co_await call(
+      "POST", "/admin/edits", R"({"editId":"a","command":{"type":1}})");
+    EXPECT_EQ(reply.status, 400);
+    EXPECT_EQ(reply.json.at("message"),
+              "field \"command.type\" has the wrong type");
+    const core::Edit removal{ "a", core::RemovePrincipal{ "root", 1 } };
+    reply = co_await edit(removal);
+    EXPECT_EQ(reply.status, 400);
+    EXPECT_EQ(reply.json.at("message"), "at least one operator must stay");
+    reply = co_await call("GET", "/admin/force");
+    EXPECT_EQ(reply.status, 400);
+  });
+}
+
+// Guards against an import that undoes edits which the operator has not seen.
+TEST_F(AdminApiTest, ImportAppliesOnlyWhatWasShown)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    const std::string csv = "principal,kind,weight\ncarl,*,9\n";
+    auto reply = co_await call("POST", "/admin/import?dry_run=1", csv);
+    EXPECT_EQ(reply.json.at("revision"), 1);
+    EXPECT_EQ(reply.json.at("changes").size(), 2);
+    EXPECT_EQ(weightOf(mReplica), 1);
+    const auto other = weightEdit("a", 7, 1);
+    co_await edit(other);
+    const std::string target = "/admin/import?edit_id=b&revision=";
+    reply = co_await call("POST", target + "1", csv);
+    EXPECT_EQ(reply.status, 409);
+    EXPECT_EQ(weightOf(mReplica), 7);
+    reply = co_await call("POST", target + "2", csv);
+    EXPECT_EQ(reply.json.at("revision"), 3) << reply.body;
+    EXPECT_EQ(weightOf(mReplica), 9);
+    EXPECT_EQ(mReplica.table().rows.size(), 1);
+    // The answer was lost and the request is repeated.
+    reply = co_await call("POST", target + "2", csv);
+    EXPECT_EQ(reply.json.at("revision"), 3) << reply.body;
+    reply = co_await call("POST", target + "3", "principal,kind\ncarl\n");
+    EXPECT_EQ(reply.status, 400);
+    EXPECT_EQ(reply.json.at("message"),
+              "line 2, column 1: the line has 1 cells, but there are 2 "
+              "columns");
+    reply = co_await call("GET", "/admin/export");
+    EXPECT_EQ(reply.body,
+              "principal,kind,weight,ratePerSecond,maxConcurrent,priority,"
+              "deadlineMs,stalenessBound,hedge\ncarl,*,9,0,0,5,30000,1,false"
+              "\n");
+  });
+}
+
+// Guards against "in force everywhere" while a member has an older table, and
+// against waiting for members that take no work.
+TEST_F(AdminApiTest, ForceCountsLiveMembersOnly)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    const auto now = core::Clock::now();
+    mMembers.heard(member("behind", core::MemberState::Alive, 0), now);
+    mMembers.heard(member("leaver", core::MemberState::Leaving, 0), now);
+    auto reply = co_await call("GET", "/admin/force?revision=1");
+    EXPECT_EQ(reply.json.at("in_force"), false);
+    EXPECT_EQ(reply.json.at("members").size(), 3);
+    reply = co_await call("GET", "/admin/status");
+    EXPECT_EQ(reply.json.at("behind"), wire::Json({ "behind" }));
+    EXPECT_EQ(reply.json.at("members"),
+              wire::Json({ { "alive", 2 }, { "leaving", 1 } }));
+    auto newer = member("behind", core::MemberState::Alive, 1);
+    newer.reportNumber = 2;
+    mMembers.heard(newer, now);
+    reply = co_await call("GET", "/admin/force?revision=1");
+    EXPECT_EQ(reply.json.at("in_force"), true) << reply.body;
+    reply = co_await call("GET", "/admin/members");
+    EXPECT_EQ(reply.json.at("members").size(), 3);
+  });
+}
+
+} // namespace lentilrack::entry
