--- a/src/core/table_csv.cpp
+++ b/src/core/table_csv.cpp
@@ -158,21 +158,12 @@
   return item;
 }
 
-/// What must hold for a whole line of a file of `Item`s.
-template<typename Item>
-struct LineRules
-{
-  /// Must differ between any two lines.
-  std::function<std::string(const Item&)> name;
-  /// What is wrong with the line; empty if nothing is.
-  std::function<std::string(const Item&)> problem;
-};
-
+/// `nameOf` gives what must differ between any two items.
 template<typename Item>
 Result<std::vector<Item>, FormatError>
 readItems(std::string_view text,
           const std::vector<Column<Item>>& known,
-          const LineRules<Item>& rules)
+          const std::function<std::string(const Item&)>& nameOf)
 {
   const auto records = parseCsv(text);
   if (!records) {
@@ -193,13 +184,10 @@
     if (!item) {
       return item.error();
     }
-    const auto name = rules.name(item.value());
+    const auto name = nameOf(item.value());
     if (!names.insert(name).second) {
       return errorAt(record.front(), name + " occurs twice");
     }
-    if (auto problem = rules.problem(item.value()); !problem.empty()) {
-      return errorAt(record.front(), std::move(problem));
-    }
     items.push_back(std::move(item.value()));
   }
   return items;
@@ -234,27 +222,18 @@
 Result<std::vector<Row>, FormatError>
 CsvFormat::readRows(std::string_view text) const
 {
-  const LineRules<Row> rules{
-    [](const Row& row) {
-      return "row " + rowName({ row.principal, row.kind });
-    },
-    [](const Row&) { return std::string(); },
-  };
-  return readItems(text, rowColumns(), rules);
+  return readItems<Row>(text, rowColumns(), [](const Row& row) {
+    return "row " + rowName({ row.principal, row.kind });
+  });
 }
 
 Result<std::vector<Principal>, FormatError>
 CsvFormat::readPrincipals(std::string_view text) const
 {
-  const LineRules<Principal> rules{
-    [](const Principal& principal) { return "principal " + principal.name; },
-    [](const Principal& principal) {
-      return principal.tokenHash.empty() ? "principal " + principal.name +
-                                             " has neither token nor tokenHash"
-                                         : std::string();
-    },
-  };
-  return readItems(text, principalColumns(), rules);
+  return readItems<Principal>(
+    text, principalColumns(), [](const Principal& principal) {
+      return "principal " + principal.name;
+    });
 }
 
 } // namespace lentilrack::core
--- a/src/core/table_csv.h
+++ b/src/core/table_csv.h
@@ -41,7 +41,8 @@
 /// field's default. Lines that are empty or start with "#" are skipped.
 ///
 /// Rows: principal, kind and the names of rowFields(). Principals: name, role
-/// and either tokenHash or token, which is hashed on reading.
+/// and either tokenHash or token, which is hashed on reading; without both, the
+/// hash stays empty.
 class CsvFormat : public TableFormat
 {
 public:
--- a/src/ctl/bootstrap.cpp
+++ b/src/ctl/bootstrap.cpp
@@ -1,4 +1,4 @@
-#include "core/table_csv.h"
+#include "core/row_fields.h"
 #include "ctl/ctl_app.h"
 #include "ctl/first_table.h"
 #include "node/table_editor.h"
@@ -71,7 +71,7 @@
   if (!first) {
     co_return fail(first.error());
   }
-  auto table = std::move(first.value());
+  auto& table = first.value().table;
   platform::KvClientOptions options;
   options.endpoints = mSettings.kv;
   platform::KvClient kv(mIo, std::move(options));
@@ -109,11 +109,16 @@
                    "history: " +
                    kept.error().message() + "\n");
   }
-  mConsole.out(fmt::format("Wrote the first table as revision {}, {} rows, {} "
-                           "principals.\n",
-                           table.revision,
-                           table.rows.size(),
-                           table.principals.size()));
+  // Standard output holds the new tokens only, so that it can be kept.
+  mConsole.error(fmt::format("Wrote the first table as revision {}, {} rows, "
+                             "{} principals.\n",
+                             table.revision,
+                             table.rows.size(),
+                             table.principals.size()));
+  for (const auto& made : first.value().tokens) {
+    mConsole.out(fmt::format(
+      "{} {} {}\n", made.name, core::roleText(made.role), made.token));
+  }
   co_return kDone;
 }
 
--- a/src/ctl/ctl_edits.cpp
+++ b/src/ctl/ctl_edits.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::size_t kTokenBytes = 32;
 constexpr core::Millis kWaitLimit{ 60'000 };
 constexpr core::Millis kWaitPeriod{ 100 };
 
@@ -253,7 +252,7 @@
   if (!table) {
     co_return kRefused;
   }
-  const auto token = randomText(kTokenBytes);
+  const auto token = newToken();
   const auto found = table->principals.find(name);
   const std::int64_t seen =
     found == table->principals.end() ? 0 : found->second.version;
--- a/src/ctl/ctl_settings.cpp
+++ b/src/ctl/ctl_settings.cpp
@@ -21,7 +21,7 @@
     .text("table", &settings.tableFile, "bootstrap: CSV file with the rows")
     .text("principals",
           &settings.principalsFile,
-          "bootstrap: CSV file with name, role, token or tokenHash")
+          "bootstrap: lines NAME ROLE, or CSV with name, role, token")
     .arguments(&settings.arguments, "COMMAND\n\nCommands:\n" + commandHelp());
   return builder.parse(argc, argv);
 }
--- a/src/ctl/first_table.cpp
+++ b/src/ctl/first_table.cpp
@@ -1,29 +1,49 @@
 #include "ctl/first_table.h"
 
+#include "core/principal_list.h"
 #include "core/table_csv.h"
 #include "core/table_edit.h"
+#include "ctl/random_text.h"
 
 namespace lentilrack::ctl {
 
-core::Result<core::Table, std::string>
+namespace {
+
+/// Names and roles hold no commas, so that a comma tells CSV from a list.
+core::Result<std::vector<core::Principal>, core::FormatError>
+readPrincipals(const std::string& text)
+{
+  return text.find(',') == std::string::npos
+           ? core::readPrincipalList(text)
+           : core::CsvFormat().readPrincipals(text);
+}
+
+} // namespace
+
+core::Result<FirstTable, std::string>
 firstTable(const std::string& rows,
            const std::string& principals,
            const std::string& editId)
 {
-  const core::CsvFormat format;
-  auto readRows = format.readRows(rows);
-  if (!readRows) {
-    return "table file, " + readRows.error().text();
+  auto rowList = core::CsvFormat().readRows(rows);
+  if (!rowList) {
+    return "table file, " + rowList.error().text();
   }
-  auto readPrincipals = format.readPrincipals(principals);
-  if (!readPrincipals) {
-    return "principals file, " + readPrincipals.error().text();
+  auto principalList = readPrincipals(principals);
+  if (!principalList) {
+    return "principals file, " + principalList.error().text();
   }
-  core::Table table;
-  for (auto& row : readRows.value()) {
+  FirstTable first;
+  auto& table = first.table;
+  for (auto& row : rowList.value()) {
     table.rows[{ row.principal, row.kind }] = row;
   }
-  for (auto& principal : readPrincipals.value()) {
+  for (auto& principal : principalList.value()) {
+    if (principal.tokenHash.empty()) {
+      const auto token = newToken();
+      principal.tokenHash = core::hashToken(token);
+      first.tokens.push_back({ principal.name, principal.role, token });
+    }
     table.principals[principal.name] = principal;
   }
   if (const auto reason = core::checkTable(table)) {
@@ -31,7 +51,7 @@
   }
   table.recentEdits.push_back(editId);
   setRevision(table, 1);
-  return table;
+  return first;
 }
 
 void
--- a/src/ctl/first_table.h
+++ b/src/ctl/first_table.h
@@ -4,12 +4,29 @@
 #include "core/table.h"
 
 #include <string>
+#include <vector>
 
 namespace lentilrack::ctl {
 
-/// The table of revision 1 with the rows and principals of two CSV files. The
-/// error is a message that names file, line and column.
-core::Result<core::Table, std::string>
+/// A token that was made for a principal, to be shown once.
+struct NewToken
+{
+  std::string name;
+  core::PrincipalRole role = core::PrincipalRole::Caller;
+  std::string token;
+};
+
+struct FirstTable
+{
+  /// Of revision 1.
+  core::Table table;
+  std::vector<NewToken> tokens;
+};
+
+/// The table with the rows of a CSV file and the principals of a CSV file or of
+/// lines "NAME ROLE". A principal without token gets a new one. The error is a
+/// message that names file, line and column.
+core::Result<FirstTable, std::string>
 firstTable(const std::string& rows,
            const std::string& principals,
            const std::string& editId);
--- a/src/ctl/random_text.cpp
+++ b/src/ctl/random_text.cpp
@@ -23,4 +23,11 @@
   return text;
 }
 
+std::string
+newToken()
+{
+  constexpr std::size_t kTokenBytes = 32;
+  return randomText(kTokenBytes);
+}
+
 } // namespace lentilrack::ctl
--- a/src/ctl/random_text.h
+++ b/src/ctl/random_text.h
@@ -10,4 +10,8 @@
 std::string
 randomText(std::size_t bytes);
 
+/// A bearer token of 256 bits.
+std::string
+newToken();
+
 } // namespace lentilrack::ctl
