--- a/src/ctl/admin_client.h
+++ b/src/ctl/admin_client.h
@@ -37,6 +37,8 @@
               std::vector<core::Endpoint> entries,
               std::string token);
 
+  void setToken(std::string token) { mToken = std::move(token); }
+
   net::Awaitable<AdminAnswer> get(std::string target);
   /// Repeated at the next instance if the answer is lost, and again as long as
   /// the answer is "unknown", a few times.
--- a/src/ctl/ctl_app.h
+++ b/src/ctl/ctl_app.h
@@ -68,6 +68,8 @@
   CtlSettings mSettings;
   Console mConsole;
   AdminClient mClient;
+  /// Of the principal that the command sets; shown once it is accepted.
+  std::string mNewToken;
 };
 
 /// The content of the file; nothing if it cannot be read.
--- a/src/ctl/ctl_edits.cpp
+++ b/src/ctl/ctl_edits.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <set>
+#include <utility>
 
 namespace lentilrack::ctl {
 
@@ -89,6 +90,9 @@
   }
   const auto revision = answer.json.at("revision").get<std::int64_t>();
   mConsole.out(fmt::format("Accepted as revision {}.\n", revision));
+  if (!mNewToken.empty()) {
+    mConsole.out("Token, shown only now: " + mNewToken + "\n");
+  }
   int code = kDone;
   if (mSettings.wait) {
     code = co_await waitUntilInForce(revision);
@@ -105,6 +109,13 @@
   AdminAnswer answer;
   while (core::Clock::now() - start < kWaitLimit) {
     answer = co_await mClient.get(target);
+    // The edit may have replaced the token of the operator who made it.
+    const bool isTokenReplaced =
+      answer.errorCode() == "unauthorized" && !mNewToken.empty();
+    if (isTokenReplaced) {
+      mClient.setToken(std::exchange(mNewToken, ""));
+      continue;
+    }
     if (!answer.ok()) {
       co_return fail(answer.problem());
     }
@@ -258,11 +269,8 @@
     found == table->principals.end() ? 0 : found->second.version;
   core::SetPrincipal command{ { name, *parsedRole, core::hashToken(token), 0 },
                               seen };
-  const auto code = co_await change(std::move(*table), std::move(command));
-  if (code == kDone) {
-    mConsole.out("Token, shown only now: " + token + "\n");
-  }
-  co_return code;
+  mNewToken = token;
+  co_return co_await change(std::move(*table), std::move(command));
 }
 
 net::Awaitable<int>
--- a/src/node/table_editor.cpp
+++ b/src/node/table_editor.cpp
@@ -50,15 +50,17 @@
   /// The highest table revision that any edit here has seen.
   std::int64_t floor = 0;
 
-  net::Awaitable<void> read(core::EditRun& run);
+  /// Keeps the table that was read in `base`.
+  net::Awaitable<void> read(core::EditRun& run, core::Table& base);
   net::Awaitable<void> write(core::EditRun& run);
   net::Awaitable<void> pause(int attempt);
   net::Awaitable<void> keep(core::Table table);
+  net::Awaitable<void> keepAfter(core::Table base, core::Table table);
   net::Awaitable<void> prune(std::vector<std::int64_t> revisions);
 };
 
 net::Awaitable<void>
-TableEditor::State::read(core::EditRun& run)
+TableEditor::State::read(core::EditRun& run, core::Table& base)
 {
   const auto entry = co_await kv.read(kTableKey);
   if (!entry) {
@@ -69,9 +71,10 @@
     }
     co_return;
   }
-  const auto table = decoded(entry.value().value, log);
+  auto table = decoded(entry.value().value, log);
   if (table) {
     run.readDone(table.value(), entry.value().revision);
+    base = std::move(table.value());
   } else {
     run.readFailed("the table in the key-value service is malformed");
   }
@@ -110,18 +113,31 @@
 net::Awaitable<void>
 TableEditor::State::keep(core::Table table)
 {
-  const auto revision = table.revision;
   platform::KvPut put;
-  put.key = historyKey(revision);
+  put.key = historyKey(table.revision);
   put.value = wire::encode(table);
+  put.expect = 0;
   const auto written = co_await kv.put(std::move(put));
-  if (!written) {
-    log.warning("Revision {} is missing in the history: {}",
-                revision,
+  if (!written && written.error() != PlatformError::Conflict) {
+    log.warning("Revision {} may be missing in the history: {}",
+                table.revision,
                 written.error().message());
   }
-  if (revision > kHistoryLength) {
-    co_await kv.remove(historyKey(revision - kHistoryLength));
+}
+
+net::Awaitable<void>
+TableEditor::State::keepAfter(core::Table base, core::Table table)
+{
+  // The instance that accepted the revision before may have died, or lost the
+  // service, before it kept it.
+  const bool isAfterBase = base.revision + 1 == table.revision;
+  if (isAfterBase) {
+    co_await keep(std::move(base));
+  }
+  const auto oldest = table.revision - kHistoryLength;
+  co_await keep(std::move(table));
+  if (oldest > 0) {
+    co_await kv.remove(historyKey(oldest));
   }
 }
 
@@ -152,6 +168,7 @@
   const auto state = mState;
   core::EditRun run(std::move(edit),
                     std::max(state->floor, state->replica.revision()));
+  core::Table base;
   int attempt = 0;
   while (!run.finished()) {
     const bool isWrite =
@@ -159,7 +176,7 @@
     if (isWrite) {
       co_await state->write(run);
     } else {
-      co_await state->read(run);
+      co_await state->read(run, base);
     }
     // Another read is due after a failed read and after a write that met
     // another edit or got no reply.
@@ -175,7 +192,8 @@
   if (const auto* accepted = std::get_if<core::EditAccepted>(&outcome)) {
     state->replica.offer(accepted->table);
     if (accepted->revision == accepted->table.revision) {
-      net::spawn(mIo, state->keep(accepted->table), state);
+      net::spawn(
+        mIo, state->keepAfter(std::move(base), accepted->table), state);
     }
   }
   co_return outcome;
--- a/tests/ctl/ctl_app_test.cpp
+++ b/tests/ctl/ctl_app_test.cpp
@@ -112,6 +112,23 @@
   });
 }
 
+// Guards against an operator who replaces the own token and never sees the new
+// one, because the old one no longer serves to wait.
+TEST_F(CtlAppTest, ReplacingTheOwnTokenShowsTheNewOne)
+{
+  run([this]() -> Awaitable<void> {
+    co_await install(smallTable());
+    mSettings.wait = true;
+    const std::vector<std::string> words{
+      "principal", "set", "root", "operator"
+    };
+    const auto code = co_await command(words);
+    EXPECT_EQ(code, kDone) << mError;
+    EXPECT_NE(mOut.find("Token, shown only now: "), std::string::npos);
+    EXPECT_NE(mOut.find("in force everywhere"), std::string::npos) << mOut;
+  });
+}
+
 // Guards against a restore that leaves something behind or takes too much.
 TEST_F(CtlAppTest, ExportImportAndRestoreLeadBack)
 {
