--- /dev/null
+++ b/tests/node/table_editor_test.cpp
@@ -0,0 +1,111 @@
+#include "node/table_editor.h"
+
+#include "core/table_fixture.h"
+#include "net/http_server.h"
+#include "wire/table_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::node {
+
+namespace {
+
+using core::testing::row;
+using core::testing::smallTable;
+using net::Awaitable;
+using wire::Json;
+
+/// Holds one key. The first write takes effect, but its reply is lost, and from
+/// then on reads get no answer until restore().
+class VanishingKv
+{
+public:
+  explicit VanishingKv(net::asio::io_context& io)
+    : mServer(io,
+              {},
+              [this](net::HttpExchange& exchange) { return serve(exchange); })
+    , mEndpoint(mServer.listen({ "127.0.0.1", 0 }).value())
+    , mValue(wire::encode(smallTable()))
+  {
+  }
+
+  const core::Endpoint& endpoint() const { return mEndpoint; }
+  void restore() { mIsGone = false; }
+
+private:
+  Awaitable<void> serve(net::HttpExchange& exchange)
+  {
+    const auto& request = exchange.request();
+    const bool isTable = request.path() == "/kv/config/table";
+    if (isTable && request.method == "PUT") {
+      const auto body = Json::parse(request.body);
+      EXPECT_EQ(body.at("expect"), mRevision);
+      mValue = body.at("value");
+      ++mRevision;
+      mIsGone = true;
+    }
+    if (mIsGone) {
+      // Without a response the server closes the connection.
+      co_return;
+    }
+    Json answer{ { "revision", mRevision } };
+    if (isTable) {
+      answer["value"] = mValue;
+    }
+    net::HttpResponse response;
+    response.body = answer.dump();
+    co_await exchange.respond(std::move(response));
+  }
+
+  net::HttpServer mServer;
+  core::Endpoint mEndpoint;
+  Json mValue;
+  std::int64_t mRevision = 10;
+  bool mIsGone = false;
+};
+
+platform::KvClientOptions
+kvOptions(const core::Endpoint& endpoint)
+{
+  platform::KvClientOptions options;
+  options.endpoints = { endpoint };
+  // Long, so that a busy machine does not look like an outage.
+  options.timeout = core::Millis(10'000);
+  options.firstPause = core::Millis(5);
+  options.longestPause = core::Millis(20);
+  options.callsPerSecond = 10'000;
+  return options;
+}
+
+} // namespace
+
+// Guards against claiming either outcome when the write took effect and the
+// service then went away; the same edit id settles it later.
+TEST(TableEditorTest, OutageAfterALostReplyIsUnknownUntilSentAgain)
+{
+  net::asio::io_context io;
+  VanishingKv service(io);
+  platform::KvClient kv(io, kvOptions(service.endpoint()));
+  core::TableReplica replica;
+  TableEditor editor(
+    io, kv, replica, net::Logger("test", net::LogLevel::Error), 1);
+  auto changed = row("carl", "*");
+  changed.weight = 7;
+  const core::Edit edit{ "edit", core::SetRow{ changed, 1 } };
+  const auto script = [&]() -> Awaitable<void> {
+    const auto first = co_await editor.run(edit);
+    EXPECT_TRUE(std::holds_alternative<core::EditUnknown>(first));
+    EXPECT_EQ(replica.revision(), 0);
+    service.restore();
+    const auto second = co_await editor.run(edit);
+    const auto* accepted = std::get_if<core::EditAccepted>(&second);
+    EXPECT_TRUE(accepted != nullptr && accepted->revision == 2);
+    EXPECT_EQ(replica.revision(), 2);
+    io.stop();
+  };
+  net::spawn(io, script());
+  io.run();
+  EXPECT_EQ(replica.revision(), 2);
+}
+
+} // namespace lentilrack::node
