--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -108,8 +108,7 @@
 core::ProcessId
 readProcess(ObjectReader& outer, const char* field)
 {
-  const auto json = outer.required<Json>(field);
-  ObjectReader reader(json, field);
+  auto reader = outer.nested(field);
   core::ProcessId id{ reader.required<std::string>("name"),
                       reader.required<std::uint64_t>("incarnation") };
   reader.finish();
