--- a/src/ctl/ctl_edits.cpp
+++ b/src/ctl/ctl_edits.cpp
@@ -9,12 +9,12 @@
 
 #include <chrono>
 #include <set>
+#include <utility>
 
 namespace lentilrack::ctl {
 
 namespace {
 
-constexpr std::size_t kTokenBytes = 32;
 constexpr core::Millis kWaitLimit{ 60'000 };
 constexpr core::Millis kWaitPeriod{ 100 };
 
@@ -90,6 +90,9 @@
   }
   const auto revision = answer.json.at("revision").get<std::int64_t>();
   mConsole.out(fmt::format("Accepted as revision {}.\n", revision));
+  if (!mNewToken.empty()) {
+    mConsole.out("Token, shown only now: " + mNewToken + "\n");
+  }
   int code = kDone;
   if (mSettings.wait) {
     code = co_await waitUntilInForce(revision);
@@ -106,6 +109,13 @@
   AdminAnswer answer;
   while (core::Clock::now() - start < kWaitLimit) {
     answer = co_await mClient.get(target);
+    // The edit may have replaced the token of the operator who made it.
+    const bool isTokenReplaced =
+      answer.errorCode() == "unauthorized" && !mNewToken.empty();
+    if (isTokenReplaced) {
+      mClient.setToken(std::exchange(mNewToken, ""));
+      continue;
+    }
     if (!answer.ok()) {
       co_return fail(answer.problem());
     }
@@ -253,17 +263,14 @@
   if (!table) {
     co_return kRefused;
   }
-  const auto token = randomText(kTokenBytes);
+  const auto token = newToken();
   const auto found = table->principals.find(name);
   const std::int64_t seen =
     found == table->principals.end() ? 0 : found->second.version;
   core::SetPrincipal command{ { name, *parsedRole, core::hashToken(token), 0 },
                               seen };
-  const auto code = co_await change(std::move(*table), std::move(command));
-  if (code == kDone) {
-    mConsole.out("Token, shown only now: " + token + "\n");
-  }
-  co_return code;
+  mNewToken = token;
+  co_return co_await change(std::move(*table), std::move(command));
 }
 
 net::Awaitable<int>
