--- a/src/entry/order_service.cpp
+++ b/src/entry/order_service.cpp
@@ -87,7 +87,7 @@
 std::shared_ptr<AnswerStream>
 OrderService::ended(Outcome outcome, const std::vector<core::Chunk>& chunks)
 {
-  const auto stream = std::make_shared<AnswerStream>(mNode.io());
+  auto stream = std::make_shared<AnswerStream>(mNode.io());
   for (const auto& chunk : chunks) {
     stream->push(chunk);
   }
@@ -142,7 +142,7 @@
   const auto run = std::make_shared<OrderRun>(
     mNode.io(), text, std::move(work), *row, now + remaining);
   mRunning.emplace(text, run);
-  const auto stream = run->attach();
+  auto stream = run->attach();
   net::spawn(mNode.io(), execute(run, ticket.dispatchers), shared_from_this());
   return stream;
 }
@@ -223,7 +223,7 @@
                                               std::move(work),
                                               *row,
                                               core::Clock::now() + remaining);
-  const auto stream = run->attach();
+  auto stream = run->attach();
   ++mForOthers;
   net::spawn(mNode.io(), executeForLostHome(run), shared_from_this());
   return stream;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -108,7 +108,8 @@
 core::ProcessId
 readProcess(ObjectReader& outer, const char* field)
 {
-  ObjectReader reader(outer.required<Json>(field), field);
+  const auto json = outer.required<Json>(field);
+  ObjectReader reader(json, field);
   core::ProcessId id{ reader.required<std::string>("name"),
                       reader.required<std::uint64_t>("incarnation") };
   reader.finish();
--- a/tests/core/step_model.cpp
+++ b/tests/core/step_model.cpp
@@ -58,9 +58,8 @@
 StepModel::have() const
 {
   std::vector<Slot> slots;
-  std::ranges::transform(mTaken, std::back_inserter(slots), [](const auto& e) {
-    return e.first;
-  });
+  std::ranges::transform(
+    mTaken, std::back_inserter(slots), [](const auto& e) { return e.first; });
   return slots;
 }
 
@@ -196,10 +195,9 @@
     violate("a valid pull was refused: " + result.error().message);
     return std::nullopt;
   }
-  return Reply{ opening,
-                mPull,
-                std::move(result.value()),
-                home.step->newestVersion() };
+  return Reply{
+    opening, mPull, std::move(result.value()), home.step->newestVersion()
+  };
 }
 
 void
--- a/tests/core/step_property_test.cpp
+++ b/tests/core/step_property_test.cpp
@@ -15,8 +15,8 @@
 StepSpec
 modelSpec(std::int64_t groupSize, std::int64_t quorum)
 {
-  return { "trainer", "step",    "model", "kind", { "a", "b", "c" },
-           groupSize, quorum, 100 };
+  return { "trainer",         "step",    "model", "kind",
+           { "a", "b", "c" }, groupSize, quorum,  100 };
 }
 
 /// Runs schedules until one violates a guarantee.
--- /dev/null
+++ b/tests/entry/order_loss_test.cpp
@@ -0,0 +1,209 @@
+#include "entry/entry_fixture.h"
+
+#include "net/error.h"
+
+namespace lentilrack::entry {
+
+namespace {
+
+using OrderLoss = EntryTest;
+
+/// Runs and never answers.
+net::Awaitable<core::Outcome>
+silentEngine(wire::DispatchRequest, FakeDispatcher::Request)
+{
+  co_await net::sleepFor(core::Millis(3'600'000));
+  co_return core::Outcome{};
+}
+
+} // namespace
+
+// Guards against an order whose home crashed before it was dispatched: it must
+// be told as not run, and the woken home must not run the late copy.
+TEST_F(OrderLoss, HomeLostBeforeDispatchIsNotRunAndStaysSo)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    mEntry.becomeUnreachable();
+    const auto answer = co_await order(mOther, body);
+    EXPECT_EQ(answer.verdict(), "not_run");
+    EXPECT_EQ(answer.reason(), "home_lost");
+    // The home was only paused, and goes on with the copy that it holds.
+    const auto woken = co_await order(mEntry, body);
+    EXPECT_EQ(woken.verdict(), "not_run");
+    EXPECT_TRUE(mFirst.runs.empty());
+    EXPECT_TRUE(mSecond.runs.empty());
+  });
+}
+
+// Guards against a claim of not_run about an order that runs.
+TEST_F(OrderLoss, HomeLostWhileRunningIsUnknown)
+{
+  mFirst.engine = mSecond.engine = silentEngine;
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    const auto atHome = startOrder(mEntry, body);
+    co_await until(
+      [&] { return mFirst.runs.size() + mSecond.runs.size() > 0; });
+    mEntry.becomeUnreachable();
+    const auto answer = co_await order(mOther, body);
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_EQ(answer.verdict(), "unknown");
+    EXPECT_EQ(answer.reason(), "home_lost");
+  });
+}
+
+TEST_F(OrderLoss, HomeLostAfterDoneIsDoneWithoutItsAnswer)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    co_await order(mEntry, body);
+    mEntry.becomeUnreachable();
+    const auto answer = co_await order(mOther, body);
+    EXPECT_EQ(answer.lines().back()["event"], "failed");
+    EXPECT_EQ(answer.verdict(), "done");
+    EXPECT_EQ(answer.reason(), "answer_lost");
+    EXPECT_EQ(mFirst.runs.size() + mSecond.runs.size(), 1U);
+  });
+}
+
+// Guards against a claim of not_run when a dispatcher of the set cannot be
+// asked: it may run the order at any time.
+TEST_F(OrderLoss, HomeAndOneDispatcherLostIsUnknown)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    mEntry.becomeUnreachable();
+    mSecond.lose();
+    const auto answer = co_await order(mOther, body);
+    EXPECT_EQ(answer.verdict(), "unknown");
+  });
+}
+
+// Guards against a restarted home that dispatches what its former run issued.
+TEST_F(OrderLoss, TicketOfAnotherIncarnationIsNeverDispatched)
+{
+  run([&]() -> net::Awaitable<void> {
+    core::Ticket ticket;
+    ticket.home = { mEntry.node().self().name,
+                    mEntry.node().self().incarnation + 1 };
+    ticket.caller = "desk";
+    ticket.expiry = core::kTicketLifetime;
+    ticket.dispatchers = { mFirst.id(), mSecond.id() };
+    const core::RequestId id{ core::TicketSealer(kSecret).seal(ticket), 1 };
+    const auto answer = co_await order(mEntry, orderBody(id.text(), "one"));
+    EXPECT_EQ(answer.verdict(), "not_run");
+    EXPECT_TRUE(mFirst.runs.empty());
+    EXPECT_TRUE(mSecond.runs.empty());
+  });
+}
+
+// Guards against a second run of an order whose dispatcher crashed.
+TEST_F(OrderLoss, LostDispatcherIsUnknownAndNothingRunsElsewhere)
+{
+  const auto loseAfterToken =
+    [&](wire::DispatchRequest,
+        FakeDispatcher::Request request) -> net::Awaitable<core::Outcome> {
+    request->event(wire::encode(core::Chunk{ "on", 1, 7 }));
+    co_await net::sleepFor(core::Millis(20));
+    mFirst.lose();
+    mSecond.lose();
+    co_return core::Outcome{};
+  };
+  mFirst.engine = mSecond.engine = loseAfterToken;
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    const auto answer = co_await order(mEntry, body);
+    EXPECT_EQ(answer.lines().back()["event"], "failed");
+    EXPECT_EQ(answer.verdict(), "unknown");
+    EXPECT_EQ(answer.reason(), "dispatcher_lost");
+    const auto again = co_await order(mEntry, body);
+    EXPECT_EQ(again.verdict(), "unknown");
+    EXPECT_EQ(mFirst.runs.size() + mSecond.runs.size(), 1U);
+  });
+}
+
+// Guards against Unknown where proof can be had: the link broke, and the same
+// dispatcher run says that it never started the order.
+TEST_F(OrderLoss, LostMessageIsBarredAndNotRun)
+{
+  const std::string name = "etna-1/dispatch";
+  auto lost = std::make_unique<FakeDispatcher>(mIo, name, 5);
+  const auto member = lost->member();
+  std::unique_ptr<FakeDispatcher> back;
+  lost->drop = [&] {
+    lost->lose();
+    return true;
+  };
+  mEntry.knows(member);
+  run([&]() -> net::Awaitable<void> {
+    core::Ticket ticket;
+    ticket.home = mEntry.node().self();
+    ticket.caller = "desk";
+    ticket.expiry = core::kTicketLifetime;
+    ticket.dispatchers = { lost->id() };
+    const core::RequestId id{ core::TicketSealer(kSecret).seal(ticket), 1 };
+    lost->drop = [&] {
+      lost->lose();
+      // The same run listens again, as after a broken connection.
+      back = std::make_unique<FakeDispatcher>(mIo, name, 5, member.link);
+      return true;
+    };
+    const auto answer = co_await order(mEntry, orderBody(id.text(), "one"));
+    EXPECT_EQ(answer.verdict(), "not_run");
+    EXPECT_EQ(answer.reason(), "dispatcher_lost");
+    EXPECT_EQ(back->ledger.state(id.text()), core::AttemptState::Barred);
+  });
+}
+
+// Guards against a restarted dispatcher that speaks for its former run.
+TEST_F(OrderLoss, RestartedDispatcherProvesNothing)
+{
+  const std::string name = "etna-1/dispatch";
+  auto lost = std::make_unique<FakeDispatcher>(mIo, name, 5);
+  const auto member = lost->member();
+  std::unique_ptr<FakeDispatcher> restarted;
+  mEntry.knows(member);
+  lost->drop = [&] {
+    lost->lose();
+    restarted = std::make_unique<FakeDispatcher>(mIo, name, 6, member.link);
+    return true;
+  };
+  run([&]() -> net::Awaitable<void> {
+    core::Ticket ticket;
+    ticket.home = mEntry.node().self();
+    ticket.caller = "desk";
+    ticket.expiry = core::kTicketLifetime;
+    ticket.dispatchers = { lost->id() };
+    const core::RequestId id{ core::TicketSealer(kSecret).seal(ticket), 1 };
+    const auto answer = co_await order(mEntry, orderBody(id.text(), "one"));
+    EXPECT_EQ(answer.verdict(), "unknown");
+    EXPECT_TRUE(restarted->runs.empty());
+  });
+}
+
+// Guards against Unknown while the verdict is about to come: the dispatcher
+// goes on without its link and is asked again.
+TEST_F(OrderLoss, DispatcherThatFinishesWithoutItsLinkIsAskedAgain)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    for (auto* dispatcher : { &mFirst, &mSecond }) {
+      dispatcher->engine =
+        [](wire::DispatchRequest,
+           FakeDispatcher::Request request) -> net::Awaitable<core::Outcome> {
+        request->reply("not an outcome");
+        co_await net::sleepFor(core::Millis(300));
+        core::Outcome done;
+        done.verdict = core::Verdict::Done;
+        co_return done;
+      };
+    }
+    const auto answer = co_await order(mEntry, body);
+    EXPECT_EQ(answer.verdict(), "done");
+    EXPECT_EQ(answer.reason(), "answer_lost");
+    EXPECT_EQ(mFirst.runs.size() + mSecond.runs.size(), 1U);
+  });
+}
+
+} // namespace lentilrack::entry
--- /dev/null
+++ b/tests/entry/orders_test.cpp
@@ -0,0 +1,341 @@
+#include "entry/entry_fixture.h"
+
+namespace lentilrack::entry {
+
+using wire::Json;
+
+namespace {
+
+using Orders = EntryTest;
+
+int
+runsOf(const FakeDispatcher& first, const FakeDispatcher& second)
+{
+  return static_cast<int>(first.runs.size() + second.runs.size());
+}
+
+/// Holds every attempt until the gate opens, then answers as usual.
+FakeDispatcher::Engine
+gated(std::shared_ptr<bool> isOpen)
+{
+  return
+    [isOpen](wire::DispatchRequest message,
+             FakeDispatcher::Request request) -> net::Awaitable<core::Outcome> {
+      // A reference: g++ 12 destroys a lambda in this place twice.
+    co_await until([&isOpen] { return *isOpen; });
+      auto outcome = co_await echoEngine(std::move(message), request);
+      co_return outcome;
+    };
+}
+
+} // namespace
+
+TEST_F(Orders, AnswerIsStreamedWithItsVersions)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "salt and pepper");
+    const auto answer = co_await order(mEntry, body);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.text(), "salt and pepper ");
+    const auto last = answer.lines().back();
+    EXPECT_EQ(last["event"], "done");
+    EXPECT_EQ(last["total"], 3);
+    EXPECT_EQ(last["segments"],
+              Json::parse(R"([{"version":7,"from":0,"to":3}])"));
+    EXPECT_EQ(runsOf(mFirst, mSecond), 1);
+  });
+}
+
+// Guards against a duplicate that runs the order again.
+TEST_F(Orders, DuplicateJoinsAndLaterGetsTheRecord)
+{
+  const auto gate = std::make_shared<bool>(false);
+  mFirst.engine = mSecond.engine = gated(gate);
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one two");
+    const auto first = startOrder(mEntry, body);
+    co_await until([&] { return runsOf(mFirst, mSecond) == 1; });
+    const auto joined = startOrder(mEntry, body);
+    co_await net::sleepFor(core::Millis(20));
+    *gate = true;
+    co_await until([&] { return first->status != 0 && joined->status != 0; });
+    const auto recorded = co_await order(mEntry, body);
+    const std::vector<const Answer*> answers{ first.get(),
+                                              joined.get(),
+                                              &recorded };
+    for (const auto* answer : answers) {
+      EXPECT_EQ(answer->text(), "one two ");
+      EXPECT_EQ(answer->verdict(), "done");
+    }
+    EXPECT_EQ(runsOf(mFirst, mSecond), 1);
+  });
+}
+
+// Guards against a duplicate that another instance runs again.
+TEST_F(Orders, DuplicateAtAnotherInstanceIsRelayedToItsHome)
+{
+  const auto gate = std::make_shared<bool>(false);
+  mFirst.engine = mSecond.engine = gated(gate);
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one two");
+    const auto atHome = startOrder(mEntry, body);
+    co_await until([&] { return runsOf(mFirst, mSecond) == 1; });
+    const auto elsewhere = startOrder(mOther, body);
+    co_await net::sleepFor(core::Millis(20));
+    *gate = true;
+    co_await until(
+      [&] { return atHome->status != 0 && elsewhere->status != 0; });
+    EXPECT_EQ(elsewhere->text(), "one two ");
+    EXPECT_EQ(elsewhere->lines().back(), atHome->lines().back());
+    EXPECT_EQ(runsOf(mFirst, mSecond), 1);
+  });
+}
+
+// Guards against crossed replies: each caller gets the answer to its own
+// request, in whatever order the answers come.
+TEST_F(Orders, AnswersInReverseOrderReachTheirCallers)
+{
+  constexpr int kOrders = 10;
+  int answered = kOrders;
+  const auto reversed =
+    [&](wire::DispatchRequest message,
+        FakeDispatcher::Request request) -> net::Awaitable<core::Outcome> {
+    const int own = std::stoi(message.work.prompt);
+    co_await until([&] { return runsOf(mFirst, mSecond) == kOrders; });
+    co_await until([&] { return answered == own + 1; });
+    auto outcome = co_await echoEngine(std::move(message), request);
+    --answered;
+    co_return outcome;
+  };
+  mFirst.engine = mSecond.engine = reversed;
+  run([&]() -> net::Awaitable<void> {
+    std::vector<std::shared_ptr<Answer>> answers;
+    for (int i = 0; i < kOrders; ++i) {
+      answers.push_back(
+        startOrder(mEntry, orderBody(newId(mEntry), std::to_string(i))));
+    }
+    for (int i = 0; i < kOrders; ++i) {
+      co_await until([&] { return answers[i]->status != 0; });
+      EXPECT_EQ(answers[i]->text(), std::to_string(i) + " ");
+    }
+  });
+}
+
+// Guards against an answer that ends early being told as done.
+TEST_F(Orders, ShortAnswerIsAFailure)
+{
+  mFirst.engine = mSecond.engine =
+    [](wire::DispatchRequest message,
+       FakeDispatcher::Request request) -> net::Awaitable<core::Outcome> {
+    auto outcome = co_await echoEngine(std::move(message), request);
+    outcome.totalTokens += 1;
+    co_return outcome;
+  };
+  run([&]() -> net::Awaitable<void> {
+    const auto answer =
+      co_await order(mEntry, orderBody(newId(mEntry), "one two"));
+    EXPECT_EQ(answer.lines().back()["event"], "failed");
+    EXPECT_EQ(answer.verdict(), "unknown");
+    EXPECT_EQ(answer.reason(), "incomplete_answer");
+  });
+}
+
+// Guards against an identifier that stands for two orders.
+TEST_F(Orders, IdentifierWithAnotherBodyIsRefused)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto id = newId(mEntry);
+    co_await order(mEntry, orderBody(id, "one"));
+    const std::vector<TestEntry*> entries{ &mEntry, &mOther };
+    for (auto* entry : entries) {
+      const auto answer = co_await order(*entry, orderBody(id, "two"));
+      EXPECT_EQ(answer.status, 409);
+      EXPECT_EQ(answer.json()["error"], "identifier_reused");
+      EXPECT_TRUE(answer.json()["verdict"].is_null());
+    }
+    EXPECT_EQ(runsOf(mFirst, mSecond), 1);
+  });
+}
+
+TEST_F(Orders, ExpiredAndForeignTicketsAreRefusedWithoutAClaim)
+{
+  run([&]() -> net::Awaitable<void> {
+    core::Ticket ticket;
+    ticket.home = mEntry.node().self();
+    ticket.caller = "desk";
+    ticket.dispatchers = { mFirst.id() };
+    const core::TicketSealer sealer(kSecret);
+    const auto expired = core::RequestId{ sealer.seal(ticket), 1 }.text();
+    const auto late = co_await order(mEntry, orderBody(expired, "one"));
+    EXPECT_EQ(late.status, 410);
+    EXPECT_EQ(late.json()["error"], "ticket_expired");
+    EXPECT_TRUE(late.json()["verdict"].is_null());
+    const auto foreign =
+      co_await order(mEntry, orderBody(newId(mEntry, "other"), "one"));
+    EXPECT_EQ(foreign.status, 403);
+    EXPECT_EQ(foreign.json()["error"], "foreign_ticket");
+    const auto forged =
+      core::RequestId{ core::TicketSealer("guess").seal(ticket), 1 }.text();
+    const auto guessed = co_await order(mEntry, orderBody(forged, "one"));
+    EXPECT_EQ(guessed.json()["error"], "foreign_ticket");
+    EXPECT_EQ(runsOf(mFirst, mSecond), 0);
+  });
+}
+
+// Guards against an order that a dispatcher refused and that a second one
+// refuses too being told as anything but not run, now and later.
+TEST_F(Orders, RefusalByEveryDispatcherIsNotRunForGood)
+{
+  mFirst.refuseWith = mSecond.refuseWith = "refused";
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    const auto answer = co_await order(mEntry, body);
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.verdict(), "not_run");
+    EXPECT_EQ(answer.reason(), "refused");
+    mFirst.refuseWith = mSecond.refuseWith = "";
+    const auto again = co_await order(mEntry, body);
+    EXPECT_EQ(again.verdict(), "not_run");
+    EXPECT_EQ(runsOf(mFirst, mSecond), 0);
+  });
+}
+
+TEST_F(Orders, RefusalByOneDispatcherRunsAtTheOther)
+{
+  mFirst.refuseWith = "connection_refused";
+  run([&]() -> net::Awaitable<void> {
+    for (int i = 0; i < 10; ++i) {
+      const auto answer =
+        co_await order(mEntry, orderBody(newId(mEntry), "one"));
+      EXPECT_EQ(answer.verdict(), "done");
+    }
+    EXPECT_EQ(mSecond.runs.size(), 10U);
+  });
+}
+
+// Guards against new work at an instance that leaves, and against a verdict
+// that changes when it is asked again.
+TEST_F(Orders, LeavingInstanceRefusesAsNotRunAndNamesOthers)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto known = orderBody(newId(mEntry), "one");
+    co_await order(mEntry, known);
+    mEntry.app().beginDrain();
+    const auto body = orderBody(newId(mEntry), "two");
+    const auto answer = co_await order(mEntry, body);
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.verdict(), "not_run");
+    EXPECT_EQ(answer.json()["addresses"][0]["endpoint"], mOther.http().text());
+    const auto relayed = co_await order(mOther, body);
+    EXPECT_EQ(relayed.verdict(), "not_run");
+    const auto recorded = co_await order(mEntry, known);
+    EXPECT_EQ(recorded.verdict(), "done");
+    EXPECT_EQ(runsOf(mFirst, mSecond), 1);
+  });
+}
+
+// Guards against an order that is lost with its caller's connection.
+TEST_F(Orders, CallerThatHangsUpCanComeBackForItsAnswer)
+{
+  const auto gate = std::make_shared<bool>(false);
+  mFirst.engine = mSecond.engine = gated(gate);
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one two");
+    net::HttpCall call;
+    call.endpoint = mEntry.http();
+    call.freshConnection = true;
+    call.cancel = std::make_shared<net::CancelSignal>();
+    call.request = { "POST",
+                     "/v1/orders",
+                     { { "Authorization", std::string("Bearer ") + kToken } },
+                     body.dump() };
+    const auto cancel = call.cancel;
+    bool isOver = false;
+    net::asio::co_spawn(
+      mIo,
+      mClient.call(std::move(call)),
+      [&](const std::exception_ptr&, net::HttpResult) { isOver = true; });
+    co_await until([&] { return runsOf(mFirst, mSecond) == 1; });
+    cancel->cancel();
+    co_await until([&] { return isOver; });
+    co_await net::sleepFor(core::Millis(20));
+    *gate = true;
+    const auto answer = co_await order(mEntry, body);
+    EXPECT_EQ(answer.text(), "one two ");
+    EXPECT_EQ(answer.verdict(), "done");
+    EXPECT_EQ(runsOf(mFirst, mSecond), 1);
+    EXPECT_EQ(mFirst.cancels + mSecond.cancels, 0);
+  });
+}
+
+TEST_F(Orders, RowLimitIsToldWithATimeToRetry)
+{
+  auto table = testTable();
+  table.revision = 2;
+  table.rows[{ "desk", "*" }].ratePerSecond = 0.001;
+  mEntry.node().table().offer(table);
+  run([&]() -> net::Awaitable<void> {
+    co_await order(mEntry, orderBody(newId(mEntry), "one"));
+    const auto answer = co_await order(mEntry, orderBody(newId(mEntry), "two"));
+    EXPECT_EQ(answer.status, 429);
+    EXPECT_EQ(answer.verdict(), "not_run");
+    EXPECT_EQ(answer.reason(), "rate_limit");
+    EXPECT_GT(answer.json()["retry_after_ms"], 0);
+  });
+}
+
+// Guards against bad input that is half understood.
+TEST_F(Orders, BadInputNamesTheField)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto good = orderBody(newId(mEntry), "one");
+    const std::vector<std::pair<std::string, Json>> changes{
+      { "id", 5 },
+      { "kind", nullptr },
+      { "max_tokens", -1 },
+      { "max_tokens", 1e18 },
+      { "max_tokens", 99'000'000 },
+      { "max_tokens", "10" },
+      { "idempotent", "yes" },
+      { "deadline_ms", 0 },
+      { "colour", "red" },
+    };
+    for (const auto& [field, value] : changes) {
+      auto body = good;
+      body[field] = value;
+      const auto answer = co_await order(mEntry, body);
+      EXPECT_EQ(answer.status, 400) << field;
+      EXPECT_NE(answer.json()["message"].get<std::string>().find(field),
+                std::string::npos)
+        << answer.body;
+    }
+    net::HttpRequest malformed{ "POST", "/v1/orders", {}, "{\"id\":" };
+    const auto broken = co_await send(mEntry, malformed);
+    EXPECT_EQ(broken.status, 400);
+    const std::vector<std::string> ids{ "", "no-dot", "ticket.01" };
+    for (const auto& id : ids) {
+      auto body = good;
+      body["id"] = id;
+      const auto answer = co_await order(mEntry, body);
+      EXPECT_EQ(answer.status, 400) << id;
+    }
+    EXPECT_EQ(runsOf(mFirst, mSecond), 0);
+  });
+}
+
+TEST_F(Orders, UnknownCallerIsRefused)
+{
+  run([&]() -> net::Awaitable<void> {
+    net::HttpCall call;
+    call.endpoint = mEntry.http();
+    call.request = { "POST",
+                     "/v1/orders",
+                     { { "Authorization", "Bearer nobody" } },
+                     orderBody(newId(mEntry), "one").dump() };
+    const auto result = co_await mClient.call(std::move(call));
+    EXPECT_EQ(result.response.status, 401);
+    EXPECT_EQ(Json::parse(result.response.body)["error"], "unknown_caller");
+  });
+}
+
+} // namespace lentilrack::entry
