--- a/src/core/order_ledger.h
+++ b/src/core/order_ledger.h
@@ -24,7 +24,9 @@
 /// Bounds of the memory that a ledger uses.
 struct OrderLedgerLimits
 {
-  std::size_t orders = 100'000;
+  /// About 300 bytes each. Records live for up to 20 minutes, so this is room
+  /// for 250 orders a second at one instance.
+  std::size_t orders = 300'000;
   /// Longest recorded answer of one order.
   std::size_t answerBytes = 64UL * 1024;
   /// All recorded answers together.
--- a/src/entry/dispatch_client.cpp
+++ b/src/entry/dispatch_client.cpp
@@ -5,12 +5,16 @@
 #include <pcg_random.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <random>
 
 namespace lentilrack::entry {
 
 namespace {
 
+/// Age at which the copy of the live dispatchers is renewed; far below the
+/// 500 ms between heartbeats.
+constexpr core::Millis kCopyLife{ 20 };
 /// How much longer than the deadline an entry waits for a dispatcher's verdict.
 constexpr core::Millis kVerdictGrace{ 1000 };
 
@@ -57,6 +61,10 @@
 
 struct DispatchClient::InFlight
 {
+  /// Copy of the live dispatchers. Copying hundreds of members for each request
+  /// would cost more than the choice itself.
+  std::vector<core::Member> live;
+  std::optional<core::TimePoint> copied;
   core::OwnLoad load;
   pcg64 engine{ pcg_extras::seed_seq_from<std::random_device>{} };
   core::RandomBelow random = [this](std::uint64_t bound) {
@@ -72,38 +80,52 @@
 {
 }
 
+const std::vector<core::Member>&
+DispatchClient::liveDispatchers()
+{
+  const auto now = core::Clock::now();
+  if (!mInFlight->copied || now - *mInFlight->copied >= kCopyLife) {
+    mInFlight->live = mNode.members().live(core::MemberRole::Dispatch);
+    mInFlight->copied = now;
+  }
+  return mInFlight->live;
+}
+
 const core::Member*
 DispatchClient::chooseFor(const DispatchCall& call)
 {
-  auto members = mNode.members().live(core::MemberRole::Dispatch);
-  std::erase_if(members, [&](const core::Member& member) {
+  std::vector<const core::Member*> members;
+  for (const auto& member : liveDispatchers()) {
     const auto load = member.load.find(call.work.target);
-    return load == member.load.end() || load->second.servers <= 0 ||
-           (!call.allowed.empty() &&
-            std::ranges::find(call.allowed, member.id) == call.allowed.end());
-  });
+    const bool isAllowed =
+      call.allowed.empty() ||
+      std::ranges::find(call.allowed, member.id) != call.allowed.end();
+    if (isAllowed && load != member.load.end() && load->second.servers > 0) {
+      members.push_back(&member);
+    }
+  }
   const auto prefer = [&](auto&& isWanted) {
     if (std::ranges::any_of(members, isWanted)) {
       std::erase_if(members, std::not_fn(isWanted));
     }
   };
-  prefer([&](const core::Member& member) {
-    return !call.avoid.contains(member.id.name);
+  prefer([&](const core::Member* member) {
+    return !call.avoid.contains(member->id.name);
   });
-  prefer([](const core::Member& member) {
-    return member.state == core::MemberState::Alive;
+  prefer([](const core::Member* member) {
+    return member->state == core::MemberState::Alive;
   });
   if (members.empty()) {
     return nullptr;
   }
   std::vector<core::DispatcherCandidate> candidates;
   candidates.reserve(members.size());
-  for (const auto& member : members) {
+  for (const auto* member : members) {
     candidates.push_back(
-      candidateOf(member, call.work.target, mInFlight->load));
+      candidateOf(*member, call.work.target, mInFlight->load));
   }
   const auto index = mChooser(candidates, call.work.prefix, mInFlight->random);
-  return mNode.members().find(members[index].id);
+  return members[index];
 }
 
 net::Awaitable<DispatchResult>
--- a/src/entry/dispatch_client.h
+++ b/src/entry/dispatch_client.h
@@ -61,6 +61,8 @@
 private:
   struct InFlight;
 
+  const std::vector<core::Member>& liveDispatchers();
+  /// Valid until the next suspension of the caller.
   const core::Member* chooseFor(const DispatchCall& call);
 
   node::Node& mNode;
--- a/src/net/link_client.cpp
+++ b/src/net/link_client.cpp
@@ -74,7 +74,7 @@
     co_return connectError;
   }
   while (connecting) {
-    connectWake.expires_after(std::chrono::hours(1));
+    // connect() has set the expiry: setting it here would wake the others.
     boost::system::error_code ignored;
     co_await connectWake.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
@@ -87,6 +87,7 @@
 {
   const auto self = shared_from_this();
   connecting = true;
+  connectWake.expires_at(asio::steady_timer::time_point::max());
   boost::system::error_code error;
   beast::tcp_stream stream(io);
   const auto address = asio::ip::make_address(endpoint.address, error);
--- a/tests/entry/order_loss_test.cpp
+++ b/tests/entry/order_loss_test.cpp
@@ -53,6 +53,41 @@
   });
 }
 
+// Guards against an order that is lost with the home that it was relayed to.
+TEST_F(OrderLoss, HomeLostDuringARelayIsUnknown)
+{
+  mFirst.engine = mSecond.engine = silentEngine;
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    const auto relayed = startOrder(mOther, body);
+    co_await until(
+      [&] { return mFirst.runs.size() + mSecond.runs.size() > 0; });
+    mEntry.becomeUnreachable();
+    co_await until([&] { return relayed->status != 0; });
+    EXPECT_EQ(relayed->verdict(), "unknown");
+    EXPECT_EQ(relayed->reason(), "home_lost");
+    EXPECT_EQ(mFirst.runs.size() + mSecond.runs.size(), 1U);
+  });
+}
+
+// Guards against a process that was paused and sends work past its deadline.
+TEST_F(OrderLoss, NothingIsSentAfterTheDeadline)
+{
+  run([&]() -> net::Awaitable<void> {
+    DispatchCall call;
+    call.attempt = { "idem-1", 1 };
+    call.work.target = "note";
+    call.remaining = core::Millis(0);
+    const auto result =
+      co_await mEntry.app().dispatchClient().run(std::move(call));
+    EXPECT_EQ(result.outcome.verdict, core::Verdict::NotRun);
+    EXPECT_EQ(result.outcome.reason, "deadline");
+    EXPECT_FALSE(result.sent);
+    EXPECT_TRUE(mFirst.runs.empty());
+    EXPECT_TRUE(mSecond.runs.empty());
+  });
+}
+
 TEST_F(OrderLoss, HomeLostAfterDoneIsDoneWithoutItsAnswer)
 {
   run([&]() -> net::Awaitable<void> {
