--- a/src/entry/repeatable_attempts.cpp
+++ b/src/entry/repeatable_attempts.cpp
@@ -28,6 +28,14 @@
   return "idem-" + std::to_string(bits);
 }
 
+/// Whether a dispatcher refused because of its own state.
+bool
+isRefusalOfProcess(const std::string& reason)
+{
+  return reason == "leaving" || reason == "cut_off" ||
+         reason == "other_incarnation";
+}
+
 /// Full jitter: the whole wait is random, so that requests that failed together
 /// do not come back together.
 Millis
@@ -59,6 +67,9 @@
   Outcome outcome;
   std::vector<core::Chunk> answer;
   bool hasWinner = false;
+  /// The last failure cost no backend server anything, so that another attempt
+  /// adds no load.
+  bool wasFree = false;
   /// Some attempt was not proved not to have run.
   bool mayHaveRun = false;
 
@@ -115,6 +126,8 @@
     co_return;
   }
   race->outcome = *outcome;
+  race->wasFree = outcome->verdict == Verdict::NotRun &&
+                  (!result.sent || isRefusalOfProcess(outcome->reason));
   race->mayHaveRun |= outcome->verdict != Verdict::NotRun;
   if (outcome->verdict == Verdict::Done) {
     race->hasWinner = true;
@@ -128,7 +141,8 @@
 {
   return race.attempts < kMaxAttempts &&
          isWorthAnotherDispatcher(race.outcome.reason) &&
-         race.run->remaining() > Millis(0) && mHooks.mayTryAgain();
+         race.run->remaining() > Millis(0) &&
+         (race.wasFree || mHooks.mayTryAgain());
 }
 
 net::Awaitable<Outcome>
--- a/tests/entry/calls_test.cpp
+++ b/tests/entry/calls_test.cpp
@@ -34,6 +34,25 @@
   });
 }
 
+// Guards against bodies that are changed or refused because they are not text.
+TEST_F(Calls, BinaryBodyPassesThroughUnchanged)
+{
+  run([&]() -> net::Awaitable<void> {
+    std::string body;
+    for (int i = 0; i < 256; ++i) {
+      body += static_cast<char>(i);
+    }
+    auto request = requestOf(newId(mEntry));
+    request.body = body;
+    const std::vector<TestEntry*> entries{ &mEntry, &mOther };
+    for (auto* entry : entries) {
+      const auto answer = co_await send(*entry, request);
+      EXPECT_EQ(answer.status, 201);
+      EXPECT_EQ(answer.body, body);
+    }
+  });
+}
+
 // Guards against an unrepeatable call that a duplicate repeats.
 TEST_F(Calls, DuplicateGetsTheRecordedAnswer)
 {
--- a/tests/entry/repeatable_test.cpp
+++ b/tests/entry/repeatable_test.cpp
@@ -114,6 +114,24 @@
   });
 }
 
+// Guards against idempotent work that fails with the dispatchers that leave in
+// a rolling restart: their refusals add no load and need no budget.
+TEST_F(Repeatable, LeavingDispatcherCostsNoBudget)
+{
+  mFirst.refuseWith = "leaving";
+  RetryHooks hooks;
+  hooks.mayTryAgain = [] { return false; };
+  auto& entry = entryWith(hooks);
+  run([&]() -> net::Awaitable<void> {
+    for (int i = 0; i < 10; ++i) {
+      const auto answer =
+        co_await order(entry, orderBody(newId(entry), "one", true));
+      EXPECT_EQ(answer.verdict(), "done");
+    }
+    EXPECT_EQ(mSecond.runs.size(), 10U);
+  });
+}
+
 // Guards against a claim of not_run from the last attempt when an earlier one
 // may have run.
 TEST_F(Repeatable, RefusedRetryDoesNotHideTheFirstAttempt)
