--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -77,36 +77,17 @@
   });
 }
 
-double
-Scheduler::streamRate(const std::string& target) const
+Scheduler::TargetRates
+Scheduler::ratesOf(const std::string& target) const
 {
-  for (const auto index : mServers.serving(target)) {
-    const double rate = mHealth.peerRate(mServers.at(index).server.id);
-    if (rate > 0) {
-      return rate;
-    }
-  }
-  return 0;
-}
-
-double
-Scheduler::capacity(const std::string& target, TimePoint now) const
-{
-  double slots = 0;
-  for (const auto index : mServers.serving(target)) {
-    const auto& state = mServers.at(index);
-    if (state.open(now)) {
-      slots += static_cast<double>(state.server.slots) *
-               mHealth.share(state.server.id);
-    }
-  }
-  return slots * streamRate(target);
+  const auto found = mRates.find(target);
+  return found == mRates.end() ? TargetRates{} : found->second;
 }
 
 Millis
 Scheduler::runTime(const Submission& submission, const CostEstimate& cost) const
 {
-  const double rate = streamRate(submission.work.target);
+  const double rate = ratesOf(submission.work.target).stream;
   return cost.known && rate > 0 ? toMillis(cost.tokens / rate) : Millis(0);
 }
 
@@ -123,7 +104,7 @@
   const auto& queue = found->second;
   const auto& row = submission.row;
   const RowKey flow{ row.principal, row.kind };
-  const double rate = capacity(target, now);
+  const double rate = ratesOf(target).capacity;
   double seconds = 0;
   if (rate > 0) {
     // With work waiting, all slots are busy; on average a slot becomes free
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -165,9 +165,18 @@
     std::vector<Segment> segments;
   };
 
+  /// Rates of a target's servers, measured with each comparison.
+  struct TargetRates
+  {
+    /// Tokens per second of one request.
+    double stream = 0;
+    /// Tokens per second of all open servers with all slots in use.
+    double capacity = 0;
+  };
+
   bool placeable(const std::string& target, const Work& work) const;
-  double capacity(const std::string& target, TimePoint now) const;
-  double streamRate(const std::string& target) const;
+  TargetRates measure(const std::string& target, TimePoint now) const;
+  TargetRates ratesOf(const std::string& target) const;
   Millis runTime(const Submission& submission, const CostEstimate& cost) const;
   ChoiceRequest choiceFor(const Job& job) const;
   ServerView view(TimePoint now) const;
@@ -202,6 +211,7 @@
   /// comes first for ever.
   std::string mLastTarget;
   TimePoint mComparedAt;
+  std::map<std::string, TargetRates> mRates;
 };
 
 } // namespace lentilrack::core
--- a/src/core/scheduler_course.cpp
+++ b/src/core/scheduler_course.cpp
@@ -246,6 +246,23 @@
   }
 }
 
+Scheduler::TargetRates
+Scheduler::measure(const std::string& target, TimePoint now) const
+{
+  TargetRates rates;
+  double slots = 0;
+  for (const auto index : mServers.serving(target)) {
+    const auto& state = mServers.at(index);
+    const auto& id = state.server.id;
+    rates.stream = rates.stream > 0 ? rates.stream : mHealth.peerRate(id);
+    if (state.open(now)) {
+      slots += static_cast<double>(state.server.slots) * mHealth.share(id);
+    }
+  }
+  rates.capacity = slots * rates.stream;
+  return rates;
+}
+
 void
 Scheduler::compareServers(TimePoint now)
 {
@@ -255,6 +272,7 @@
       names.push_back(mServers.at(index).server.id);
     }
     mHooks.compareServers(mHealth, names, now);
+    mRates[target] = measure(target, now);
   }
 }
 
@@ -299,7 +317,7 @@
     }
     const auto queue = mQueues.find(target);
     load.queuedTokens = queue == mQueues.end() ? 0 : queue->second.tokens();
-    load.tokenRate = capacity(target, now);
+    load.tokenRate = ratesOf(target).capacity;
   }
   return loads;
 }
