--- a/src/dispatch/dispatch_app.cpp
+++ b/src/dispatch/dispatch_app.cpp
@@ -21,6 +21,18 @@
   return pcg32(seed);
 }
 
+WeightUpdaterOptions
+updaterOptions(const node::Node& node, const std::string& policy)
+{
+  WeightUpdaterOptions options;
+  options.store = node.settings().weightStore;
+  options.failureDomain = node.settings().failureDomain;
+  if (policy == "baseline") {
+    options.policy = core::baselineWeightRolloutPolicy();
+  }
+  return options;
+}
+
 } // namespace
 
 DispatchApp::DispatchApp(node::Node& node, DispatchOptions options)
@@ -34,19 +46,47 @@
       mFencing,
       [this](const std::string& server) { mMonitor.raiseFencing(server); })
   , mEngines(node.http())
-  , mUpdater(std::make_shared<WeightUpdater>(
-      node.io(),
-      node.http(),
-      node.metrics(),
-      node.log().part("weights"),
-      WeightUpdaterOptions{ node.settings().weightStore,
-                            node.settings().failureDomain,
-                            !node.settings().dataDirectory.empty() },
-      updaterHooks()))
+  , mUpdater(
+      std::make_shared<WeightUpdater>(node.io(),
+                                      node.http(),
+                                      node.metrics(),
+                                      node.log().part("weights"),
+                                      updaterOptions(node, options.policy),
+                                      updaterHooks()))
 {
   mService.addHandlers(node.linkServer());
+  openWeightCache();
   mMonitor.keepOwned(
     [this] { return mService.draining() && !mService.inFlight().empty(); });
+  addReports();
+}
+
+void
+DispatchApp::openWeightCache()
+{
+  const auto& settings = mNode.settings();
+  if (settings.dataDirectory.empty() || settings.weightStore.port == 0) {
+    return;
+  }
+  WeightCacheOptions options;
+  options.store = settings.weightStore;
+  options.directory = settings.dataDirectory + "/weights";
+  options.backoff = core::loadBackoff;
+  mCache = std::make_shared<WeightCache>(mNode.io(),
+                                         mNode.http(),
+                                         mNode.metrics(),
+                                         mNode.log().part("cache"),
+                                         options);
+  if (!mCache->open()) {
+    mNode.log().warning("Weights are read through from the store.");
+  }
+  mCache->addRoutes(mNode.router());
+}
+
+void
+DispatchApp::addReports()
+{
+  auto& node = mNode;
   node.setLoadReport([this] {
     return mService.draining() ? std::map<std::string, core::TargetLoad>{}
                                : mScheduler.load(core::Clock::now());
