--- /dev/null
+++ b/tests/dispatch/dispatch_service_test.cpp
@@ -0,0 +1,255 @@
+#include "dispatch_fixture.h"
+
+#include "standins/answer_text.h"
+
+namespace lentilrack::dispatch {
+
+namespace {
+
+using core::Verdict;
+using net::Awaitable;
+
+standins::FleetConfig
+configOf(std::int64_t engines, std::int64_t slots, bool checksFencing)
+{
+  standins::FleetConfig config;
+  config.delay = standins::Microseconds(0);
+  standins::EngineStandin::Options engine;
+  engine.model = "m";
+  engine.slots = slots;
+  engine.tokenRate = 500;
+  engine.reportLag = core::Millis(0);
+  engine.checksFencing = checksFencing;
+  config.engines = { { "m", engines, engine } };
+  standins::ServiceStandin::Options service;
+  service.service = "stock";
+  config.services = { { "stock", 1, service } };
+  return config;
+}
+
+class DispatchServiceTest : public DispatchFixture
+{
+protected:
+  DispatchServiceTest()
+    : DispatchFixture(configOf(2, 1, false))
+  {
+  }
+};
+
+class FencingTest : public DispatchFixture
+{
+protected:
+  FencingTest()
+    : DispatchFixture(configOf(1, 1, true))
+  {
+  }
+};
+
+} // namespace
+
+TEST_F(DispatchServiceTest, RunsAnOrderAndStreamsItsAnswer)
+{
+  run([&]() -> Awaitable<void> {
+    auto request = order("r", 20);
+    const auto outcome = co_await send(std::move(request));
+    EXPECT_EQ(outcome.verdict, Verdict::Done);
+    EXPECT_EQ(outcome.totalTokens, 20);
+    EXPECT_EQ(mText, standins::AnswerText("prompt").text(0, 20));
+    const auto reply = co_await bar("r");
+    EXPECT_EQ(reply->state, wire::BarState::Finished);
+    EXPECT_EQ(reply->outcome->verdict, Verdict::Done);
+  });
+}
+
+TEST_F(DispatchServiceTest, RunsACallToAPlainService)
+{
+  run([&]() -> Awaitable<void> {
+    auto request = order("c");
+    request.work.type = core::WorkType::Call;
+    request.work.target = "stock";
+    request.work.call.path = "lentils";
+    request.work.call.body = "{}";
+    const auto outcome = co_await send(std::move(request));
+    EXPECT_EQ(outcome.verdict, Verdict::Done);
+    EXPECT_EQ(outcome.httpStatus, 200);
+    EXPECT_EQ(mFleet.services()[0]->calls().size(), 1U);
+    EXPECT_EQ(mFleet.services()[0]->calls()[0].requestId, "c");
+  });
+}
+
+// Guards against a restarted dispatcher that runs what was meant for the run
+// before it, which may have run it already.
+TEST_F(DispatchServiceTest, RefusesWorkForAnotherIncarnation)
+{
+  run([&]() -> Awaitable<void> {
+    auto request = order("r");
+    ++request.dispatcher.incarnation;
+    const auto outcome = co_await send(std::move(request));
+    EXPECT_EQ(outcome.verdict, Verdict::NotRun);
+    EXPECT_EQ(outcome.reason, "other_incarnation");
+    EXPECT_EQ(runs(), 0U);
+    wire::BarRequest message{ "r", mNode->self() };
+    ++message.dispatcher.incarnation;
+    auto body = wire::encode(message);
+    const auto reply = co_await mLink->call("bar", std::move(body));
+    EXPECT_TRUE(reply.error);
+  });
+}
+
+// Guards against an order that runs after its caller was told "not run".
+TEST_F(DispatchServiceTest, BarredOrderNeverRuns)
+{
+  run([&]() -> Awaitable<void> {
+    const auto reply = co_await bar("r");
+    EXPECT_EQ(reply->state, wire::BarState::Barred);
+    auto request = order("r");
+    const auto outcome = co_await send(std::move(request));
+    EXPECT_EQ(outcome.verdict, Verdict::NotRun);
+    EXPECT_EQ(runs(), 0U);
+  });
+}
+
+TEST_F(DispatchServiceTest, BarTakesAQueuedOrderOut)
+{
+  run([&]() -> Awaitable<void> {
+    for (const auto* name : { "a", "b", "queued" }) {
+      net::spawn(mIo, sendOnly(order(name, 100)));
+    }
+    co_await untilRuns(2);
+    const auto reply = co_await bar("queued");
+    EXPECT_EQ(reply->state, wire::BarState::Barred);
+    co_await untilOutcomes(3);
+    EXPECT_EQ(mOutcomes[0].verdict, Verdict::NotRun);
+    EXPECT_EQ(mOutcomes[0].reason, "barred");
+    EXPECT_EQ(runs(), 2U);
+  });
+}
+
+// Guards against cutting an order that must not be repeated because the link
+// to its home was lost: its outcome must stay known.
+TEST_F(DispatchServiceTest, LostLinkLeavesANonIdempotentOrderRunning)
+{
+  run([&]() -> Awaitable<void> {
+    net::spawn(mIo, sendOnly(order("r", 100)));
+    co_await untilRuns(1);
+    mLink = link();
+    core::Outcome finished;
+    for (;;) {
+      const auto reply = co_await bar("r");
+      if (reply->state == wire::BarState::Finished) {
+        finished = *reply->outcome;
+        break;
+      }
+      EXPECT_EQ(reply->state, wire::BarState::Started);
+      co_await net::sleepFor(core::Millis(10));
+    }
+    EXPECT_EQ(finished.verdict, Verdict::Done);
+    EXPECT_EQ(finished.totalTokens, 100);
+  });
+}
+
+// Guards against engines that go on with work that nobody waits for.
+TEST_F(DispatchServiceTest, CancelEndsIdempotentWorkAtTheEngine)
+{
+  run([&]() -> Awaitable<void> {
+    auto request = order("r", 100'000);
+    request.work.idempotent = true;
+    net::spawn(mIo, sendOnly(std::move(request)));
+    const auto hasText = [&] { return !mText.empty(); };
+    co_await until(hasText);
+    mCancel->cancel();
+    co_await untilOutcomes(1);
+    EXPECT_EQ(mOutcomes[0].verdict, Verdict::Unknown);
+    EXPECT_EQ(mOutcomes[0].reason, "cancelled");
+    const auto isIdle = [&] {
+      return std::ranges::all_of(mFleet.engines(), [](const auto& engine) {
+        return engine->slots().running() == 0;
+      });
+    };
+    co_await until(isIdle);
+  });
+}
+
+// Guards against an order that is lost because the engine it was sent to is
+// leaving.
+TEST_F(DispatchServiceTest, OrdersAvoidALeavingEngine)
+{
+  run([&]() -> Awaitable<void> {
+    auto& leaving = *mFleet.engines()[0];
+    wire::Json leave;
+    leave["leaving"] = true;
+    co_await control(leaving.server(), leave);
+    for (int i = 0; i < 4; ++i) {
+      auto request = order("r" + std::to_string(i));
+      const auto outcome = co_await send(std::move(request));
+      EXPECT_EQ(outcome.verdict, Verdict::Done) << outcome.reason;
+    }
+    EXPECT_EQ(mFleet.engines()[1]->runs().size(), 4U);
+    const auto isMarked = [&] {
+      const auto* state = mApp->servers().find(leaving.options().id);
+      return state != nullptr && state->reportedLeaving;
+    };
+    co_await until(isMarked);
+  });
+}
+
+// Guards against an order that starts after its deadline.
+TEST_F(DispatchServiceTest, OrdersPastTheirDeadlineDoNotRun)
+{
+  run([&]() -> Awaitable<void> {
+    net::spawn(mIo, sendOnly(order("a", 1000)));
+    net::spawn(mIo, sendOnly(order("b", 1000)));
+    co_await untilRuns(2);
+    auto request = order("late");
+    request.remaining = core::Millis(50);
+    const auto outcome = co_await send(std::move(request));
+    EXPECT_EQ(outcome.verdict, Verdict::NotRun);
+    EXPECT_EQ(runs(), 2U);
+  });
+}
+
+TEST_F(DispatchServiceTest, DrainingRefusesNewWorkAndFinishesOld)
+{
+  run([&]() -> Awaitable<void> {
+    net::spawn(mIo, sendOnly(order("old", 100)));
+    co_await untilRuns(1);
+    mApp->drain();
+    auto request = order("new");
+    const auto refused = co_await send(std::move(request));
+    EXPECT_EQ(refused.reason, "leaving");
+    co_await untilOutcomes(2);
+    EXPECT_EQ(mOutcomes[1].verdict, Verdict::Done);
+    EXPECT_TRUE(mApp->hooks().inFlight().empty());
+  });
+}
+
+TEST_F(DispatchServiceTest, MalformedMessagesRunNothing)
+{
+  run([&]() -> Awaitable<void> {
+    auto body = wire::encode(order("r"));
+    body["surprise"] = 1;
+    const auto reply = co_await mLink->call("dispatch", body);
+    const auto outcome = wire::decode<core::Outcome>(reply.body);
+    EXPECT_EQ(outcome.value().verdict, Verdict::NotRun);
+    EXPECT_EQ(runs(), 0U);
+  });
+}
+
+// Guards against an old owner's number, which a checking engine refuses.
+TEST_F(FencingTest, RaisesTheNumberAndUsesIt)
+{
+  run([&]() -> Awaitable<void> {
+    const auto id = mFleet.engines()[0]->options().id;
+    const auto isReleased = [&] {
+      return mApp->servers().find(id)->holds == 0;
+    };
+    co_await until(isReleased);
+    auto first = order("a");
+    const auto done = co_await send(std::move(first));
+    EXPECT_EQ(done.verdict, Verdict::Done) << done.reason;
+    const auto entry = co_await mNode->kv().read("fence/" + id);
+    EXPECT_EQ(entry.value().value, 1);
+  });
+}
+
+} // namespace lentilrack::dispatch
