Keep the JSON of a process identifier alive while it is decoded

ObjectReader refers to its value. readProcess() gave it a temporary, so that every dispatch and bar message was read after free; such calls no longer compile.

--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -108,7 +108,8 @@
 core::ProcessId
 readProcess(ObjectReader& outer, const char* field)
 {
-  ObjectReader reader(outer.required<Json>(field), field);
+  const auto value = outer.required<Json>(field);
+  ObjectReader reader(value, field);
   core::ProcessId id{ reader.required<std::string>("name"),
                       reader.required<std::uint64_t>("incarnation") };
   reader.finish();
--- a/src/wire/object_reader.h
+++ b/src/wire/object_reader.h
@@ -47,6 +47,8 @@
   /// Throws DecodeException if `value` is not an object. `path` prefixes the
   /// field names in errors.
   explicit ObjectReader(const Json& value, std::string path = "");
+  /// The reader keeps a reference, so that a temporary would dangle.
+  explicit ObjectReader(Json&& value, std::string path = "") = delete;
 
   template<typename T>
   T required(const char* name)
--- a/tests/dispatch/dispatch_service_test.cpp
+++ b/tests/dispatch/dispatch_service_test.cpp
@@ -112,10 +112,12 @@
 TEST_F(DispatchServiceTest, BarTakesAQueuedOrderOut)
 {
   run([&]() -> Awaitable<void> {
-    for (const auto* name : { "a", "b", "queued" }) {
-      net::spawn(mIo, sendOnly(order(name, 100)));
-    }
+    net::spawn(mIo, sendOnly(order("a", 1000)));
+    net::spawn(mIo, sendOnly(order("b", 1000)));
     co_await untilRuns(2);
+    net::spawn(mIo, sendOnly(order("queued", 100)));
+    const auto isQueued = [&] { return mApp->scheduler().queued() == 1; };
+    co_await until(isQueued);
     const auto reply = co_await bar("queued");
     EXPECT_EQ(reply->state, wire::BarState::Barred);
     co_await untilOutcomes(3);
