--- a/src/dispatch/dispatch_service.cpp
+++ b/src/dispatch/dispatch_service.cpp
@@ -129,7 +129,8 @@
   core::Submission submission{ std::move(message.attempt),
                                std::move(message.work),
                                {},
-                               now + message.remaining };
+                               now + message.remaining -
+                                 mPauseGuard.unreadTime(now) };
   submission.row = rowOf(submission.work);
   const auto result = mScheduler.submit(std::move(submission), now);
   if (const auto* refusal = std::get_if<core::Outcome>(&result)) {
@@ -186,10 +187,6 @@
   while (auto start = mScheduler.next(now)) {
     net::spawn(mNode.io(), run(std::move(*start)));
   }
-  for (const auto job : mScheduler.preemptions(now)) {
-    mNode.metrics().increment("dispatch_preemptions_total");
-    cancelRun(job);
-  }
 }
 
 Awaitable<void>
@@ -197,7 +194,13 @@
 {
   for (;;) {
     co_await net::sleepFor(kTick);
+    mPauseGuard.tick(Clock::now());
     pump();
+    // Looks at every job, so it is not part of each pump().
+    for (const auto job : mScheduler.preemptions(Clock::now())) {
+      mNode.metrics().increment("dispatch_preemptions_total");
+      cancelRun(job);
+    }
   }
 }
 
--- a/src/dispatch/dispatch_service.h
+++ b/src/dispatch/dispatch_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pause_guard.h"
 #include "core/scheduler.h"
 #include "dispatch/fencing.h"
 #include "node/node.h"
@@ -32,7 +33,7 @@
   void addHandlers(net::LinkServer& server);
   /// Starts everything that can start now, and ends what no longer can.
   void pump();
-  /// Calls pump() in short intervals until the process ends.
+  /// Calls pump() and preempts in short intervals until the process ends.
   net::Awaitable<void> tickLoop();
 
   /// Refuses new work from now on.
@@ -76,6 +77,7 @@
   platform::EngineClient mEngines;
   platform::ServiceClient mServices;
   std::map<core::JobId, Active> mActive;
+  core::PauseGuard mPauseGuard;
   bool mDraining = false;
 };
 
--- a/tests/dispatch/dispatch_service_test.cpp
+++ b/tests/dispatch/dispatch_service_test.cpp
@@ -135,6 +135,8 @@
     net::spawn(mIo, sendOnly(order("r", 100)));
     co_await untilRuns(1);
     mLink = link();
+    co_await untilOutcomes(1);
+    EXPECT_EQ(mOutcomes[0].reason, "no_reply");
     core::Outcome finished;
     for (;;) {
       const auto reply = co_await bar("r");
@@ -150,6 +152,22 @@
   });
 }
 
+TEST_F(DispatchServiceTest, LostLinkCancelsIdempotentWork)
+{
+  run([&]() -> Awaitable<void> {
+    auto request = order("r", 100'000);
+    request.work.idempotent = true;
+    net::spawn(mIo, sendOnly(std::move(request)));
+    const auto hasText = [&] { return !mText.empty(); };
+    co_await until(hasText);
+    mLink = link();
+    const auto isIdle = [&] { return mApp->hooks().inFlight().empty(); };
+    co_await until(isIdle);
+    const auto reply = co_await bar("r");
+    EXPECT_EQ(reply->outcome->verdict, Verdict::Unknown);
+  });
+}
+
 // Guards against engines that go on with work that nobody waits for.
 TEST_F(DispatchServiceTest, CancelEndsIdempotentWorkAtTheEngine)
 {
