--- a/src/dispatch/dispatch_app.cpp
+++ b/src/dispatch/dispatch_app.cpp
@@ -14,15 +14,6 @@
   return policy == "baseline" ? core::baselineHooks() : core::defaultHooks();
 }
 
-WeightUpdaterOptions
-updaterOptions(const node::NodeSettings& settings)
-{
-  WeightUpdaterOptions options;
-  options.store = settings.weightStore;
-  options.failureDomain = settings.failureDomain;
-  return options;
-}
-
 pcg32
 seededRandom()
 {
@@ -30,6 +21,18 @@
   return pcg32(seed);
 }
 
+WeightUpdaterOptions
+updaterOptions(const node::Node& node, const std::string& policy)
+{
+  WeightUpdaterOptions options;
+  options.store = node.settings().weightStore;
+  options.failureDomain = node.settings().failureDomain;
+  if (policy == "baseline") {
+    options.policy = core::baselineWeightRolloutPolicy();
+  }
+  return options;
+}
+
 } // namespace
 
 DispatchApp::DispatchApp(node::Node& node, DispatchOptions options)
@@ -43,17 +46,48 @@
       mFencing,
       [this](const std::string& server) { mMonitor.raiseFencing(server); })
   , mEngines(node.http())
-  , mUpdater(std::make_shared<WeightUpdater>(node.io(),
-                                             node.http(),
-                                             node.metrics(),
-                                             node.log().part("weights"),
-                                             updaterOptions(node.settings()),
-                                             updaterHooks()))
+  , mUpdater(
+      std::make_shared<WeightUpdater>(node.io(),
+                                      node.http(),
+                                      node.metrics(),
+                                      node.log().part("weights"),
+                                      updaterOptions(node, options.policy),
+                                      updaterHooks()))
 {
-  openCache();
   mService.addHandlers(node.linkServer());
+  openWeightCache();
   mMonitor.keepOwned(
     [this] { return mService.draining() && !mService.inFlight().empty(); });
+  addReports();
+}
+
+void
+DispatchApp::openWeightCache()
+{
+  const auto& settings = mNode.settings();
+  if (settings.dataDirectory.empty() || settings.weightStore.port == 0) {
+    return;
+  }
+  WeightCacheOptions options;
+  options.store = settings.weightStore;
+  options.directory = settings.dataDirectory + "/weights";
+  options.backoff = core::loadBackoff;
+  mCache = std::make_shared<WeightCache>(mNode.io(),
+                                         mNode.http(),
+                                         mNode.metrics(),
+                                         mNode.log().part("cache"),
+                                         options);
+  mNode.members().self().hasWeightCache = mCache->open();
+  if (!mNode.members().self().hasWeightCache) {
+    mNode.log().warning("Weights are read through from the store.");
+  }
+  mCache->addRoutes(mNode.router());
+}
+
+void
+DispatchApp::addReports()
+{
+  auto& node = mNode;
   node.setLoadReport([this] {
     return mService.draining() ? std::map<std::string, core::TargetLoad>{}
                                : mScheduler.load(core::Clock::now());
@@ -97,29 +131,6 @@
   return hooks;
 }
 
-void
-DispatchApp::openCache()
-{
-  const auto& settings = mNode.settings();
-  if (settings.dataDirectory.empty() || settings.weightStore.port == 0) {
-    return;
-  }
-  WeightCacheOptions options;
-  options.store = settings.weightStore;
-  options.directory = settings.dataDirectory + "/weights";
-  mCache = std::make_shared<WeightCache>(mNode.io(),
-                                         mNode.http(),
-                                         mNode.metrics(),
-                                         mNode.log().part("cache"),
-                                         std::move(options));
-  if (mCache->open()) {
-    mCache->addRoutes(mNode.router());
-  } else {
-    mCache.reset();
-  }
-  mNode.members().self().hasWeightCache = mCache != nullptr;
-}
-
 WeightUpdaterHooks
 DispatchApp::updaterHooks()
 {
--- a/src/dispatch/dispatch_app.h
+++ b/src/dispatch/dispatch_app.h
@@ -43,7 +43,8 @@
 
 private:
   wire::Json dump() const;
-  void openCache();
+  void addReports();
+  void openWeightCache();
   WeightUpdaterHooks updaterHooks();
   std::vector<OwnedEngine> ownedEngines() const;
   std::vector<WeightCacheAddress> weightCaches() const;
@@ -59,7 +60,7 @@
   DispatchService mService;
   platform::EngineClient mEngines;
   std::shared_ptr<WeightUpdater> mUpdater;
-  /// Null on instances without a usable data directory.
+  /// Null without a data directory.
   std::shared_ptr<WeightCache> mCache;
 };
 
