--- a/src/dispatch/chunk_store.cpp
+++ b/src/dispatch/chunk_store.cpp
@@ -19,6 +19,7 @@
 constexpr const char* kTemporary = ".tmp";
 constexpr std::size_t kNameParts = 4;
 constexpr std::size_t kLongestModel = 128;
+constexpr std::size_t kChecksumDigits = 16;
 
 bool
 isNameCharacter(char c)
@@ -27,6 +28,13 @@
          (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-' || c == '~';
 }
 
+bool
+isChecksum(const std::string& text)
+{
+  return text.size() == kChecksumDigits &&
+         text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
 std::string
 fileName(const ChunkKey& key, const std::string& checksum)
 {
@@ -50,7 +58,8 @@
   for (std::string part; std::getline(stream, part, kSeparator);) {
     parts.push_back(part);
   }
-  if (parts.size() != kNameParts || !isCacheableModel(parts[0])) {
+  if (parts.size() != kNameParts || !isCacheableModel(parts[0]) ||
+      !isChecksum(parts[3])) {
     return std::nullopt;
   }
   const auto version = parseCount(parts[1]);
--- /dev/null
+++ b/tests/dispatch/weight_cache_test.cpp
@@ -0,0 +1,196 @@
+#include "dispatch/weight_cache.h"
+
+#include "dispatch/fake_weight_store.h"
+#include "platform/error.h"
+#include "support/io_test.h"
+#include "support/temporary_directory.h"
+
+namespace lentilrack::dispatch {
+
+namespace {
+
+using core::Millis;
+using net::Awaitable;
+using testing::FakeWeightStore;
+
+class WeightCacheTest : public testing::IoTest
+{
+protected:
+  std::shared_ptr<WeightCache> makeCache(std::uint64_t limit = 1'000'000)
+  {
+    WeightCacheOptions options;
+    options.store = mStore.endpoint;
+    options.directory = mDirectory.path().string();
+    options.diskLimit = limit;
+    options.downloadTime = Millis(500);
+    options.pollWait = Millis(100);
+    options.pollRetry = Millis(5);
+    options.backoff = [](std::int64_t, double) { return Millis(5); };
+    auto cache = std::make_shared<WeightCache>(
+      mIo, mHttp, mMetrics, net::Logger("test"), std::move(options));
+    EXPECT_TRUE(cache->open());
+    return cache;
+  }
+
+  /// Serves the cache as a dispatcher does; clients use it like the store.
+  core::Endpoint serve(const std::shared_ptr<WeightCache>& cache)
+  {
+    cache->addRoutes(mRouter);
+    return mServer.listen({ "127.0.0.1", 0 }).value();
+  }
+
+  Awaitable<void> readInto(std::shared_ptr<WeightCache> cache, ChunkKey key)
+  {
+    auto result = co_await cache->chunk(key);
+    if (result) {
+      mRead.push_back(std::move(result.value()));
+    } else {
+      mErrors.push_back(result.error());
+    }
+  }
+
+  testing::TemporaryDirectory mDirectory;
+  FakeWeightStore mStore{ mIo };
+  net::HttpClient mHttp{ mIo };
+  net::Metrics mMetrics;
+  net::HttpRouter mRouter;
+  net::HttpServer mServer{ mIo, {}, [this](net::HttpExchange& exchange) {
+                            return mRouter.handle(exchange);
+                          } };
+  std::vector<std::string> mRead;
+  std::vector<std::error_code> mErrors;
+};
+
+const ChunkKey kFirst{ "model", 3, 0 };
+
+} // namespace
+
+// Guards the limit of one read of the store per failure domain.
+TEST_F(WeightCacheTest, ManyRequestsReadTheStoreOnce)
+{
+  const auto cache = makeCache();
+  run([&]() -> Awaitable<void> {
+    for (int i = 0; i < 20; ++i) {
+      net::spawn(mIo, readInto(cache, kFirst));
+    }
+    co_await until([&] { return mRead.size() == 20; });
+    co_await readInto(cache, kFirst);
+  });
+  EXPECT_EQ(mRead.size(), 21U);
+  for (const auto& data : mRead) {
+    EXPECT_EQ(data, FakeWeightStore::contentOf("3", "0"));
+  }
+  EXPECT_EQ(mStore.reads["3/0"], 1);
+}
+
+TEST_F(WeightCacheTest, RestartedCacheServesFromItsDisk)
+{
+  run([&]() -> Awaitable<void> {
+    const auto first = makeCache();
+    co_await readInto(first, kFirst);
+    mStore.down = true;
+    const auto second = makeCache();
+    co_await readInto(second, kFirst);
+  });
+  EXPECT_EQ(mRead.size(), 2U);
+  EXPECT_EQ(mStore.reads["3/0"], 1);
+}
+
+// Guards against passing on or keeping a chunk that was damaged on the way.
+TEST_F(WeightCacheTest, DamagedDownloadIsReadAgain)
+{
+  mStore.corrupted = 2;
+  const auto cache = makeCache();
+  run([&]() -> Awaitable<void> { co_await readInto(cache, kFirst); });
+  ASSERT_EQ(mRead.size(), 1U);
+  EXPECT_EQ(mRead[0], FakeWeightStore::contentOf("3", "0"));
+  EXPECT_EQ(mStore.reads["3/0"], 3);
+}
+
+TEST_F(WeightCacheTest, RateLimitDelaysTheDownload)
+{
+  mStore.rateLimited = 3;
+  const auto cache = makeCache();
+  run([&]() -> Awaitable<void> { co_await readInto(cache, kFirst); });
+  EXPECT_EQ(mRead.size(), 1U);
+}
+
+// Guards against a failed download failing later requests too.
+TEST_F(WeightCacheTest, FailedDownloadEndsWithAnErrorAndCanBeRepeated)
+{
+  mStore.down = true;
+  const auto cache = makeCache();
+  run([&]() -> Awaitable<void> {
+    co_await readInto(cache, kFirst);
+    mStore.down = false;
+    co_await readInto(cache, kFirst);
+  });
+  EXPECT_EQ(mErrors.size(), 1U);
+  EXPECT_EQ(mRead.size(), 1U);
+}
+
+TEST_F(WeightCacheTest, UnknownChunkIsNotRetried)
+{
+  const auto cache = makeCache();
+  run([&]() -> Awaitable<void> {
+    ChunkKey key{ "model", 3, 9 };
+    co_await readInto(cache, key);
+  });
+  ASSERT_EQ(mErrors.size(), 1U);
+  EXPECT_EQ(mErrors[0], platform::PlatformError::NotFound);
+  EXPECT_EQ(mStore.reads["3/9"], 1);
+}
+
+// Guards against a full disk failing the engines' loads.
+TEST_F(WeightCacheTest, ChunkThatDoesNotFitIsServedAllTheSame)
+{
+  const auto cache = makeCache(10);
+  run([&]() -> Awaitable<void> { co_await readInto(cache, kFirst); });
+  EXPECT_EQ(mRead.size(), 1U);
+  EXPECT_EQ(cache->disk().bytes(), 0U);
+}
+
+TEST_F(WeightCacheTest, SpeaksTheProtocolOfTheStore)
+{
+  mStore.versions["model"] = 3;
+  const auto endpoint = serve(makeCache());
+  platform::WeightStoreClient client(mHttp);
+  run([&]() -> Awaitable<void> {
+    const auto version =
+      co_await client.newest(endpoint, "model", 0, Millis(5000));
+    EXPECT_TRUE(version.has_value());
+    EXPECT_TRUE(version && version.value());
+    EXPECT_EQ(version.value()->version, 3);
+    EXPECT_EQ(version.value()->chunks, 2);
+    const auto none = co_await client.newest(endpoint, "model", 3, Millis(30));
+    EXPECT_TRUE(none.has_value());
+    EXPECT_FALSE(none.value().has_value());
+    const auto chunk = co_await client.chunk(endpoint, "model", 3, 1);
+    EXPECT_TRUE(chunk.has_value());
+    EXPECT_EQ(chunk.value(), FakeWeightStore::contentOf("3", "1"));
+    const auto missing = co_await client.chunk(endpoint, "model", 3, 7);
+    EXPECT_EQ(missing.error(), platform::PlatformError::NotFound);
+  });
+}
+
+// Guards against bad paths reaching the store or the disk.
+TEST_F(WeightCacheTest, BadPathsAreNotFound)
+{
+  const auto endpoint = serve(makeCache());
+  run([&]() -> Awaitable<void> {
+    for (const std::string target : { "/weights/model/-1/0",
+                                      "/weights/model/1x/0",
+                                      "/weights/..%2f/1/0",
+                                      "/weights/.hidden/1/0",
+                                      "/versions/model" }) {
+      net::HttpCall call;
+      call.endpoint = endpoint;
+      call.request.target = target;
+      const auto result = co_await mHttp.call(std::move(call));
+      EXPECT_EQ(result.response.status, 404) << target;
+    }
+  });
+  EXPECT_TRUE(mStore.reads.empty());
+}
+
+} // namespace lentilrack::dispatch
