--- a/src/entry/trainer_api.cpp
+++ b/src/entry/trainer_api.cpp
@@ -89,7 +89,7 @@
 
 struct TrainerApi::State : std::enable_shared_from_this<TrainerApi::State>
 {
-  State(node::Node& owner, RunRollout run);
+  State(node::Node& owner, TrainerHooks trainerHooks);
 
   std::optional<ApiError> authenticate(const HttpExchange& exchange,
                                        std::string* trainer) const;
@@ -117,6 +117,7 @@
   Json dump() const;
 
   node::Node& node;
+  TrainerHooks hooks;
   net::Logger log;
   platform::WeightStoreClient weightStore;
   std::shared_ptr<core::VersionTrack> versions;
@@ -129,8 +130,9 @@
   bool draining = false;
 };
 
-TrainerApi::State::State(node::Node& owner, RunRollout run)
+TrainerApi::State::State(node::Node& owner, TrainerHooks trainerHooks)
   : node(owner)
+  , hooks(std::move(trainerHooks))
   , log(owner.log().part("steps"))
   , weightStore(owner.http())
   , versions(std::make_shared<core::VersionTrack>())
@@ -146,7 +148,7 @@
                                                     log.part("scorer"),
                                                     std::move(options));
   services->versions = versions;
-  services->run = std::move(run);
+  services->run = hooks.run;
   services->capacity = [this](const std::string& model) {
     return capacity(model);
   };
@@ -263,7 +265,9 @@
   }
   auto step = core::Step::open(request.spec, request.opening, request.have);
   if (!step) {
-    return errorResponse(toApiError(step.error()));
+    auto error = toApiError(step.error());
+    error.notRun = true;
+    return errorResponse(error);
   }
   step.value().observeVersion(request.version);
   const auto runner =
@@ -425,7 +429,7 @@
 {
   std::vector<core::Endpoint> live;
   std::vector<core::Endpoint> leaving;
-  for (const auto& server : node.backendServers()) {
+  for (const auto& server : hooks.servers()) {
     if (server.role == core::ServerRole::Scorer) {
       (server.leaving ? leaving : live).push_back(server.endpoint);
     }
@@ -450,7 +454,7 @@
 TrainerApi::State::knowsModel(const std::string& model) const
 {
   // Before the first list has come, nothing can be said against a model.
-  const auto& servers = node.backendServers();
+  const auto servers = hooks.servers();
   return servers.empty() || std::ranges::any_of(servers, [&](const auto& s) {
            return std::ranges::find(s.models, model) != s.models.end();
          });
@@ -543,14 +547,16 @@
 }
 
 TrainerApi::TrainerApi(node::Node& node, DispatchClient& dispatch)
-  : TrainerApi(node, [&dispatch](DispatchCall call) {
-    return dispatch.run(std::move(call));
-  })
+  : TrainerApi(node,
+               { [&dispatch](DispatchCall call) {
+                  return dispatch.run(std::move(call));
+                },
+                 [&node] { return node.backendServers(); } })
 {
 }
 
-TrainerApi::TrainerApi(node::Node& node, RunRollout run)
-  : mState(std::make_shared<State>(node, std::move(run)))
+TrainerApi::TrainerApi(node::Node& node, TrainerHooks hooks)
+  : mState(std::make_shared<State>(node, std::move(hooks)))
 {
   node.addDump("steps", [state = mState] { return state->dump(); });
   net::spawn(node.io(), mState->sweepLoop(), mState);
--- a/src/entry/trainer_api.h
+++ b/src/entry/trainer_api.h
@@ -7,20 +7,26 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace lentilrack::entry {
 
+/// What the trainer API uses of its surroundings.
+struct TrainerHooks
+{
+  /// Runs one attempt at some dispatcher.
+  std::function<net::Awaitable<DispatchResult>(DispatchCall)> run;
+  /// The platform's list of backend servers, for models and scorers.
+  std::function<std::vector<core::BackendServer>()> servers;
+};
+
 /// The HTTP interface for trainers: opens steps, hands over samples, takes
 /// acknowledgements and closes steps.
 class TrainerApi
 {
 public:
-  using RunRollout =
-    std::function<net::Awaitable<DispatchResult>(DispatchCall)>;
-
   TrainerApi(node::Node& node, DispatchClient& dispatch);
-  /// With another way to run rollouts.
-  TrainerApi(node::Node& node, RunRollout run);
+  TrainerApi(node::Node& node, TrainerHooks hooks);
   ~TrainerApi();
 
   void addRoutes(net::HttpRouter& router);
--- a/tests/dispatch/weight_cache_test.cpp
+++ b/tests/dispatch/weight_cache_test.cpp
@@ -1,7 +1,7 @@
 #include "dispatch/weight_cache.h"
 
-#include "dispatch/fake_weight_store.h"
 #include "platform/error.h"
+#include "support/fake_weight_store.h"
 #include "support/io_test.h"
 #include "support/temporary_directory.h"
 
--- a/tests/dispatch/weight_updater_test.cpp
+++ b/tests/dispatch/weight_updater_test.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/weight_updater.h"
 
-#include "dispatch/fake_weight_store.h"
+#include "support/fake_weight_store.h"
 #include "support/io_test.h"
 
 #include <algorithm>
