--- a/src/dispatch/dispatch_app.cpp
+++ b/src/dispatch/dispatch_app.cpp
@@ -40,10 +40,10 @@
       node.metrics(),
       node.log().part("weights"),
       WeightUpdaterOptions{ node.settings().weightStore,
-                            node.settings().failureDomain,
-                            !node.settings().dataDirectory.empty() },
+                            node.settings().failureDomain },
       updaterHooks()))
 {
+  openCache();
   mService.addHandlers(node.linkServer());
   mMonitor.keepOwned(
     [this] { return mService.draining() && !mService.inFlight().empty(); });
@@ -63,6 +63,30 @@
   node.addDump("dispatch", [this] { return dump(); });
 }
 
+void
+DispatchApp::openCache()
+{
+  const auto& settings = mNode.settings();
+  auto& self = mNode.members().self();
+  if (!self.hasWeightCache) {
+    return;
+  }
+  WeightCacheOptions options;
+  options.store = settings.weightStore;
+  options.directory = settings.dataDirectory + "/weights";
+  auto cache = std::make_shared<WeightCache>(mNode.io(),
+                                             mNode.http(),
+                                             mNode.metrics(),
+                                             mNode.log().part("cache"),
+                                             std::move(options));
+  // Without a usable disk the engines read the store.
+  self.hasWeightCache = settings.weightStore.port != 0 && cache->open();
+  if (self.hasWeightCache) {
+    cache->addRoutes(mNode.router());
+    mCache = std::move(cache);
+  }
+}
+
 void
 DispatchApp::start()
 {
--- a/src/dispatch/dispatch_app.h
+++ b/src/dispatch/dispatch_app.h
@@ -4,6 +4,7 @@
 #include "dispatch/dispatch_service.h"
 #include "dispatch/fencing.h"
 #include "dispatch/server_monitor.h"
+#include "dispatch/weight_cache.h"
 #include "dispatch/weight_updater.h"
 #include "node/node.h"
 #include "node/process.h"
@@ -42,6 +43,7 @@
 
 private:
   wire::Json dump() const;
+  void openCache();
   WeightUpdaterHooks updaterHooks();
   std::vector<OwnedEngine> ownedEngines() const;
   std::vector<WeightCacheAddress> weightCaches() const;
@@ -57,6 +59,8 @@
   DispatchService mService;
   platform::EngineClient mEngines;
   std::shared_ptr<WeightUpdater> mUpdater;
+  /// Null without a data directory.
+  std::shared_ptr<WeightCache> mCache;
 };
 
 } // namespace lentilrack::dispatch
--- a/src/dispatch/weight_cache.cpp
+++ b/src/dispatch/weight_cache.cpp
@@ -240,6 +240,17 @@
          !exchange.clientGone()) {
     co_await net::sleepFor(kPollStep);
   }
+  // An engine that is told to load asks without waiting, possibly before this
+  // cache has heard of the version.
+  const bool immediate = wait.value_or(0) == 0;
+  if (immediate && mVersions[model].version <= *after) {
+    const auto read =
+      co_await mStore.newest(mOptions.store, model, *after, Millis(0));
+    if (read && read.value() &&
+        read.value()->version > mVersions[model].version) {
+      mVersions[model] = *read.value();
+    }
+  }
   const auto& newest = mVersions[model];
   auto response = newest.version > *after
                     ? versionResponse(newest)
--- a/src/dispatch/weight_updater.cpp
+++ b/src/dispatch/weight_updater.cpp
@@ -197,7 +197,9 @@
     const auto version = *newest.value();
     if (mRollout.announce(model, version.version)) {
       mLog.info("Version {} of {} is announced.", version.version, model);
-      mHooks.announced(model, version);
+      if (mHooks.announced) {
+        mHooks.announced(model, version);
+      }
       mWake.notify();
     }
   }
--- a/src/dispatch/weight_updater.h
+++ b/src/dispatch/weight_updater.h
@@ -47,7 +47,7 @@
                                      std::int64_t version,
                                      core::Endpoint source)>
     load;
-  /// Called for each version that the store announces.
+  /// Called for each new version that is announced; may be empty.
   std::function<void(const std::string& model,
                      const platform::WeightVersion& version)>
     announced;
--- a/tests/dispatch/weight_cache_test.cpp
+++ b/tests/dispatch/weight_cache_test.cpp
@@ -173,6 +173,20 @@
   });
 }
 
+// Guards against an engine that loads through a cold cache being told that the
+// version does not exist.
+TEST_F(WeightCacheTest, EngineLearnsOfAVersionThatTheCacheDidNotKnow)
+{
+  mStore.versions["model"] = 3;
+  const auto endpoint = serve(makeCache());
+  platform::WeightStoreClient client(mHttp);
+  run([&]() -> Awaitable<void> {
+    const auto version =
+      co_await client.newest(endpoint, "model", 2, Millis(0));
+    EXPECT_TRUE(version && version.value());
+  });
+}
+
 // Guards against bad paths reaching the store or the disk.
 TEST_F(WeightCacheTest, BadPathsAreNotFound)
 {
