Rename the scheduler's BarAnswer

core/bar_decision.h defines another struct of this name in the same namespace; programs that contain both had undefined behaviour, seen as a failure of SchedulerTest.BarTakesQueuedWorkOut.

--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -363,14 +363,14 @@
   return end(job, outcome, now);
 }
 
-std::optional<BarAnswer>
+std::optional<JobBarAnswer>
 Scheduler::bar(const std::string& request, TimePoint now)
 {
   const auto result = mLedger.bar(request, now);
   if (!result) {
     return std::nullopt;
   }
-  BarAnswer answer{ result->state, result->outcome, {} };
+  JobBarAnswer answer{ result->state, result->outcome, {} };
   std::vector<JobId> queuedJobs;
   for (const auto& [id, job] : mJobs) {
     if (!job.running && !job.begun &&
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -51,7 +51,7 @@
   Outcome outcome;
 };
 
-struct BarAnswer
+struct JobBarAnswer
 {
   AttemptState state = AttemptState::Barred;
   std::optional<Outcome> outcome;
@@ -105,7 +105,7 @@
   std::optional<Outcome> cancel(JobId job, TimePoint now);
 
   /// Nothing if no claim can be made.
-  std::optional<BarAnswer> bar(const std::string& request, TimePoint now);
+  std::optional<JobBarAnswer> bar(const std::string& request, TimePoint now);
 
   /// Jobs whose runs the caller should cancel to make room. Their runs then
   /// end with finished(), which queues them again.
