--- a/scripts/stack.sh
+++ b/scripts/stack.sh
@@ -118,7 +118,7 @@
 stack_stop() {
   local run=$1 failed=0 file pid
   for file in "$run"/pid/*-entry "$run"/pid/*-dispatch; do
-    [ -e "$file" ] && kill -TERM "$(cat "$file")" 2>/dev/null
+    [ -e "$file" ] && kill -TERM "$(cat "$file")" 2>/dev/null || true
   done
   for file in "$run"/pid/*-entry "$run"/pid/*-dispatch; do
     [ -e "$file" ] || continue
@@ -137,7 +137,7 @@
 stack_kill() {
   local run=$1 file
   for file in "$run"/pid/*; do
-    [ -e "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
+    [ -e "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null || true
   done
   return 0
 }
