--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -43,6 +43,16 @@
   return std::string(kTicketLength, 'x') + "." + std::to_string(number);
 }
 
+Outcome
+doneOutcome(std::int64_t tokens)
+{
+  Outcome outcome;
+  outcome.verdict = Verdict::Done;
+  outcome.totalTokens = tokens;
+  outcome.segments = { { 1, 0, tokens } };
+  return outcome;
+}
+
 Member
 member(std::int64_t number, MemberRole role)
 {
@@ -84,7 +94,7 @@
       const auto id = identifier(i);
       ledger.enter(id, digestOf("body"), kStart + Millis(1'200'000), kStart);
       ledger.beginAttempt(id);
-      ledger.finish(id, { Verdict::Done, "", 20, { { 1, 0, 20 } } }, {});
+      ledger.finish(id, doneOutcome(20), {});
     }
     reportBytes(state, before);
   }
@@ -102,8 +112,7 @@
       const AttemptId attempt{ identifier(i), 1 };
       ledger.submit(attempt, false, kStart);
       ledger.start(attempt);
-      ledger.finish(
-        attempt, { Verdict::Done, "", 20, { { 1, 0, 20 } } }, kStart);
+      ledger.finish(attempt, doneOutcome(20), kStart);
     }
     reportBytes(state, before);
   }
@@ -213,8 +222,7 @@
   for (std::int64_t i = 0; i < samples; ++i) {
     const auto copy = step.start(kStart, 0);
     step.chunk(copy->id, { text, 100, 1 });
-    step.finish(
-      copy->id, { Verdict::Done, "", 100, { { 1, 0, 100 } } }, kStart, 0.5);
+    step.finish(copy->id, doneOutcome(100), kStart, 0.5);
     step.score(copy->id, 1);
   }
 }
