--- a/src/entry/trainer_api.cpp
+++ b/src/entry/trainer_api.cpp
@@ -1,12 +1,8 @@
 #include "entry/trainer_api.h"
 
-#include "entry/step_codec.h"
-#include "entry/step_runner.h"
-#include "platform/weight_store_client.h"
+#include "entry/trainer_state.h"
 
 #include <algorithm>
-#include <map>
-#include <set>
 
 namespace lentilrack::entry {
 
@@ -20,27 +16,8 @@
 
 constexpr std::size_t kMostSteps = 256;
 constexpr std::size_t kMostClosed = 4096;
-/// A trainer that sent nothing for so long is gone; it can open the step again.
-constexpr Millis kAbandonedAfter{ 15 * 60'000 };
 /// While draining, samples wait so long for a trainer that does not pull.
 constexpr Millis kDrainPatience{ 30'000 };
-constexpr Millis kVersionPoll{ 20'000 };
-constexpr Millis kVersionRetry{ 1'000 };
-/// Bounds the reads of a store that answers "nothing new" without waiting.
-constexpr Millis kVersionPause{ 100 };
-constexpr Millis kSweepPeriod{ 10'000 };
-
-using StepKey = std::pair<std::string, std::string>;
-
-struct ApiError
-{
-  int status = 400;
-  std::string code;
-  std::string message;
-  /// Nothing ran and nothing will.
-  bool notRun = false;
-  Json addresses;
-};
 
 net::HttpResponse
 errorResponse(const ApiError& error)
@@ -87,76 +64,6 @@
 
 } // namespace
 
-struct TrainerApi::State : std::enable_shared_from_this<TrainerApi::State>
-{
-  State(node::Node& owner, TrainerHooks trainerHooks);
-
-  std::optional<ApiError> authenticate(const HttpExchange& exchange,
-                                       std::string* trainer) const;
-  std::optional<ApiError> checkNewStep(const core::StepSpec& spec) const;
-  std::shared_ptr<StepRunner> find(const HttpExchange& exchange,
-                                   const std::string& trainer) const;
-  net::HttpResponse open(const HttpExchange& exchange);
-  net::HttpResponse openNew(OpenStepRequest request);
-  net::HttpResponse acknowledge(const HttpExchange& exchange);
-  net::HttpResponse close(const HttpExchange& exchange);
-  Awaitable<void> handleOpen(HttpExchange& exchange);
-  Awaitable<void> handlePull(HttpExchange& exchange);
-  Awaitable<void> handleAck(HttpExchange& exchange);
-  Awaitable<void> handleClose(HttpExchange& exchange);
-
-  ModelCapacity capacity(const std::string& model) const;
-  std::vector<core::Endpoint> scorers() const;
-  Json otherAddresses() const;
-  bool knowsModel(const std::string& model) const;
-  bool hasSteps(const std::string& model) const;
-  void followVersions(const std::string& model);
-  Awaitable<void> versionLoop(std::string model);
-  Awaitable<void> sweepLoop();
-  void remember(const StepKey& key, std::int64_t opening);
-  Json dump() const;
-
-  node::Node& node;
-  TrainerHooks hooks;
-  net::Logger log;
-  platform::WeightStoreClient weightStore;
-  std::shared_ptr<core::VersionTrack> versions;
-  std::shared_ptr<StepServices> services;
-  std::map<StepKey, std::shared_ptr<StepRunner>> steps;
-  /// Highest opening of steps that the trainer closed, so that a delayed
-  /// message does not open one again.
-  std::map<StepKey, std::int64_t> closedOpenings;
-  std::set<std::string> followed;
-  bool draining = false;
-};
-
-TrainerApi::State::State(node::Node& owner, TrainerHooks trainerHooks)
-  : node(owner)
-  , hooks(std::move(trainerHooks))
-  , log(owner.log().part("steps"))
-  , weightStore(owner.http())
-  , versions(std::make_shared<core::VersionTrack>())
-  , services(std::make_shared<StepServices>())
-{
-  SampleScorerOptions options;
-  options.endpoints = [this] { return scorers(); };
-  services->io = &owner.io();
-  services->metrics = &owner.metrics();
-  services->scorer = std::make_shared<SampleScorer>(owner.io(),
-                                                    owner.http(),
-                                                    owner.metrics(),
-                                                    log.part("scorer"),
-                                                    std::move(options));
-  services->versions = versions;
-  services->run = hooks.run;
-  services->capacity = [this](const std::string& model) {
-    return capacity(model);
-  };
-  services->row = [this](const core::StepSpec& spec) {
-    return node.table().table().findRow(spec.trainer, spec.kind);
-  };
-}
-
 std::optional<ApiError>
 TrainerApi::State::authenticate(const HttpExchange& exchange,
                                 std::string* trainer) const
@@ -406,146 +313,6 @@
   co_await exchange.respond(std::move(response));
 }
 
-ModelCapacity
-TrainerApi::State::capacity(const std::string& model) const
-{
-  ModelCapacity result;
-  for (const auto& member : node.members().live(core::MemberRole::Dispatch)) {
-    const auto load = member.load.find(model);
-    if (load == member.load.end()) {
-      continue;
-    }
-    result.slots += load->second.slots;
-    if (load->second.queuedTokens <= 0) {
-      result.idleSlots +=
-        std::max<std::int64_t>(0, load->second.slots - load->second.running);
-    }
-  }
-  return result;
-}
-
-std::vector<core::Endpoint>
-TrainerApi::State::scorers() const
-{
-  std::vector<core::Endpoint> live;
-  std::vector<core::Endpoint> leaving;
-  for (const auto& server : hooks.servers()) {
-    if (server.role == core::ServerRole::Scorer) {
-      (server.leaving ? leaving : live).push_back(server.endpoint);
-    }
-  }
-  return live.empty() ? leaving : live;
-}
-
-Json
-TrainerApi::State::otherAddresses() const
-{
-  auto addresses = Json::array();
-  for (const auto& member : node.members().live(core::MemberRole::Entry)) {
-    if (member.http && member.id.name != node.self().name) {
-      addresses.push_back({ { "endpoint", member.http->text() },
-                            { "failure_domain", member.failureDomain } });
-    }
-  }
-  return addresses;
-}
-
-bool
-TrainerApi::State::knowsModel(const std::string& model) const
-{
-  // Before the first list has come, nothing can be said against a model.
-  const auto servers = hooks.servers();
-  return servers.empty() || std::ranges::any_of(servers, [&](const auto& s) {
-           return std::ranges::find(s.models, model) != s.models.end();
-         });
-}
-
-bool
-TrainerApi::State::hasSteps(const std::string& model) const
-{
-  return std::ranges::any_of(steps, [&](const auto& entry) {
-    return entry.second->step().spec().model == model;
-  });
-}
-
-void
-TrainerApi::State::followVersions(const std::string& model)
-{
-  if (followed.insert(model).second) {
-    net::spawn(node.io(), versionLoop(model), shared_from_this());
-  }
-}
-
-Awaitable<void>
-TrainerApi::State::versionLoop(std::string model)
-{
-  while (hasSteps(model)) {
-    const auto after = versions->newest(model).value_or(0);
-    const auto store = node.settings().weightStore;
-    const auto newest =
-      co_await weightStore.newest(store, model, after, kVersionPoll);
-    if (!newest) {
-      co_await net::sleepFor(kVersionRetry);
-      continue;
-    }
-    if (newest.value()) {
-      versions->observe(model, newest.value()->version);
-      for (const auto& [key, runner] : steps) {
-        runner->versionsChanged();
-      }
-    } else {
-      co_await net::sleepFor(kVersionPause);
-    }
-  }
-  followed.erase(model);
-}
-
-Awaitable<void>
-TrainerApi::State::sweepLoop()
-{
-  for (;;) {
-    co_await net::sleepFor(kSweepPeriod);
-    const auto now = Clock::now();
-    std::erase_if(steps, [&](const auto& entry) {
-      const bool abandoned =
-        now - entry.second->lastMessage() > kAbandonedAfter;
-      if (abandoned) {
-        log.warning("Step {} of {} is abandoned by its trainer.",
-                    entry.first.second,
-                    entry.first.first);
-        entry.second->close();
-      }
-      return abandoned;
-    });
-  }
-}
-
-Json
-TrainerApi::State::dump() const
-{
-  auto list = Json::array();
-  for (const auto& [key, runner] : steps) {
-    const auto& step = runner->step();
-    const auto& counters = step.counters();
-    list.push_back({ { "trainer", key.first },
-                     { "step", key.second },
-                     { "opening", step.opening() },
-                     { "in_flight", step.inFlight() },
-                     { "unacknowledged", step.unacknowledged() },
-                     { "complete", step.complete() },
-                     { "newest_version", step.newestVersion() },
-                     { "stale", counters.stale },
-                     { "unknown_version", counters.unknownVersion },
-                     { "wrong_length", counters.wrongLength },
-                     { "unwanted", counters.unwanted },
-                     { "extra_copies", counters.extraCopies },
-                     { "resumed", counters.resumed },
-                     { "failed", counters.failed },
-                     { "handed_over", counters.handedOver } });
-  }
-  return list;
-}
-
 TrainerApi::TrainerApi(node::Node& node, DispatchClient& dispatch)
   : TrainerApi(node,
                { [&dispatch](DispatchCall call) {
--- /dev/null
+++ b/src/entry/trainer_state.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "entry/step_codec.h"
+#include "entry/step_runner.h"
+#include "entry/trainer_api.h"
+#include "platform/weight_store_client.h"
+
+#include <map>
+#include <set>
+
+namespace lentilrack::entry {
+
+/// (trainer, step name).
+using StepKey = std::pair<std::string, std::string>;
+
+/// An error answer to a trainer.
+struct ApiError
+{
+  int status = 400;
+  std::string code;
+  std::string message;
+  /// Nothing ran and nothing will.
+  bool notRun = false;
+  wire::Json addresses;
+};
+
+/// The open steps of one process and what they need.
+struct TrainerApi::State : std::enable_shared_from_this<TrainerApi::State>
+{
+  State(node::Node& owner, TrainerHooks trainerHooks);
+
+  std::optional<ApiError> authenticate(const net::HttpExchange& exchange,
+                                       std::string* trainer) const;
+  std::optional<ApiError> checkNewStep(const core::StepSpec& spec) const;
+  std::shared_ptr<StepRunner> find(const net::HttpExchange& exchange,
+                                   const std::string& trainer) const;
+  net::HttpResponse open(const net::HttpExchange& exchange);
+  net::HttpResponse openNew(OpenStepRequest request);
+  net::HttpResponse acknowledge(const net::HttpExchange& exchange);
+  net::HttpResponse close(const net::HttpExchange& exchange);
+  net::Awaitable<void> handleOpen(net::HttpExchange& exchange);
+  net::Awaitable<void> handlePull(net::HttpExchange& exchange);
+  net::Awaitable<void> handleAck(net::HttpExchange& exchange);
+  net::Awaitable<void> handleClose(net::HttpExchange& exchange);
+
+  ModelCapacity capacity(const std::string& model) const;
+  std::vector<core::Endpoint> scorers() const;
+  wire::Json otherAddresses() const;
+  bool knowsModel(const std::string& model) const;
+  bool hasSteps(const std::string& model) const;
+  void followVersions(const std::string& model);
+  net::Awaitable<void> versionLoop(std::string model);
+  net::Awaitable<void> sweepLoop();
+  void remember(const StepKey& key, std::int64_t opening);
+  wire::Json dump() const;
+
+  node::Node& node;
+  TrainerHooks hooks;
+  net::Logger log;
+  platform::WeightStoreClient weightStore;
+  std::shared_ptr<core::VersionTrack> versions;
+  std::shared_ptr<StepServices> services;
+  std::map<StepKey, std::shared_ptr<StepRunner>> steps;
+  /// Highest opening of steps that the trainer closed, so that a delayed
+  /// message does not open one again.
+  std::map<StepKey, std::int64_t> closedOpenings;
+  std::set<std::string> followed;
+  bool draining = false;
+};
+
+} // namespace lentilrack::entry
