Choose dispatchers by free slots and by the load told in answers

Entries compared two of six dispatchers drawn with equal chances although these own between one and four engines, and knew their load only from heartbeats, up to 500 ms late.

Change: a dispatcher's answer carries the load of its target; the entry uses the newest of heartbeat and answer, corrected by its own requests since. Any dispatcher with free slots is drawn with a chance that grows with their number; without free slots the better of two, drawn by slots.

Also: codecs of members in a file of their own; lint findings in the load tool.

--- a/src/core/dispatcher_choice.cpp
+++ b/src/core/dispatcher_choice.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <tuple>
 #include <vector>
@@ -31,17 +32,66 @@
   return std::tuple(candidate.expectedWait(), candidate.utilisation());
 }
 
+double
+freeSlots(const DispatcherCandidate& candidate)
+{
+  if (candidate.expectedWait() > 0) {
+    return 0;
+  }
+  return static_cast<double>(candidate.load.slots - candidate.load.running -
+                             candidate.own.requests);
+}
+
+double
+slotsOf(const DispatcherCandidate& candidate)
+{
+  return static_cast<double>(std::max<std::int64_t>(candidate.load.slots, 1));
+}
+
+/// An index drawn with chances in proportion to the weights; nothing if all
+/// are zero.
+std::optional<std::size_t>
+drawByWeight(std::span<const double> weights, const RandomBelow& random)
+{
+  const auto total = std::accumulate(weights.begin(), weights.end(), 0.0);
+  if (total <= 0) {
+    return std::nullopt;
+  }
+  constexpr std::uint64_t kResolution = 1'000'000;
+  auto left = total * static_cast<double>(random(kResolution)) /
+              static_cast<double>(kResolution);
+  std::optional<std::size_t> last;
+  for (std::size_t i = 0; i < weights.size(); ++i) {
+    if (weights[i] <= 0) {
+      continue;
+    }
+    last = i;
+    left -= weights[i];
+    if (left < 0) {
+      break;
+    }
+  }
+  return last;
+}
+
+std::vector<double>
+weightsOf(std::span<const DispatcherCandidate> candidates,
+          double (*weight)(const DispatcherCandidate&))
+{
+  std::vector<double> weights;
+  std::ranges::transform(candidates, std::back_inserter(weights), weight);
+  return weights;
+}
+
 std::size_t
 betterOfTwo(std::span<const DispatcherCandidate> candidates,
             const RandomBelow& random)
 {
-  const auto first = random(candidates.size());
-  if (candidates.size() == 1) {
-    return first;
-  }
+  auto weights = weightsOf(candidates, slotsOf);
+  const auto first = *drawByWeight(weights, random);
   // Sampled without replacement, so that two always compete.
-  auto second = random(candidates.size() - 1);
-  second += second >= first ? 1 : 0;
+  weights[first] = 0;
+  const auto second = drawByWeight(weights, random).value_or(first);
   return rank(candidates[second]) < rank(candidates[first]) ? second : first;
 }
 
@@ -152,6 +202,47 @@
   return (busy + load.queuedTokens / slotRate) / slots;
 }
 
+DispatcherLoads::View&
+DispatcherLoads::viewOf(const Member& dispatcher)
+{
+  auto& view = mViews[dispatcher.id];
+  if (dispatcher.reportNumber > view.report) {
+    view.report = dispatcher.reportNumber;
+    view.answered.clear();
+    ++view.news;
+  }
+  return view;
+}
+
+DispatcherCandidate
+DispatcherLoads::candidate(const Member& dispatcher, const std::string& target)
+{
+  const auto& view = viewOf(dispatcher);
+  const auto answered = view.answered.find(target);
+  return { dispatcher.id,
+           answered == view.answered.end() ? dispatcher.load.at(target)
+                                           : answered->second,
+           mOwn.since(dispatcher.id, view.news) };
+}
+
+std::uint64_t
+DispatcherLoads::started(const Member& dispatcher, double tokens)
+{
+  return mOwn.started(dispatcher.id, viewOf(dispatcher).news, tokens);
+}
+
+void
+DispatcherLoads::observed(const ProcessId& dispatcher,
+                          const std::string& target,
+                          const TargetLoad& load)
+{
+  const auto found = mViews.find(dispatcher);
+  if (found != mViews.end()) {
+    found->second.answered[target] = load;
+    ++found->second.news;
+  }
+}
+
 std::size_t
 chooseDispatcher(std::span<const DispatcherCandidate> candidates,
                  std::string_view prefix,
@@ -162,7 +253,8 @@
       return *affine;
     }
   }
-  return betterOfTwo(candidates, random);
+  const auto free = drawByWeight(weightsOf(candidates, freeSlots), random);
+  return free ? *free : betterOfTwo(candidates, random);
 }
 
 std::size_t
--- a/src/core/dispatcher_choice.h
+++ b/src/core/dispatcher_choice.h
@@ -65,15 +65,49 @@
   double utilisation() const;
 };
 
+/// What an entry knows of the dispatchers' loads: the last heartbeat, or the
+/// load in a later answer, corrected by the own requests sent since.
+class DispatcherLoads
+{
+public:
+  DispatcherCandidate candidate(const Member& dispatcher,
+                                const std::string& target);
+  /// A request of estimated cost `tokens` goes to the dispatcher. Returns a
+  /// number for finished().
+  std::uint64_t started(const Member& dispatcher, double tokens);
+  void finished(std::uint64_t request) { mOwn.finished(request); }
+  /// An answer of the dispatcher told its load.
+  void observed(const ProcessId& dispatcher,
+                const std::string& target,
+                const TargetLoad& load);
+
+private:
+  struct View
+  {
+    std::uint64_t report = 0;
+    /// Counts heartbeats and answers that told a load.
+    std::uint64_t news = 1;
+    /// Loads from answers after the last heartbeat.
+    std::map<std::string, TargetLoad> answered;
+  };
+
+  View& viewOf(const Member& dispatcher);
+
+  std::map<ProcessId, View> mViews;
+  OwnLoad mOwn;
+};
+
 /// Returns the index of the chosen candidate; `candidates` is not empty.
 using DispatcherChooser =
   std::function<std::size_t(std::span<const DispatcherCandidate> candidates,
                             std::string_view prefix,
                             const RandomBelow& random)>;
 
-/// The better of two sampled candidates by expected wait. With a prefix, the
-/// first candidate in rendezvous order that is not overloaded, so that
-/// requests with the same prefix meet the same caches.
+/// Any candidate with free slots, each with a chance that grows with their
+/// number, so that entries with the same view do not all choose the same one.
+/// Without free slots the better of two by expected wait, sampled by their
+/// slots. With a prefix, the first candidate in rendezvous order that is not
+/// overloaded, so that requests with the same prefix meet the same caches.
 std::size_t
 chooseDispatcher(std::span<const DispatcherCandidate> candidates,
                  std::string_view prefix,
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -126,6 +126,7 @@
 
   /// Load of each target, for the heartbeats.
   std::map<std::string, TargetLoad> load(TimePoint now) const;
+  TargetLoad loadOf(const std::string& target, TimePoint now) const;
   std::size_t queued() const;
   std::size_t running() const { return mJobs.size() - queued(); }
   /// One line for each job, for the log and the state dump.
--- a/src/core/scheduler_course.cpp
+++ b/src/core/scheduler_course.cpp
@@ -305,21 +305,27 @@
 {
   std::map<std::string, TargetLoad> loads;
   for (const auto& target : mServers.targets()) {
-    auto& load = loads[target];
-    for (const auto index : mServers.serving(target)) {
-      const auto& state = mServers.at(index);
-      if (!state.open(now)) {
-        continue;
-      }
+    loads[target] = loadOf(target, now);
+  }
+  return loads;
+}
+
+TargetLoad
+Scheduler::loadOf(const std::string& target, TimePoint now) const
+{
+  TargetLoad load;
+  for (const auto index : mServers.serving(target)) {
+    const auto& state = mServers.at(index);
+    if (state.open(now)) {
       ++load.servers;
       load.slots += state.limit();
       load.running += state.running;
     }
-    const auto queue = mQueues.find(target);
-    load.queuedTokens = queue == mQueues.end() ? 0 : queue->second.tokens();
-    load.tokenRate = ratesOf(target).capacity;
   }
-  return loads;
+  const auto queue = mQueues.find(target);
+  load.queuedTokens = queue == mQueues.end() ? 0 : queue->second.tokens();
+  load.tokenRate = ratesOf(target).capacity;
+  return load;
 }
 
 } // namespace lentilrack::core
--- a/src/dispatch/dispatch_service.cpp
+++ b/src/dispatch/dispatch_service.cpp
@@ -103,7 +103,7 @@
     co_return;
   }
   count(refusal);
-  request->reply(wire::encode(refusal));
+  replyTo(*request, refusal, "");
 }
 
 core::Row
@@ -126,6 +126,7 @@
 {
   const auto now = Clock::now();
   const bool idempotent = message.work.idempotent;
+  const auto target = message.work.target;
   core::Submission submission{ std::move(message.attempt),
                                std::move(message.work),
                                {},
@@ -135,7 +136,7 @@
   const auto result = mScheduler.submit(std::move(submission), now);
   if (const auto* refusal = std::get_if<core::Outcome>(&result)) {
     count(*refusal);
-    request->reply(wire::encode(*refusal));
+    replyTo(*request, *refusal, target);
     return;
   }
   const auto job = std::get<core::JobId>(result);
@@ -143,6 +144,7 @@
   active.request = request;
   active.idempotent = idempotent;
   active.received = now;
+  active.target = target;
   mActive.emplace(job, std::move(active));
   request->cancelled()->add([this, job] { cancel(job); });
   // A lost link says nothing on what the caller may be told, so work that must
@@ -339,9 +341,21 @@
     Clock::now() - found->second.received;
   mNode.metrics().observe("dispatch_time_ms", took.count());
   count(outcome);
-  const auto request = found->second.request;
+  const auto active = std::move(found->second);
   mActive.erase(found);
-  request->reply(wire::encode(outcome));
+  replyTo(*active.request, outcome, active.target);
+}
+
+void
+DispatchService::replyTo(net::LinkRequest& request,
+                         const core::Outcome& outcome,
+                         const std::string& target) const
+{
+  wire::DispatchReply reply{ outcome, std::nullopt };
+  if (!target.empty() && !mDraining) {
+    reply.load = mScheduler.loadOf(target, Clock::now());
+  }
+  request.reply(wire::encode(reply));
 }
 
 void
--- a/src/dispatch/dispatch_service.h
+++ b/src/dispatch/dispatch_service.h
@@ -51,6 +51,8 @@
     core::Endpoint engine;
     std::string engineAttempt;
     core::TimePoint received;
+    /// Model or service.
+    std::string target;
   };
 
   net::Awaitable<void> handleDispatch(
@@ -59,6 +61,10 @@
   void accept(const std::shared_ptr<net::LinkRequest>& request,
               wire::DispatchRequest message);
   core::Row rowOf(const core::Work& work) const;
+  /// Answers with the present load of the target, unless that is empty.
+  void replyTo(net::LinkRequest& request,
+               const core::Outcome& outcome,
+               const std::string& target) const;
   net::Awaitable<void> run(core::JobStart start);
   platform::GenerateCall generateCall(const core::JobStart& start);
   platform::ServiceCall serviceCall(const core::JobStart& start);
--- a/src/entry/dispatch_client.cpp
+++ b/src/entry/dispatch_client.cpp
@@ -27,34 +27,28 @@
   return outcome;
 }
 
-core::Outcome
-outcomeOf(const net::LinkReply& reply)
+wire::DispatchReply
+answerOf(const net::LinkReply& reply)
 {
   using core::Verdict;
+  const auto failed = [](Verdict verdict, std::string reason) {
+    return wire::DispatchReply{ failure(verdict, std::move(reason)),
+                                std::nullopt };
+  };
   if (!reply.sent) {
     const bool isLate = reply.error == net::NetError::NotStarted;
-    return failure(Verdict::NotRun,
-                   isLate ? "deadline" : "dispatcher_unreachable");
+    return failed(Verdict::NotRun,
+                  isLate ? "deadline" : "dispatcher_unreachable");
   }
   if (reply.error == net::NetError::TimedOut) {
-    return failure(Verdict::Unknown, "timeout");
+    return failed(Verdict::Unknown, "timeout");
   }
   if (reply.error) {
-    return failure(Verdict::Unknown, "dispatcher_lost");
+    return failed(Verdict::Unknown, "dispatcher_lost");
   }
-  auto outcome = wire::decode<core::Outcome>(reply.body);
-  return outcome ? std::move(outcome).value()
-                 : failure(Verdict::Unknown, "bad_answer");
-}
-
-core::DispatcherCandidate
-candidateOf(const core::Member& member,
-            const std::string& target,
-            const core::OwnLoad& own)
-{
-  return { member.id,
-           member.load.at(target),
-           own.since(member.id, member.reportNumber) };
+  auto answer = wire::decode<wire::DispatchReply>(reply.body);
+  return answer ? std::move(answer).value()
+                : failed(Verdict::Unknown, "bad_answer");
 }
 
 } // namespace
@@ -65,7 +59,7 @@
   /// would cost more than the choice itself.
   std::vector<core::Member> live;
   std::optional<core::TimePoint> copied;
-  core::OwnLoad load;
+  core::DispatcherLoads loads;
   pcg64 engine{ pcg_extras::seed_seq_from<std::random_device>{} };
   core::RandomBelow random = [this](std::uint64_t bound) {
     return engine(bound);
@@ -121,8 +115,7 @@
   std::vector<core::DispatcherCandidate> candidates;
   candidates.reserve(members.size());
   for (const auto* member : members) {
-    candidates.push_back(
-      candidateOf(*member, call.work.target, mInFlight->load));
+    candidates.push_back(mInFlight->loads.candidate(*member, call.work.target));
   }
   const auto index = mChooser(candidates, call.work.prefix, mInFlight->random);
   return members[index];
@@ -142,10 +135,10 @@
     call.onChosen(chosen->id);
   }
   const auto inFlight = mInFlight;
-  const auto own = inFlight->load.started(
-    chosen->id,
-    chosen->reportNumber,
+  const auto own = inFlight->loads.started(
+    *chosen,
     static_cast<double>(std::max<std::int64_t>(call.work.maxTokens, 1)));
+  const auto target = call.work.target;
   const auto end = core::Clock::now() + call.remaining;
   wire::DispatchRequest request{
     call.attempt, chosen->id, std::move(call.work), call.remaining
@@ -170,9 +163,13 @@
   auto body = wire::encode(request);
   const auto reply = co_await link->call(
     wire::DispatchRequest::kType, std::move(body), std::move(options));
-  inFlight->load.finished(own);
+  inFlight->loads.finished(own);
   result.sent = reply.sent;
-  result.outcome = outcomeOf(reply);
+  const auto answer = answerOf(reply);
+  if (answer.load) {
+    inFlight->loads.observed(*result.dispatcher, target, *answer.load);
+  }
+  result.outcome = answer.outcome;
   co_return result;
 }
 
--- a/src/load/context.cpp
+++ b/src/load/context.cpp
@@ -36,6 +36,14 @@
     context, std::move(endpoint), "POST", "/control", "", std::move(body));
 }
 
+Awaitable<void>
+waitFor(const bool& finished)
+{
+  while (!finished) {
+    co_await net::sleepFor(core::Millis(20));
+  }
+}
+
 double
 millisSince(core::TimePoint start)
 {
--- a/src/load/context.h
+++ b/src/load/context.h
@@ -36,6 +36,10 @@
 net::Awaitable<void>
 control(Context& context, core::Endpoint endpoint, wire::Json body);
 
+/// Waits until another coroutine sets the flag.
+net::Awaitable<void>
+waitFor(const bool& finished);
+
 /// Milliseconds since a time point.
 double
 millisSince(core::TimePoint start);
--- a/src/load/order_scenarios.cpp
+++ b/src/load/order_scenarios.cpp
@@ -116,9 +116,7 @@
                             core::Clock::now() + kWarmUp + context.duration,
                             finished));
   co_await load.run(shortOnly(context, kLoad), kWarmUp, context.duration);
-  while (!finished) {
-    co_await net::sleepFor(core::Millis(20));
-  }
+  co_await waitFor(finished);
   report.extra["healthy_p99_ms"] = healthy.shortLatency.quantile(0.99);
   co_await load.check(kModel);
 }
--- a/src/load/stack_file.cpp
+++ b/src/load/stack_file.cpp
@@ -8,7 +8,6 @@
 namespace lentilrack::load {
 
 using wire::Json;
-using wire::ObjectReader;
 
 namespace {
 
--- a/src/load/trainer_scenarios.cpp
+++ b/src/load/trainer_scenarios.cpp
@@ -117,14 +117,6 @@
   finished = true;
 }
 
-Awaitable<void>
-waitFor(const bool& finished)
-{
-  while (!finished) {
-    co_await net::sleepFor(core::Millis(20));
-  }
-}
-
 } // namespace
 
 Awaitable<void>
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -1,21 +1,9 @@
-#include "wire/messages.h"
-
-#include <array>
-#include <limits>
+#include "wire/codec_parts.h"
 
 namespace lentilrack::wire {
 
 namespace {
 
-using core::Millis;
-
-constexpr std::int64_t kMaxTokens = 10'000'000;
-constexpr std::int64_t kMaxMillis = 24LL * 3600 * 1000;
-constexpr std::int64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
-
-template<typename T, std::size_t N>
-using Names = std::array<std::pair<T, const char*>, N>;
-
 constexpr Names<core::Verdict, 3> kVerdicts{ {
   { core::Verdict::Done, "done" },
   { core::Verdict::NotRun, "not_run" },
@@ -26,112 +14,12 @@
   { core::WorkType::Call, "call" },
   { core::WorkType::Rollout, "rollout" },
 } };
-constexpr Names<core::MemberRole, 2> kRoles{ {
-  { core::MemberRole::Entry, "entry" },
-  { core::MemberRole::Dispatch, "dispatch" },
-} };
-constexpr Names<core::MemberState, 4> kStates{ {
-  { core::MemberState::Alive, "alive" },
-  { core::MemberState::Suspect, "suspect" },
-  { core::MemberState::Leaving, "leaving" },
-  { core::MemberState::Dead, "dead" },
-} };
 constexpr Names<BarState, 3> kBarStates{ {
   { BarState::Barred, "barred" },
   { BarState::Started, "started" },
   { BarState::Finished, "finished" },
 } };
 
-template<typename T, std::size_t N>
-std::string
-nameOf(const Names<T, N>& names, T value)
-{
-  for (const auto& [candidate, name] : names) {
-    if (candidate == value) {
-      return name;
-    }
-  }
-  return "";
-}
-
-template<typename T, std::size_t N>
-T
-named(ObjectReader& reader, const char* field, const Names<T, N>& names)
-{
-  const auto text = reader.required<std::string>(field);
-  for (const auto& [value, name] : names) {
-    if (text == name) {
-      return value;
-    }
-  }
-  reader.fail(field, "has the unknown value \"" + text + "\"");
-}
-
-template<typename T>
-T
-unwrap(Decoded<T> decoded)
-{
-  if (!decoded) {
-    throw DecodeException(decoded.error());
-  }
-  return std::move(decoded).value();
-}
-
-template<typename T>
-std::vector<T>
-readList(ObjectReader& reader, const char* field)
-{
-  std::vector<T> values;
-  for (const auto& item : reader.optional<Json>(field, Json::array())) {
-    values.push_back(unwrap(decode<T>(item)));
-  }
-  return values;
-}
-
-template<typename T>
-Json
-encodeList(const std::vector<T>& values)
-{
-  Json list = Json::array();
-  for (const auto& value : values) {
-    list.push_back(encode(value));
-  }
-  return list;
-}
-
-Json
-encodeProcess(const core::ProcessId& id)
-{
-  return { { "name", id.name }, { "incarnation", id.incarnation } };
-}
-
-core::ProcessId
-readProcess(ObjectReader& outer, const char* field)
-{
-  auto reader = outer.nested(field);
-  core::ProcessId id{ reader.required<std::string>("name"),
-                      reader.required<std::uint64_t>("incarnation") };
-  reader.finish();
-  return id;
-}
-
-core::Endpoint
-readEndpoint(ObjectReader& reader, const char* field)
-{
-  const auto text = reader.required<std::string>(field);
-  const auto endpoint = core::Endpoint::parse(text);
-  if (!endpoint) {
-    reader.fail(field, "is not an address with a port");
-  }
-  return *endpoint;
-}
-
-Millis
-readMillis(ObjectReader& reader, const char* field)
-{
-  return Millis(reader.integerOr(field, 0, kMaxMillis, 0));
-}
-
 Json
 encodeCall(const core::CallContent& call)
 {
@@ -154,36 +42,6 @@
   return call;
 }
 
-Json
-encodeLoad(const std::map<std::string, core::TargetLoad>& loads)
-{
-  Json json = Json::object();
-  for (const auto& [target, load] : loads) {
-    json[target] = {
-      load.servers, load.slots, load.running, load.queuedTokens, load.tokenRate
-    };
-  }
-  return json;
-}
-
-std::map<std::string, core::TargetLoad>
-readLoad(ObjectReader& reader)
-{
-  std::map<std::string, core::TargetLoad> loads;
-  const auto json = reader.optional<Json>("load", Json::object());
-  for (const auto& [target, item] : json.items()) {
-    if (!item.is_array() || item.size() != 5) {
-      reader.fail("load", "must hold five numbers for each target");
-    }
-    loads[target] = { item[0].get<std::int64_t>(),
-                      item[1].get<std::int64_t>(),
-                      item[2].get<std::int64_t>(),
-                      item[3].get<double>(),
-                      item[4].get<double>() };
-  }
-  return loads;
-}
-
 } // namespace
 
 std::string
@@ -318,50 +176,6 @@
   });
 }
 
-Json
-encode(const core::Member& member)
-{
-  Json json{ { "id", encodeProcess(member.id) },
-             { "role", nameOf(kRoles, member.role) },
-             { "failure_domain", member.failureDomain },
-             { "link", member.link.text() },
-             { "state", nameOf(kStates, member.state) },
-             { "table_revision", member.tableRevision },
-             { "report", member.reportNumber },
-             { "in_flight", member.inFlight },
-             { "weight_cache", member.hasWeightCache },
-             { "load", encodeLoad(member.load) } };
-  if (member.http) {
-    json["http"] = member.http->text();
-  }
-  return json;
-}
-
-template<>
-Decoded<core::Member>
-decode(const Json& json)
-{
-  return decodeWith([&] {
-    ObjectReader reader(json);
-    core::Member member;
-    member.id = readProcess(reader, "id");
-    member.role = named(reader, "role", kRoles);
-    member.failureDomain = reader.required<std::string>("failure_domain");
-    member.link = readEndpoint(reader, "link");
-    member.state = named(reader, "state", kStates);
-    member.tableRevision = reader.integer("table_revision", 0, kMaxVersion);
-    member.reportNumber = reader.required<std::uint64_t>("report");
-    member.inFlight = reader.integer("in_flight", 0, kMaxVersion);
-    member.hasWeightCache = reader.optional<bool>("weight_cache", false);
-    member.load = readLoad(reader);
-    if (reader.find("http") != nullptr) {
-      member.http = readEndpoint(reader, "http");
-    }
-    reader.finish();
-    return member;
-  });
-}
-
 Json
 encode(const DispatchRequest& request)
 {
@@ -390,6 +204,33 @@
   });
 }
 
+Json
+encode(const DispatchReply& reply)
+{
+  Json json{ { "outcome", encode(reply.outcome) } };
+  if (reply.load) {
+    json["load"] = encodeLoad(*reply.load);
+  }
+  return json;
+}
+
+template<>
+Decoded<DispatchReply>
+decode(const Json& json)
+{
+  return decodeWith([&] {
+    ObjectReader reader(json);
+    DispatchReply reply;
+    reply.outcome =
+      unwrap(decode<core::Outcome>(reader.required<Json>("outcome")));
+    if (const Json* load = reader.find("load")) {
+      reply.load = readLoad(reader, *load);
+    }
+    reader.finish();
+    return reply;
+  });
+}
+
 Json
 encode(const BarRequest& request)
 {
@@ -462,44 +303,4 @@
   });
 }
 
-Json
-encode(const Ping& ping)
-{
-  return { { "sender", encode(ping.sender) },
-           { "updates", encodeList(ping.updates) } };
-}
-
-template<>
-Decoded<Ping>
-decode(const Json& json)
-{
-  return decodeWith([&] {
-    ObjectReader reader(json);
-    Ping ping;
-    ping.sender = unwrap(decode<core::Member>(reader.required<Json>("sender")));
-    ping.updates = readList<core::Member>(reader, "updates");
-    reader.finish();
-    return ping;
-  });
-}
-
-Json
-encode(const PingRequest& request)
-{
-  return { { "target", request.target.text() } };
-}
-
-template<>
-Decoded<PingRequest>
-decode(const Json& json)
-{
-  return decodeWith([&] {
-    ObjectReader reader(json);
-    PingRequest request;
-    request.target = readEndpoint(reader, "target");
-    reader.finish();
-    return request;
-  });
-}
-
 } // namespace lentilrack::wire
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -26,6 +26,15 @@
   core::Millis remaining{ 0 };
 };
 
+/// Answer to a DispatchRequest.
+struct DispatchReply
+{
+  core::Outcome outcome;
+  /// Load of the work's target at that moment, so that entries need not wait
+  /// for the next heartbeat.
+  std::optional<core::TargetLoad> load;
+};
+
 /// Entry to dispatcher: never start this request if it has not started.
 struct BarRequest
 {
@@ -100,6 +109,8 @@
 Json
 encode(const DispatchRequest&);
 Json
+encode(const DispatchReply&);
+Json
 encode(const BarRequest&);
 Json
 encode(const BarReply&);
@@ -134,6 +145,9 @@
 Decoded<DispatchRequest>
 decode(const Json& json);
 template<>
+Decoded<DispatchReply>
+decode(const Json& json);
+template<>
 Decoded<BarRequest>
 decode(const Json& json);
 template<>
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -128,7 +128,7 @@
     core::Outcome outcome;
     outcome.reason = "no_reply";
     if (!reply.error) {
-      outcome = wire::decode<core::Outcome>(reply.body).value();
+      outcome = wire::decode<wire::DispatchReply>(reply.body).value().outcome;
     }
     mOutcomes.push_back(outcome);
     co_return outcome;
--- a/tests/dispatch/dispatch_service_test.cpp
+++ b/tests/dispatch/dispatch_service_test.cpp
@@ -249,8 +249,8 @@
     auto body = wire::encode(order("r"));
     body["surprise"] = 1;
     const auto reply = co_await mLink->call("dispatch", body);
-    const auto outcome = wire::decode<core::Outcome>(reply.body);
-    EXPECT_EQ(outcome.value().verdict, Verdict::NotRun);
+    const auto answer = wire::decode<wire::DispatchReply>(reply.body);
+    EXPECT_EQ(answer.value().outcome.verdict, Verdict::NotRun);
     EXPECT_EQ(runs(), 0U);
   });
 }
--- a/tests/entry/entry_fixture.cpp
+++ b/tests/entry/entry_fixture.cpp
@@ -120,7 +120,7 @@
                    : message.work.prompt);
   const auto outcome = co_await engine(message, request);
   ledger.finish(message.attempt, outcome, core::Clock::now());
-  request->reply(wire::encode(outcome));
+  request->reply(wire::encode(wire::DispatchReply{ outcome, std::nullopt }));
 }
 
 net::Awaitable<void>
--- a/tests/wire/messages_test.cpp
+++ b/tests/wire/messages_test.cpp
@@ -74,6 +74,9 @@
   expectRoundTrip(sampleMember());
   expectRoundTrip(DispatchRequest{
     { "t.1", 2 }, { "d", 5 }, sampleWork(), core::Millis(900) });
+  expectRoundTrip(
+    DispatchReply{ outcome, core::TargetLoad{ 1, 4, 3, 7.5, 100 } });
+  expectRoundTrip(DispatchReply{ outcome, std::nullopt });
   expectRoundTrip(BarRequest{ "t.1", { "d", 5 } });
   expectRoundTrip(BarReply{ BarState::Finished, outcome });
   expectRoundTrip(
