--- a/tests/entry/entry_fixture.cpp
+++ b/tests/entry/entry_fixture.cpp
@@ -105,13 +105,14 @@
   refused.verdict = core::Verdict::NotRun;
   refused.reason = message.dispatcher == mId ? refuseWith : "other_incarnation";
   if (!refused.reason.empty()) {
-    request->reply(wire::encode(refused));
+    request->reply(wire::encode(wire::DispatchReply{ refused, std::nullopt }));
     co_return;
   }
   const auto known =
     ledger.submit(message.attempt, message.work.idempotent, core::Clock::now());
   if (known || !ledger.start(message.attempt)) {
-    request->reply(wire::encode(known.value_or(refused)));
+    request->reply(wire::encode(
+      wire::DispatchReply{ known.value_or(refused), std::nullopt }));
     co_return;
   }
   request->cancelled()->add([this] { ++cancels; });
