Start non-repeatable work only with time to spare; move on to the next address in the load tool

Ruled out: the bars (they work; the dead dispatcher is in the dispatch set and cannot answer).

Change: work that is not idempotent needs 1.3 times its estimated run time to start. A caller that could send nothing takes the next address with a new identifier; an order that was sent stays with its home.

--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -179,9 +179,12 @@
   item.priority = row.priority;
   item.cost = job.cost.tokens;
   item.queuedAt = job.queuedAt;
-  // The estimate of the run is off by some part, so only most of it counts.
+  // The estimate of the run is off by some part. Work that may be repeated
+  // loses nothing by an attempt; other work that is cut by its deadline ends
+  // as Unknown, so it needs time to spare.
+  const int tenths = submission.work.idempotent ? 8 : 13;
   item.latestStart =
-    submission.deadline - runTime(submission, job.cost) * 8 / 10;
+    submission.deadline - runTime(submission, job.cost) * tenths / 10;
   item.lane = job.isLong ? "long" : "short";
   if (submission.work.version) {
     item.lane += fmt::format("/v{}", *submission.work.version);
--- a/src/load/ledger_check.cpp
+++ b/src/load/ledger_check.cpp
@@ -48,7 +48,9 @@
     }
     if (result.verdict == core::Verdict::Done &&
         (!result.isWhole || result.tokens != spec.tokens)) {
-      report.violation("answer is not whole: " + result.prompt);
+      report.violation("answer is not whole (" + result.reason + ", " +
+                       std::to_string(result.tokens) +
+                       " tokens): " + result.prompt);
     }
   }
   const auto done = static_cast<double>(report.done);
--- a/src/load/order_client.cpp
+++ b/src/load/order_client.cpp
@@ -128,7 +128,7 @@
   return choose(mContext.random);
 }
 
-Awaitable<bool>
+Awaitable<OrderClient::Try>
 OrderClient::attempt(core::Endpoint endpoint,
                      std::string body,
                      OrderResult& result)
@@ -152,7 +152,7 @@
   }
   if (!final) {
     result.reason = "no_answer";
-    co_return false;
+    co_return answer.sent ? Try::Broken : Try::NotSent;
   }
   result.verdict = verdictOf(*final);
   result.reason = reasonOf(*final);
@@ -160,43 +160,59 @@
   result.isWhole =
     reader.text() ==
     standins::AnswerText(result.prompt).text(0, final->value("total", 0));
-  co_return true;
+  co_return Try::Answered;
 }
 
-Awaitable<OrderResult>
-OrderClient::place(OrderSpec spec)
+Awaitable<void>
+OrderClient::refreshIfOld()
 {
-  const auto start = core::Clock::now();
-  OrderResult result;
   while (mRefreshing) {
     co_await net::sleepFor(core::Millis(5));
   }
   if (core::Clock::now() >= mExpiry || mAddresses.empty()) {
     mRefreshing = true;
-    const bool isFresh = co_await refresh();
+    co_await refresh();
     mRefreshing = false;
-    if (!isFresh) {
-      result.verdict = core::Verdict::NotRun;
-      result.reason = "no_address";
-      co_return result;
-    }
   }
-  auto& home = mAddresses[pick()];
-  const auto id = home.ticket + "." + std::to_string(++home.sequence);
-  auto endpoint = home.endpoint;
+}
+
+Awaitable<OrderResult>
+OrderClient::place(OrderSpec spec)
+{
+  const auto start = core::Clock::now();
+  OrderResult result;
   result.prompt = "len=" + std::to_string(spec.tokens) + " " + mContext.runId +
                   " " + mPrincipal + " " + std::to_string(++mContext.placed);
-  const Json body{ { "id", id },
-                   { "kind", spec.kind },
-                   { "model", spec.model },
-                   { "prompt", result.prompt },
-                   { "max_tokens", spec.tokens },
-                   { "idempotent", spec.idempotent } };
+  Json body{ { "kind", spec.kind },
+             { "model", spec.model },
+             { "prompt", result.prompt },
+             { "max_tokens", spec.tokens },
+             { "idempotent", spec.idempotent } };
+  core::Endpoint endpoint;
+  bool isSent = false;
   for (int i = 0; i < kTries; ++i) {
-    const bool isAnswered = co_await attempt(endpoint, body.dump(), result);
-    if (isAnswered) {
+    if (!isSent) {
+      co_await refreshIfOld();
+      if (mAddresses.empty()) {
+        result.verdict = core::Verdict::NotRun;
+        result.reason = "no_address";
+        break;
+      }
+      auto& home = mAddresses[pick()];
+      body["id"] = home.ticket + "." + std::to_string(++home.sequence);
+      endpoint = home.endpoint;
+    }
+    const auto outcome = co_await attempt(endpoint, body.dump(), result);
+    if (outcome == Try::Answered) {
       break;
     }
+    if (outcome == Try::NotSent && !isSent) {
+      std::erase_if(mAddresses,
+                    [&](const auto& a) { return a.endpoint == endpoint; });
+      continue;
+    }
+    // Sent once, the order stays with its home, which any instance can ask.
+    isSent = true;
     co_await net::sleepFor(kRetryPause);
     const auto& entries = mContext.stack.entries;
     endpoint =
--- a/src/load/order_client.h
+++ b/src/load/order_client.h
@@ -50,9 +50,19 @@
 
   net::Awaitable<bool> refresh();
   std::size_t pick();
-  net::Awaitable<bool> attempt(core::Endpoint endpoint,
-                               std::string body,
-                               OrderResult& result);
+  /// What became of one try.
+  enum class Try
+  {
+    Answered,
+    /// Nothing was sent, so a new identifier may be used.
+    NotSent,
+    Broken,
+  };
+
+  net::Awaitable<Try> attempt(core::Endpoint endpoint,
+                              std::string body,
+                              OrderResult& result);
+  net::Awaitable<void> refreshIfOld();
 
   Context& mContext;
   std::string mPrincipal;
