Deliver a whole answer that its dispatcher finished without a link

The home publishes the chunks that it has not received, an instance that relays for a lost home the whole answer if it has sent nothing; both check that it is whole.

--- a/src/core/answer_assembly.cpp
+++ b/src/core/answer_assembly.cpp
@@ -48,4 +48,18 @@
   return outcome;
 }
 
+std::optional<Outcome>
+wholeAnswer(const Outcome& outcome, const std::vector<Chunk>& chunks)
+{
+  const AttemptId attempt{ "", 1 };
+  AnswerAssembly assembly(attempt);
+  for (const auto& chunk : chunks) {
+    assembly.add(attempt, chunk);
+  }
+  auto assembled = assembly.finish(attempt, outcome);
+  const bool isWhole =
+    !chunks.empty() && assembled && assembled->verdict == Verdict::Done;
+  return isWhole ? assembled : std::nullopt;
+}
+
 } // namespace lentilrack::core
--- a/src/core/answer_assembly.h
+++ b/src/core/answer_assembly.h
@@ -40,4 +40,9 @@
   bool mEnded = false;
 };
 
+/// The outcome with its segments if the chunks are the whole answer of a Done
+/// outcome; nothing otherwise.
+std::optional<Outcome>
+wholeAnswer(const Outcome& outcome, const std::vector<Chunk>& chunks);
+
 } // namespace lentilrack::core
--- a/src/core/bar_decision.h
+++ b/src/core/bar_decision.h
@@ -23,6 +23,8 @@
   State state = State::None;
   /// Meaningful if Finished.
   Outcome outcome;
+  /// The whole answer of a Done outcome, if the dispatcher still has it.
+  std::vector<Chunk> answer;
 };
 
 /// The verdict on a request whose home is lost, from the answers of its whole
--- a/src/dispatch/dispatch_service.cpp
+++ b/src/dispatch/dispatch_service.cpp
@@ -127,6 +127,7 @@
   const auto now = Clock::now();
   const bool idempotent = message.work.idempotent;
   const auto target = message.work.target;
+  const auto requestId = message.attempt.request;
   core::Submission submission{ std::move(message.attempt),
                                std::move(message.work),
                                {},
@@ -145,6 +146,7 @@
   active.idempotent = idempotent;
   active.received = now;
   active.target = target;
+  active.requestId = requestId;
   mActive.emplace(job, std::move(active));
   request->cancelled()->add([this, job] { cancel(job); });
   // A lost link says nothing on what the caller may be told, so work that must
@@ -175,7 +177,12 @@
     answer(ended.job, ended.outcome);
   }
   mNode.metrics().increment("dispatch_bars_total");
-  const wire::BarReply reply{ barStateOf(result->state), result->outcome };
+  wire::BarReply reply{ barStateOf(result->state), result->outcome, {} };
+  const auto* answer = mRecentAnswers.find(message.value().request);
+  if (answer != nullptr && result->outcome &&
+      result->outcome->verdict == core::Verdict::Done) {
+    reply.answer = *answer;
+  }
   request->reply(wire::encode(reply));
 }
 
@@ -293,6 +300,9 @@
   const auto found = mActive.find(job);
   if (found != mActive.end()) {
     found->second.request->event(wire::encode(chunk));
+    if (!found->second.idempotent) {
+      found->second.chunks.push_back(chunk);
+    }
   }
 }
 
@@ -341,8 +351,11 @@
     Clock::now() - found->second.received;
   mNode.metrics().observe("dispatch_time_ms", took.count());
   count(outcome);
-  const auto active = std::move(found->second);
+  auto active = std::move(found->second);
   mActive.erase(found);
+  if (!active.idempotent && outcome.verdict == core::Verdict::Done) {
+    mRecentAnswers.keep(active.requestId, std::move(active.chunks));
+  }
   replyTo(*active.request, outcome, active.target);
 }
 
--- a/src/dispatch/dispatch_service.h
+++ b/src/dispatch/dispatch_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/pause_guard.h"
+#include "core/recent_answers.h"
 #include "core/scheduler.h"
 #include "dispatch/fencing.h"
 #include "node/node.h"
@@ -53,6 +54,9 @@
     core::TimePoint received;
     /// Model or service.
     std::string target;
+    /// Request identifier and answer so far; only if not idempotent.
+    std::string requestId;
+    std::vector<core::Chunk> chunks;
   };
 
   net::Awaitable<void> handleDispatch(
@@ -82,6 +86,7 @@
   StaleFencing mOnStaleFencing;
   platform::EngineClient mEngines;
   platform::ServiceClient mServices;
+  core::RecentAnswers mRecentAnswers;
   std::map<core::JobId, Active> mActive;
   core::PauseGuard mPauseGuard;
   bool mDraining = false;
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -44,7 +44,8 @@
                                          std::vector<core::ProcessId> allowed,
                                          std::uint32_t number);
   net::Awaitable<core::Outcome> askAfterLoss(std::shared_ptr<OrderRun> run,
-                                             core::ProcessId dispatcher);
+                                             core::ProcessId dispatcher,
+                                             std::size_t received);
 
   DispatchClient& mClient;
   core::OrderLedger& mLedger;
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -1,5 +1,6 @@
 #include "entry/relay.h"
 
+#include "core/answer_assembly.h"
 #include "core/bar_decision.h"
 #include "net/error.h"
 
@@ -42,6 +43,7 @@
       if (reply->outcome) {
         answer.state = core::BarAnswer::State::Finished;
         answer.outcome = *reply->outcome;
+        answer.answer = reply->answer;
       }
       break;
   }
@@ -139,7 +141,11 @@
     co_await runHere(request);
     co_return;
   }
-  auto outcome = co_await barAll(request);
+  const auto answers = co_await barAll(request);
+  auto outcome = core::decideByBars(answers);
+  if (outcome.verdict == Verdict::Done && !request->hasChunks) {
+    outcome = deliver(*request, answers, std::move(outcome));
+  }
   if (request->hasChunks && outcome.verdict == Verdict::NotRun) {
     outcome = failure(Verdict::Unknown, "home_lost");
   }
@@ -206,7 +212,24 @@
     stream->outcome().value_or(failure(Verdict::Unknown, "cancelled")));
 }
 
-net::Awaitable<Outcome>
+Outcome
+Relay::deliver(Forward& request,
+               const std::vector<core::BarAnswer>& answers,
+               Outcome outcome)
+{
+  for (const auto& answer : answers) {
+    const auto whole = core::wholeAnswer(answer.outcome, answer.answer);
+    if (whole) {
+      for (const auto& chunk : answer.answer) {
+        request.out->push(chunk);
+      }
+      return *whole;
+    }
+  }
+  return outcome;
+}
+
+net::Awaitable<std::vector<core::BarAnswer>>
 Relay::barAll(std::shared_ptr<Forward> request)
 {
   const auto& dispatchers = request->ticket.dispatchers;
@@ -224,7 +247,7 @@
     co_await round->wake.async_wait(
       net::asio::redirect_error(net::asio::use_awaitable, ignored));
   }
-  co_return core::decideByBars(round->answers);
+  co_return std::move(round->answers);
 }
 
 void
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "core/bar_decision.h"
 #include "core/ticket.h"
 #include "entry/dispatch_client.h"
 #include "entry/order_service.h"
 
 #include <memory>
+#include <vector>
 
 namespace lentilrack::entry {
 
@@ -34,7 +36,13 @@
   net::Awaitable<void> forward(std::shared_ptr<Forward> request);
   net::Awaitable<bool> tryHome(std::shared_ptr<Forward> request);
   net::Awaitable<void> runHere(std::shared_ptr<Forward> request);
-  net::Awaitable<core::Outcome> barAll(std::shared_ptr<Forward> request);
+  /// Asks the whole dispatch set to bar the request.
+  net::Awaitable<std::vector<core::BarAnswer>> barAll(
+    std::shared_ptr<Forward> request);
+  /// Sends the whole answer if a dispatcher still has it.
+  static core::Outcome deliver(Forward& request,
+                               const std::vector<core::BarAnswer>& answers,
+                               core::Outcome outcome);
   net::Awaitable<void> serve(std::shared_ptr<net::LinkRequest> request);
 
   node::Node& mNode;
--- a/src/entry/single_attempts.cpp
+++ b/src/entry/single_attempts.cpp
@@ -99,7 +99,8 @@
                       result.outcome.reason == "bad_answer";
   if (result.outcome.verdict == Verdict::Unknown && result.sent &&
       result.dispatcher && isLost) {
-    auto known = co_await askAfterLoss(run, *result.dispatcher);
+    auto known =
+      co_await askAfterLoss(run, *result.dispatcher, assembly->chunks().size());
     // What has been published ran, whatever is said now.
     if (known.verdict != Verdict::NotRun || assembly->chunks().empty()) {
       result.outcome = std::move(known);
@@ -110,7 +111,8 @@
 
 net::Awaitable<Outcome>
 SingleAttempts::askAfterLoss(std::shared_ptr<OrderRun> run,
-                             core::ProcessId dispatcher)
+                             core::ProcessId dispatcher,
+                             std::size_t received)
 {
   auto wait = kFirstAskAgain;
   for (;;) {
@@ -124,10 +126,21 @@
     if (reply->state == wire::BarState::Finished) {
       auto outcome =
         reply->outcome.value_or(failure(Verdict::Unknown, "dispatcher_lost"));
-      if (outcome.verdict == Verdict::Done) {
+      if (outcome.verdict != Verdict::Done) {
+        co_return outcome;
+      }
+      const auto whole = core::wholeAnswer(outcome, reply->answer);
+      if (!whole) {
         outcome.reason = "answer_lost";
+        co_return outcome;
+      }
+      // The chunks of one attempt come in one order, so the received ones are
+      // the first of them.
+      const auto first = std::min(received, reply->answer.size());
+      for (std::size_t i = first; i < reply->answer.size(); ++i) {
+        run->publish(reply->answer[i]);
       }
-      co_return outcome;
+      co_return *whole;
     }
     if (run->remaining() <= wait) {
       co_return failure(Verdict::Unknown, "dispatcher_lost");
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -259,6 +259,9 @@
   if (reply.outcome) {
     json["outcome"] = encode(*reply.outcome);
   }
+  if (!reply.answer.empty()) {
+    json["answer"] = encodeList(reply.answer);
+  }
   return json;
 }
 
@@ -273,6 +276,7 @@
     if (const Json* outcome = reader.find("outcome")) {
       reply.outcome = unwrap(decode<core::Outcome>(*outcome));
     }
+    reply.answer = readList<core::Chunk>(reader, "answer");
     reader.finish();
     return reply;
   });
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -57,6 +57,8 @@
   BarState state = BarState::Started;
   /// Set if Finished.
   std::optional<core::Outcome> outcome;
+  /// The whole answer if it is Done and still kept, from the first token on.
+  std::vector<core::Chunk> answer;
 };
 
 /// Entry to entry: a caller's request that reached another instance than its
--- /dev/null
+++ b/tests/core/recent_answers_test.cpp
@@ -0,0 +1,36 @@
+#include "core/recent_answers.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::core {
+
+// Guards against an answer that is mixed up or replaced by a later one.
+TEST(RecentAnswersTest, GivesBackWhatWasKeptFirst)
+{
+  RecentAnswers answers;
+  answers.keep("a", { { "one ", 1, 7 }, { "two ", 1, 8 } });
+  answers.keep("a", { { "other", 1, 9 } });
+  ASSERT_NE(answers.find("a"), nullptr);
+  ASSERT_EQ(answers.find("a")->size(), 2U);
+  EXPECT_EQ(answers.find("a")->at(1).text, "two ");
+  EXPECT_EQ(answers.find("b"), nullptr);
+}
+
+// Guards against memory that grows with the number or the size of answers.
+TEST(RecentAnswersTest, OldestAnswersGoFirst)
+{
+  RecentAnswers answers({ 2, 1000 });
+  answers.keep("a", { { "x", 1, 1 } });
+  answers.keep("b", { { "x", 1, 1 } });
+  answers.keep("c", { { "x", 1, 1 } });
+  EXPECT_EQ(answers.find("a"), nullptr);
+  EXPECT_NE(answers.find("c"), nullptr);
+  answers.keep("large", { { std::string(2000, 'x'), 1, 1 } });
+  EXPECT_EQ(answers.find("large"), nullptr);
+  EXPECT_NE(answers.find("c"), nullptr);
+  answers.keep("d", { { std::string(800, 'x'), 1, 1 } });
+  EXPECT_EQ(answers.find("b"), nullptr);
+  EXPECT_NE(answers.find("d"), nullptr);
+}
+
+} // namespace lentilrack::core
--- a/tests/dispatch/dispatch_service_test.cpp
+++ b/tests/dispatch/dispatch_service_test.cpp
@@ -1,3 +1,4 @@
+#include "core/answer_assembly.h"
 #include "dispatch_fixture.h"
 
 #include "standins/answer_text.h"
@@ -138,10 +139,12 @@
     co_await untilOutcomes(1);
     EXPECT_EQ(mOutcomes[0].reason, "no_reply");
     core::Outcome finished;
+    std::vector<core::Chunk> answer;
     for (;;) {
       const auto reply = co_await bar("r");
       if (reply->state == wire::BarState::Finished) {
         finished = *reply->outcome;
+        answer = reply->answer;
         break;
       }
       EXPECT_EQ(reply->state, wire::BarState::Started);
@@ -149,6 +152,8 @@
     }
     EXPECT_EQ(finished.verdict, Verdict::Done);
     EXPECT_EQ(finished.totalTokens, 100);
+    // The answer that its link could not carry is still there, whole.
+    EXPECT_TRUE(core::wholeAnswer(finished, answer));
   });
 }
 
--- a/tests/entry/entry_fixture.cpp
+++ b/tests/entry/entry_fixture.cpp
@@ -145,6 +145,7 @@
     case core::AttemptState::Finished:
       reply.state = wire::BarState::Finished;
       reply.outcome = result->outcome;
+      reply.answer = kept;
   }
   request->reply(wire::encode(reply));
 }
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -69,6 +69,8 @@
   std::function<bool()> drop = [] { return false; };
   /// Refuses every attempt with this reason if it is not empty.
   std::string refuseWith;
+  /// Answer that is still kept for a bar of a finished attempt.
+  std::vector<core::Chunk> kept;
   /// Prompts (or call paths) in the order of their start.
   std::vector<std::string> runs;
   int cancels = 0;
--- a/tests/entry/order_loss_test.cpp
+++ b/tests/entry/order_loss_test.cpp
@@ -241,4 +241,38 @@
   });
 }
 
+// Guards against a caller that gets no answer, or one that is spliced, although
+// the dispatcher that lost its link still has the whole answer.
+TEST_F(OrderLoss, AnswerKeptByTheDispatcherIsDeliveredWhole)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto body = orderBody(newId(mEntry), "one");
+    for (auto* dispatcher : { &mFirst, &mSecond }) {
+      dispatcher->kept = { { "on", 1, 7 }, { "e!", 2, 8 } };
+      dispatcher->engine =
+        [](wire::DispatchRequest,
+           FakeDispatcher::Request request) -> net::Awaitable<core::Outcome> {
+        request->event(wire::encode(core::Chunk{ "on", 1, 7 }));
+        request->reply("not an outcome");
+        co_await net::sleepFor(core::Millis(50));
+        core::Outcome done;
+        done.verdict = core::Verdict::Done;
+        done.totalTokens = 3;
+        co_return done;
+      };
+    }
+    const auto answer = co_await order(mEntry, body);
+    EXPECT_EQ(answer.verdict(), "done");
+    EXPECT_EQ(answer.lines().back()["event"], "done");
+    EXPECT_EQ(answer.lines().back()["total"], 3);
+    EXPECT_EQ(answer.lines().back()["segments"].size(), 2U);
+    std::string text;
+    for (const auto& line : answer.lines()) {
+      text += line.value("text", "");
+    }
+    EXPECT_EQ(text, "one!");
+    EXPECT_EQ(mFirst.runs.size() + mSecond.runs.size(), 1U);
+  });
+}
+
 } // namespace lentilrack::entry
--- a/tests/wire/messages_test.cpp
+++ b/tests/wire/messages_test.cpp
@@ -78,7 +78,9 @@
     DispatchReply{ outcome, core::TargetLoad{ 1, 4, 3, 7.5, 100 } });
   expectRoundTrip(DispatchReply{ outcome, std::nullopt });
   expectRoundTrip(BarRequest{ "t.1", { "d", 5 } });
-  expectRoundTrip(BarReply{ BarState::Finished, outcome });
+  expectRoundTrip(
+    BarReply{ BarState::Finished, outcome, { { "a", 1, 2 }, { "b", 1, 3 } } });
+  expectRoundTrip(BarReply{ BarState::Barred, std::nullopt, {} });
   expectRoundTrip(
     RelayRequest{ "t.1", { "e", 6 }, sampleWork(), core::Millis(900) });
   expectRoundTrip(Ping{ sampleMember(), { sampleMember(), sampleMember() } });
