Use one accept loop for HTTP servers and link servers

Cause: the loop stood twice, alike in its handling of errors and of closing.

Change: net::acceptConnections() serves both; each server says only what it does with a socket. Behaviour is the same.

--- a/src/net/beast.cpp
+++ b/src/net/beast.cpp
@@ -24,4 +24,27 @@
   return !error;
 }
 
+Awaitable<void>
+acceptConnections(asio::ip::tcp::acceptor& acceptor,
+                  std::function<void(asio::ip::tcp::socket)> take)
+{
+  // Gives the process time to close files when it has none left.
+  constexpr core::Millis kPauseAfterError{ 20 };
+  while (acceptor.is_open()) {
+    boost::system::error_code error;
+    asio::ip::tcp::socket socket(acceptor.get_executor());
+    co_await acceptor.async_accept(
+      socket, asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      co_await sleepFor(kPauseAfterError);
+      continue;
+    }
+    socket.set_option(asio::ip::tcp::no_delay(true), error);
+    take(std::move(socket));
+  }
+}
+
 } // namespace lentilrack::net
--- a/src/net/beast.h
+++ b/src/net/beast.h
@@ -10,6 +10,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <functional>
+
 namespace lentilrack::net {
 
 namespace beast = boost::beast;
@@ -19,4 +21,10 @@
 bool
 listenOn(asio::ip::tcp::acceptor& acceptor, const core::Endpoint& endpoint);
 
+/// Accepts connections until the acceptor is closed and hands each socket to
+/// `take`. The acceptor must outlive the coroutine.
+Awaitable<void>
+acceptConnections(asio::ip::tcp::acceptor& acceptor,
+                  std::function<void(asio::ip::tcp::socket)> take);
+
 } // namespace lentilrack::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -44,7 +44,7 @@
   std::set<beast::tcp_stream*> streams;
   std::size_t active = 0;
 
-  Awaitable<void> acceptLoop();
+  void take(tcp::socket socket);
   Awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream);
   Awaitable<bool> serveOne(const std::shared_ptr<beast::tcp_stream>& stream,
                            beast::flat_buffer& buffer);
@@ -263,29 +263,15 @@
 
 } // namespace
 
-Awaitable<void>
-HttpServer::State::acceptLoop()
+void
+HttpServer::State::take(tcp::socket socket)
 {
-  while (acceptor.is_open()) {
-    boost::system::error_code error;
-    tcp::socket socket(io);
-    co_await acceptor.async_accept(
-      socket, asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      co_await sleepFor(core::Millis(20));
-      continue;
-    }
-    socket.set_option(tcp::no_delay(true), error);
-    if (streams.size() >= limits.connections) {
-      continue;
-    }
-    spawn(io,
-          serve(std::make_shared<beast::tcp_stream>(std::move(socket))),
-          shared_from_this());
+  if (streams.size() >= limits.connections) {
+    return;
   }
+  spawn(io,
+        serve(std::make_shared<beast::tcp_stream>(std::move(socket))),
+        shared_from_this());
 }
 
 Awaitable<void>
@@ -399,7 +385,11 @@
   if (!listenOn(acceptor, endpoint)) {
     return make_error_code(NetError::AddressInUse);
   }
-  spawn(mState->io, mState->acceptLoop(), mState);
+  auto* state = mState.get();
+  const auto take = [state](tcp::socket socket) {
+    state->take(std::move(socket));
+  };
+  spawn(mState->io, acceptConnections(acceptor, take), mState);
   return core::Endpoint{ endpoint.address, acceptor.local_endpoint().port() };
 }
 
--- a/src/net/link_server.cpp
+++ b/src/net/link_server.cpp
@@ -64,7 +64,7 @@
   std::map<std::string, LinkHandler> handlers;
   std::set<std::shared_ptr<LinkConnection>> connections;
 
-  Awaitable<void> acceptLoop();
+  void take(tcp::socket socket);
   Awaitable<void> serve(std::shared_ptr<LinkConnection> connection);
   void takeFrame(const std::shared_ptr<LinkConnection>& connection,
                  const std::shared_ptr<Calls>& calls,
@@ -74,26 +74,12 @@
                  LinkFrame frame);
 };
 
-Awaitable<void>
-LinkServer::State::acceptLoop()
+void
+LinkServer::State::take(tcp::socket socket)
 {
-  while (acceptor.is_open()) {
-    boost::system::error_code error;
-    tcp::socket socket(io);
-    co_await acceptor.async_accept(
-      socket, asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      co_await sleepFor(core::Millis(20));
-      continue;
-    }
-    socket.set_option(tcp::no_delay(true), error);
-    spawn(io,
-          serve(std::make_shared<LinkConnection>(std::move(socket))),
-          shared_from_this());
-  }
+  spawn(io,
+        serve(std::make_shared<LinkConnection>(std::move(socket))),
+        shared_from_this());
 }
 
 Awaitable<void>
@@ -184,7 +170,11 @@
   if (!listenOn(acceptor, endpoint)) {
     return make_error_code(NetError::AddressInUse);
   }
-  spawn(mState->io, mState->acceptLoop(), mState);
+  auto* state = mState.get();
+  const auto take = [state](tcp::socket socket) {
+    state->take(std::move(socket));
+  };
+  spawn(mState->io, acceptConnections(acceptor, take), mState);
   return core::Endpoint{ endpoint.address, acceptor.local_endpoint().port() };
 }
 
