--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 mode=(-i)
 [ "${1:-}" = --check ] && mode=(--dry-run --Werror)
-find src tests bench -name '*.cpp' -o -name '*.h' |
+find src platform tests bench -name '*.cpp' -o -name '*.h' |
   xargs -r -P "$(nproc)" -n 8 clang-format "${mode[@]}"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 [ -f build/debug/compile_commands.json ] || cmake --preset debug >/dev/null
 if [ $# -gt 0 ]; then files=("$@"); else
-  mapfile -t files < <(find src tests bench -name '*.cpp' | sort)
+  mapfile -t files < <(find src platform tests bench -name '*.cpp' | sort)
 fi
 # Asio 1.74 does not detect the coroutines of clang with libstdc++ 12 by
 # itself.
--- a/src/platform/call_outcome.cpp
+++ b/src/backends/call_outcome.cpp
@@ -1,10 +1,10 @@
-#include "platform/call_outcome.h"
+#include "backends/call_outcome.h"
 
 #include "net/error.h"
 
 #include <charconv>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -57,4 +57,4 @@
                   : core::Millis(0);
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/call_outcome.h
+++ b/src/backends/call_outcome.h
@@ -3,7 +3,7 @@
 #include "core/work.h"
 #include "net/http_client.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 /// The outcome of an exchange that failed: NotRun only if no byte of the
 /// request was written.
@@ -17,4 +17,4 @@
 core::Millis
 retryAfter(const net::HttpResponse& response);
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/engine_answer.cpp
+++ b/src/backends/engine_answer.cpp
@@ -1,8 +1,8 @@
-#include "platform/engine_answer.h"
+#include "backends/engine_answer.h"
 
 #include "wire/object_reader.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -112,4 +112,4 @@
   }
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/engine_answer.h
+++ b/src/backends/engine_answer.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "backends/engine_client.h"
 #include "core/work.h"
-#include "platform/engine_client.h"
 #include "wire/object_reader.h"
 
 #include <functional>
 #include <string>
 #include <string_view>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 /// Reads the lines of an engine's answer as they arrive and checks that the
 /// answer is whole and within what was asked for.
@@ -44,4 +44,4 @@
   bool mBad = false;
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/engine_client.cpp
+++ b/src/backends/engine_client.cpp
@@ -1,13 +1,13 @@
-#include "platform/engine_client.h"
+#include "backends/engine_client.h"
 
+#include "backends/call_outcome.h"
+#include "backends/engine_answer.h"
+#include "backends/http_json.h"
 #include "net/error.h"
-#include "platform/call_outcome.h"
-#include "platform/engine_answer.h"
-#include "platform/http_json.h"
 
 #include <limits>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -191,7 +191,7 @@
   const auto result = co_await mHttp.call(std::move(call));
   // Status 500 is the published form of a failed load.
   const bool hasFailed = !result.error && result.response.status == 500;
-  co_return hasFailed ? make_error_code(PlatformError::Refused)
+  co_return hasFailed ? make_error_code(BackendError::Refused)
                       : answerError(result);
 }
 
@@ -221,4 +221,4 @@
   co_return readAnswer(result.response.body, readEvents);
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/engine_client.h
+++ b/src/backends/engine_client.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 struct GenerateRequest
 {
@@ -98,4 +98,4 @@
   net::HttpClient& mHttp;
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/error.h
+++ b/src/backends/error.h
@@ -2,11 +2,11 @@
 
 #include <system_error>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
-/// Errors of the platform layer. Errors of the net layer and HTTP statuses are
+/// Errors of the backends layer. Errors of the net layer and HTTP statuses are
 /// turned into these.
-enum class PlatformError
+enum class BackendError
 {
   /// No answer: down, cut off or too slow.
   Unavailable = 1,
@@ -24,15 +24,15 @@
 };
 
 const std::error_category&
-platformCategory();
+backendCategory();
 
 std::error_code
-make_error_code(PlatformError error); // NOLINT: name required by the library
+make_error_code(BackendError error); // NOLINT: name required by the library
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
 
 template<>
-struct std::is_error_code_enum<lentilrack::platform::PlatformError>
+struct std::is_error_code_enum<lentilrack::backends::BackendError>
   : std::true_type
 {
 };
--- a/src/platform/http_json.cpp
+++ b/src/backends/http_json.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_json.h"
+#include "backends/http_json.h"
 
 #include "net/error.h"
 
@@ -6,7 +6,7 @@
 
 #include <cctype>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 net::HttpCall
 plainCall(core::Endpoint endpoint,
@@ -42,25 +42,25 @@
 {
   if (result.error) {
     return result.error == net::NetError::BadMessage
-             ? PlatformError::BadAnswer
-             : PlatformError::Unavailable;
+             ? BackendError::BadAnswer
+             : BackendError::Unavailable;
   }
   const int status = result.response.status;
   if (status / 100 == 2) {
     return {};
   }
   if (status / 100 == 5) {
-    return PlatformError::Unavailable;
+    return BackendError::Unavailable;
   }
   switch (status) {
     case 404:
-      return PlatformError::NotFound;
+      return BackendError::NotFound;
     case 409:
-      return PlatformError::Conflict;
+      return BackendError::Conflict;
     case 429:
-      return PlatformError::RateLimited;
+      return BackendError::RateLimited;
     default:
-      return PlatformError::Refused;
+      return BackendError::Refused;
   }
 }
 
@@ -80,4 +80,4 @@
   return encoded;
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/http_json.h
+++ b/src/backends/http_json.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "backends/error.h"
 #include "core/result.h"
 #include "net/http_client.h"
-#include "platform/error.h"
 #include "wire/object_reader.h"
 
 #include <string>
 #include <string_view>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 /// A call without a body.
 net::HttpCall
@@ -43,16 +43,16 @@
 {
   const auto json = wire::parseJson(body);
   if (!json) {
-    return make_error_code(PlatformError::BadAnswer);
+    return make_error_code(BackendError::BadAnswer);
   }
   auto decoded = wire::decodeWith([&] {
     wire::ObjectReader reader(json.value());
     return read(reader);
   });
   if (!decoded) {
-    return make_error_code(PlatformError::BadAnswer);
+    return make_error_code(BackendError::BadAnswer);
   }
   return std::move(decoded).value();
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/instance_list.cpp
+++ b/src/backends/instance_list.cpp
@@ -1,8 +1,8 @@
-#include "platform/instance_list.h"
+#include "backends/instance_list.h"
 
-#include "platform/http_json.h"
+#include "backends/http_json.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -85,4 +85,4 @@
   co_return readAnswer(result.response.body, readServers);
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/instance_list.h
+++ b/src/backends/instance_list.h
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 /// Client of the platform's list of live and leaving instances. The list lags
 /// and is only advice.
@@ -22,4 +22,4 @@
   core::Endpoint mEndpoint;
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/kv_backoff.cpp
+++ b/src/backends/kv_backoff.cpp
@@ -1,9 +1,9 @@
-#include "platform/kv_backoff.h"
+#include "backends/kv_backoff.h"
 
 #include <algorithm>
 #include <random>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -61,4 +61,4 @@
                                                            share(mRandom));
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/kv_backoff.h
+++ b/src/backends/kv_backoff.h
@@ -6,7 +6,7 @@
 
 #include <cstdint>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 /// Decides when calls may go to a service that did not answer: after a failure
 /// none for a time that doubles up to a cap, with jitter, then one at a time
@@ -53,4 +53,4 @@
   core::TimePoint mProbeEnd{};
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/kv_budget.cpp
+++ b/src/backends/kv_budget.cpp
@@ -1,8 +1,8 @@
-#include "platform/kv_budget.h"
+#include "backends/kv_budget.h"
 
 #include <algorithm>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -37,4 +37,4 @@
   mNext = std::max(mNext, now);
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/kv_budget.h
+++ b/src/backends/kv_budget.h
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 /// Call budget towards the key-value service: `callsPerSecond` on average and
 /// at most a quarter of a second's calls at once. Gives calls their send times
@@ -30,4 +30,4 @@
   core::TimePoint mNext{};
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/kv_caller.cpp
+++ b/src/backends/kv_caller.cpp
@@ -1,11 +1,11 @@
-#include "platform/kv_caller.h"
+#include "backends/kv_caller.h"
 
-#include "platform/error.h"
-#include "platform/http_json.h"
+#include "backends/error.h"
+#include "backends/http_json.h"
 
 #include <random>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -55,7 +55,7 @@
     const bool isProbe = gate == Gate::Probe;
     const bool isPaid = co_await pay(latest);
     if (!isPaid) {
-      co_return make_error_code(PlatformError::RateLimited);
+      co_return make_error_code(BackendError::RateLimited);
     }
     const bool hasFailedMeanwhile = !isProbe && !mBackoff.isOpen();
     if (hasFailedMeanwhile) {
@@ -80,7 +80,7 @@
       co_return std::move(round.response);
     }
   }
-  co_return make_error_code(PlatformError::Unavailable);
+  co_return make_error_code(BackendError::Unavailable);
 }
 
 net::Awaitable<Gate>
@@ -113,7 +113,7 @@
 KvCaller::tryEndpoints(KvRequest request, TimePoint latest)
 {
   Round round;
-  round.error = PlatformError::Unavailable;
+  round.error = BackendError::Unavailable;
   const auto count = mOptions.endpoints.size();
   const auto first = mPreferred;
   for (std::size_t i = 0; i < count; ++i) {
@@ -136,8 +136,11 @@
     if (mPreferred == index) {
       mPreferred = (index + 1) % count;
     }
-    if (result.sent && !request.repeatable) {
-      round.error = PlatformError::OutcomeUnknown;
+    constexpr int kServiceUnavailable = 503;
+    const bool isRefused =
+      request.refusalIsProof && result.response.status == kServiceUnavailable;
+    if (result.sent && !request.repeatable && !isRefused) {
+      round.error = BackendError::OutcomeUnknown;
       co_return round;
     }
   }
@@ -154,7 +157,7 @@
   call.cancel = mClosed;
   // On a kept connection that the service has closed, a write would count as
   // possibly sent.
-  call.freshConnection = !request.repeatable;
+  call.freshConnection = !request.repeatable && !request.keepsConnection;
   call.request.method = std::move(request.method);
   call.request.target = std::move(request.target);
   if (request.wait) {
@@ -178,4 +181,4 @@
   mBackoff.succeeded();
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/kv_caller.h
+++ b/src/backends/kv_caller.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "backends/kv_backoff.h"
+#include "backends/kv_budget.h"
+#include "backends/kv_client.h"
 #include "net/http_client.h"
-#include "platform/kv_backoff.h"
-#include "platform/kv_budget.h"
-#include "platform/kv_client.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 /// One call to the key-value service.
 struct KvRequest
@@ -15,6 +15,11 @@
   std::string body;
   /// May be sent again when no answer came.
   bool repeatable = true;
+  /// A write that is harmless when it is done late or twice may use a kept
+  /// connection; its outcome is then unknown if the service has closed it.
+  bool keepsConnection = false;
+  /// The status 503 proves that nothing was done.
+  bool refusalIsProof = false;
   /// How long the service may hold a watch. It is appended to the target.
   std::optional<core::Millis> wait;
 };
@@ -62,4 +67,4 @@
   std::uint64_t mCalls = 0;
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/kv_client.cpp
+++ b/src/backends/kv_client.cpp
@@ -1,12 +1,12 @@
-#include "platform/kv_client.h"
+#include "backends/kv_client.h"
 
-#include "platform/error.h"
-#include "platform/http_json.h"
-#include "platform/kv_caller.h"
+#include "backends/error.h"
+#include "backends/http_json.h"
+#include "backends/kv_caller.h"
 
 #include <limits>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -60,8 +60,8 @@
 std::error_code
 writeError(std::error_code error)
 {
-  return error == PlatformError::BadAnswer ? PlatformError::OutcomeUnknown
-                                           : error;
+  return error == BackendError::BadAnswer ? BackendError::OutcomeUnknown
+                                          : error;
 }
 
 } // namespace
@@ -189,7 +189,7 @@
   }
   // A service that repeats an old revision would make the caller spin.
   if (entry.value().revision <= after) {
-    co_return make_error_code(PlatformError::BadAnswer);
+    co_return make_error_code(BackendError::BadAnswer);
   }
   co_return Entry(std::move(entry).value());
 }
@@ -247,4 +247,4 @@
   return mState->caller.calls();
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/kv_client.h
+++ b/src/backends/kv_client.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 struct KvEntry
 {
@@ -84,4 +84,4 @@
   std::shared_ptr<State> mState;
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/scorer_client.cpp
+++ b/src/backends/scorer_client.cpp
@@ -1,8 +1,8 @@
-#include "platform/scorer_client.h"
+#include "backends/scorer_client.h"
 
-#include "platform/http_json.h"
+#include "backends/http_json.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 ScorerClient::ScorerClient(net::HttpClient& http)
   : mHttp(http)
@@ -30,9 +30,9 @@
     });
   const bool isComplete = scores && scores.value().size() == items.size();
   if (!isComplete) {
-    co_return make_error_code(PlatformError::BadAnswer);
+    co_return make_error_code(BackendError::BadAnswer);
   }
   co_return std::move(scores).value();
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/scorer_client.h
+++ b/src/backends/scorer_client.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 struct ScoreItem
 {
@@ -31,4 +31,4 @@
   net::HttpClient& mHttp;
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/service_client.cpp
+++ b/src/backends/service_client.cpp
@@ -1,10 +1,10 @@
-#include "platform/service_client.h"
+#include "backends/service_client.h"
 
-#include "platform/call_outcome.h"
+#include "backends/call_outcome.h"
 
 #include <algorithm>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -72,4 +72,4 @@
   co_return outcome;
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/service_client.h
+++ b/src/backends/service_client.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <string>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 struct ServiceCall
 {
@@ -36,4 +36,4 @@
   net::HttpClient& mHttp;
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/weight_store_client.cpp
+++ b/src/backends/weight_store_client.cpp
@@ -1,13 +1,13 @@
-#include "platform/weight_store_client.h"
+#include "backends/weight_store_client.h"
 
-#include "platform/http_json.h"
+#include "backends/http_json.h"
 
 #include <fmt/format.h>
 #include <xxhash.h>
 
 #include <limits>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -58,7 +58,7 @@
   }
   // A store that repeats an old version would make the caller spin.
   if (version.value().version <= after) {
-    co_return make_error_code(PlatformError::BadAnswer);
+    co_return make_error_code(BackendError::BadAnswer);
   }
   co_return Version(version.value());
 }
@@ -80,7 +80,7 @@
   }
   const auto expected = net::headerValue(result.response.headers, "X-Checksum");
   if (expected != chunkChecksum(result.response.body)) {
-    co_return make_error_code(PlatformError::BadAnswer);
+    co_return make_error_code(BackendError::BadAnswer);
   }
   co_return std::move(result.response.body);
 }
@@ -91,4 +91,4 @@
   return fmt::format("{:016x}", XXH64(data.data(), data.size(), 0));
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/src/platform/weight_store_client.h
+++ b/src/backends/weight_store_client.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 struct WeightVersion
 {
@@ -44,4 +44,4 @@
 std::string
 chunkChecksum(std::string_view data);
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- /dev/null
+++ b/src/core/desired_state.cpp
@@ -0,0 +1,83 @@
+#include "core/desired_state.h"
+
+#include <algorithm>
+#include <cctype>
+#include <numeric>
+
+namespace lentilrack::core {
+
+namespace {
+
+std::string
+hostName(std::string_view host)
+{
+  const auto name = host.substr(0, host.rfind(':'));
+  std::string lower(name);
+  std::ranges::transform(
+    lower, lower.begin(), [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+} // namespace
+
+const std::string&
+Route::pickService(double draw) const
+{
+  const double total = std::accumulate(
+    targets.begin(), targets.end(), 0.0, [](double sum, const RouteTarget& t) {
+      return sum + t.weight;
+    });
+  double left = draw * total;
+  const auto found = std::ranges::find_if(targets, [&](const RouteTarget& t) {
+    left -= t.weight;
+    return left < 0;
+  });
+  static const std::string kNone;
+  if (targets.empty()) {
+    return kNone;
+  }
+  return found == targets.end() ? targets.back().service : found->service;
+}
+
+DesiredState::DesiredState(std::int64_t version,
+                           std::vector<Route> routes,
+                           std::vector<ServiceSpec> services,
+                           CallerLimits limits)
+  : mVersion(version)
+  , mLimits(limits)
+  , mServices(std::move(services))
+{
+  for (auto& route : routes) {
+    mRoutes[hostName(route.host)].push_back(std::move(route));
+  }
+  for (auto& [host, ofHost] : mRoutes) {
+    std::ranges::stable_sort(ofHost, std::greater<>(), [](const Route& route) {
+      return route.pathPrefix.size();
+    });
+  }
+}
+
+const Route*
+DesiredState::match(std::string_view host, std::string_view target) const
+{
+  const auto found = mRoutes.find(hostName(host));
+  if (found == mRoutes.end()) {
+    return nullptr;
+  }
+  const auto path = target.substr(0, target.find('?'));
+  const auto route =
+    std::ranges::find_if(found->second, [&](const Route& candidate) {
+      return path.starts_with(candidate.pathPrefix);
+    });
+  return route == found->second.end() ? nullptr : &*route;
+}
+
+bool
+DesiredState::wantsSingleVersion() const
+{
+  return std::ranges::any_of(mRoutes, [](const auto& entry) {
+    return std::ranges::any_of(entry.second, &Route::singleVersion);
+  });
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/event_text.cpp
@@ -0,0 +1,91 @@
+#include "core/event_text.h"
+
+#include <charconv>
+
+namespace lentilrack::core {
+
+namespace {
+
+std::int64_t
+parseNumber(std::string_view text)
+{
+  std::int64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+} // namespace
+
+EventCutter::EventCutter(std::string versionField)
+  : mVersionField(std::move(versionField))
+{
+}
+
+std::vector<StreamEvent>
+EventCutter::take(std::string_view bytes)
+{
+  constexpr std::string_view kEnd = "\n\n";
+  std::vector<StreamEvent> events;
+  mRest.append(bytes);
+  std::size_t start = 0;
+  for (auto end = mRest.find(kEnd); end != std::string::npos;
+       end = mRest.find(kEnd, start)) {
+    events.push_back(parse(std::string_view(mRest).substr(start, end - start)));
+    start = end + kEnd.size();
+  }
+  mRest.erase(0, start);
+  return events;
+}
+
+StreamEvent
+EventCutter::parse(std::string_view block) const
+{
+  StreamEvent event;
+  bool hasData = false;
+  while (!block.empty()) {
+    const auto end = block.find('\n');
+    const auto line = block.substr(0, end);
+    block.remove_prefix(end == std::string_view::npos ? block.size() : end + 1);
+    const auto colon = line.find(':');
+    const auto name = line.substr(0, colon);
+    auto value = colon == std::string_view::npos ? std::string_view()
+                                                 : line.substr(colon + 1);
+    if (value.starts_with(' ')) {
+      value.remove_prefix(1);
+    }
+    if (name == "id") {
+      event.number = parseNumber(value);
+    } else if (name == "data") {
+      event.data += hasData ? "\n" : "";
+      event.data += value;
+      hasData = true;
+    } else if (name == mVersionField) {
+      event.version = parseNumber(value);
+    }
+  }
+  return event;
+}
+
+bool
+EventText::append(const StreamEvent& event)
+{
+  if (event.number != mLastNumber + 1) {
+    return false;
+  }
+  if (event.version > 0) {
+    mVersion = event.version;
+  }
+  mText += mLastNumber == 0 ? "" : "\n";
+  mText += event.data;
+  mLastNumber = event.number;
+  mVersions.insert(mVersion);
+  return true;
+}
+
+void
+EventText::clear()
+{
+  *this = EventText{};
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/rollout_batch.cpp
@@ -0,0 +1,102 @@
+#include "core/rollout_batch.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace lentilrack::core {
+
+BatchProgress::BatchProgress(std::shared_ptr<const BatchSpec> spec)
+  : mSpec(std::move(spec))
+  , mItems(mSpec->items.size())
+  , mOrder(mSpec->items.size())
+{
+  std::map<std::string, std::size_t> groups;
+  for (std::size_t i = 0; i < mItems.size(); ++i) {
+    const auto& item = mSpec->items[i];
+    const auto group = groups.try_emplace(item.group, groups.size());
+    mItems[i].group = group.first->second;
+    if (group.second) {
+      mOpenOfGroup.push_back(0);
+    }
+    ++mOpenOfGroup[mItems[i].group];
+    mIndex[item.id] = i;
+  }
+  std::iota(mOrder.begin(), mOrder.end(), 0);
+  std::ranges::stable_sort(mOrder, {}, [this](std::size_t i) {
+    return std::tuple(mItems[i].group, -mSpec->items[i].expectedLength);
+  });
+}
+
+std::optional<std::size_t>
+BatchProgress::next(TimePoint now) const
+{
+  const auto found = std::ranges::find_if(mOrder, [&](std::size_t i) {
+    return mItems[i].state == State::Waiting && mItems[i].notBefore <= now;
+  });
+  return found == mOrder.end() ? std::nullopt : std::optional(*found);
+}
+
+std::optional<TimePoint>
+BatchProgress::nextRelease() const
+{
+  std::optional<TimePoint> first;
+  for (const auto& item : mItems) {
+    if (item.state == State::Waiting) {
+      first = std::min(first.value_or(item.notBefore), item.notBefore);
+    }
+  }
+  return first;
+}
+
+void
+BatchProgress::begin(std::size_t item)
+{
+  mItems[item].state = State::Running;
+  ++mRunning;
+}
+
+void
+BatchProgress::putBack(std::size_t item, TimePoint notBefore)
+{
+  if (mItems[item].state == State::Running) {
+    mItems[item].state = State::Waiting;
+    mItems[item].notBefore = notBefore;
+    --mRunning;
+  }
+}
+
+bool
+BatchProgress::finish(std::size_t item)
+{
+  auto& state = mItems[item].state;
+  if (state == State::Finished) {
+    return false;
+  }
+  mRunning -= state == State::Running ? 1 : 0;
+  state = State::Finished;
+  ++mFinished;
+  --mOpenOfGroup[mItems[item].group];
+  return true;
+}
+
+bool
+BatchProgress::isFinished(std::size_t item) const
+{
+  return mItems[item].state == State::Finished;
+}
+
+bool
+BatchProgress::groupIsWhole(std::size_t item) const
+{
+  return mOpenOfGroup[mItems[item].group] == 0;
+}
+
+std::optional<std::size_t>
+BatchProgress::indexOf(const std::string& itemId) const
+{
+  const auto found = mIndex.find(itemId);
+  return found == mIndex.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/src/core/server_registry.cpp
@@ -0,0 +1,278 @@
+#include "core/server_registry.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ranges>
+
+namespace lentilrack::core {
+
+namespace {
+
+/// Weight of a new observation in the running mean of the pace.
+constexpr double kPaceGain = 0.2;
+/// First and longest time for which a failing server is avoided.
+constexpr Millis kFirstAvoidance{ 400 };
+constexpr Millis kLongestAvoidance{ 4'000 };
+/// A full server is asked again after this time.
+constexpr Millis kRefusalPause{ 60 };
+/// Cost of another failure domain, in slots of load.
+constexpr double kDomainCost = 0.05;
+/// A pace this many times the median counts fully against a server; faster
+/// differences are within the usual spread of requests.
+constexpr double kLowestRelativePace = 0.5;
+constexpr double kHighestRelativePace = 20;
+
+} // namespace
+
+std::vector<std::string>
+ServerRegistry::apply(std::vector<ServerEntry> entries, TimePoint now)
+{
+  std::vector<std::string> changes;
+  std::set<std::string> listed;
+  for (auto& entry : entries) {
+    listed.insert(entry.id);
+    mMissingSince.erase(entry.id);
+    auto& server = mServers[entry.id];
+    const bool isNew = server.entry.id.empty() ||
+                       server.entry.startedAt != entry.startedAt ||
+                       server.entry.endpoint != entry.endpoint;
+    if (isNew) {
+      changes.push_back(fmt::format("{} added at {} for {}",
+                                    entry.id,
+                                    entry.endpoint.text(),
+                                    entry.service));
+      server = ServerState{};
+      server.entry = std::move(entry);
+      continue;
+    }
+    if (entry.draining && !server.entry.draining) {
+      changes.push_back(fmt::format("{} is draining", entry.id));
+    }
+    // The list lags behind what the server itself has told.
+    for (const auto& [model, version] : server.entry.versions) {
+      auto& known = entry.versions[model];
+      known = std::max(known, version);
+    }
+    server.entry = std::move(entry);
+  }
+  const bool isJustBack = mLastFailure && now - *mLastFailure < kReturnGrace;
+  std::erase_if(mServers, [&](auto& item) {
+    if (listed.contains(item.first)) {
+      return false;
+    }
+    const auto since = mMissingSince.try_emplace(item.first, now).first->second;
+    if (isJustBack && now - since < kReturnGrace) {
+      return false;
+    }
+    mMissingSince.erase(item.first);
+    changes.push_back(fmt::format("{} is gone", item.first));
+    return true;
+  });
+  return changes;
+}
+
+bool
+ServerRegistry::fits(const ServerState& server,
+                     const ServerNeed& need,
+                     TimePoint now) const
+{
+  const auto& entry = server.entry;
+  if (entry.service != need.service || entry.draining || server.leaving ||
+      need.exclude.contains(entry.id)) {
+    return false;
+  }
+  if (need.freeSlotOnly &&
+      (server.running >= entry.slots || now < server.avoidUntil)) {
+    return false;
+  }
+  if (need.model.empty()) {
+    return true;
+  }
+  const auto version = entry.versions.find(need.model);
+  return version != entry.versions.end() &&
+         version->second >= need.minVersion && now >= server.loadingUntil;
+}
+
+double
+ServerRegistry::cost(const ServerState& server,
+                     const ServerNeed& need,
+                     double median) const
+{
+  const double relative = server.pace > 0 && median > 0
+                            ? std::clamp(server.pace / median,
+                                         kLowestRelativePace,
+                                         kHighestRelativePace)
+                            : 1.0;
+  const double load = (server.running + 1.0) / std::max(1, server.entry.slots);
+  const bool isElsewhere = !need.preferredDomain.empty() &&
+                           server.entry.failureDomain != need.preferredDomain;
+  return load * relative + (isElsewhere ? kDomainCost : 0);
+}
+
+ServerState*
+ServerRegistry::choose(const ServerNeed& need, TimePoint now, double draw)
+{
+  std::vector<ServerState*> candidates;
+  for (auto& [id, server] : mServers) {
+    if (fits(server, need, now)) {
+      candidates.push_back(&server);
+    }
+  }
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  const auto preferred =
+    std::ranges::find_if(candidates, [&](const ServerState* server) {
+      return server->entry.id == need.preferredServer;
+    });
+  if (preferred != candidates.end() && now >= (*preferred)->avoidUntil) {
+    return *preferred;
+  }
+  // Servers in trouble are used only if there is no other.
+  const bool hasSound = std::ranges::any_of(
+    candidates, [&](const ServerState* s) { return now >= s->avoidUntil; });
+  if (hasSound) {
+    std::erase_if(candidates,
+                  [&](const ServerState* s) { return now < s->avoidUntil; });
+  }
+  // Starting anywhere in the list spreads equal choices of many processes.
+  const auto first =
+    static_cast<std::ptrdiff_t>(draw * static_cast<double>(candidates.size()));
+  std::ranges::rotate(candidates, candidates.begin() + first);
+  const double median = medianPace(need.service);
+  return *std::ranges::min_element(candidates, {}, [&](const ServerState* s) {
+    return cost(*s, need, median);
+  });
+}
+
+ServerState*
+ServerRegistry::find(const std::string& id, std::int64_t startedAt)
+{
+  const auto found = mServers.find(id);
+  const bool isSame =
+    found != mServers.end() && found->second.entry.startedAt == startedAt;
+  return isSame ? &found->second : nullptr;
+}
+
+std::vector<const ServerState*>
+ServerRegistry::serving(const std::string& service) const
+{
+  std::vector<const ServerState*> result;
+  for (const auto& [id, server] : mServers) {
+    if (server.entry.service == service && !server.entry.draining &&
+        !server.leaving) {
+      result.push_back(&server);
+    }
+  }
+  return result;
+}
+
+std::vector<const ServerState*>
+ServerRegistry::all() const
+{
+  std::vector<const ServerState*> result;
+  for (const auto& [id, server] : mServers) {
+    result.push_back(&server);
+  }
+  return result;
+}
+
+void
+ServerRegistry::begin(const ServerEntry& server)
+{
+  if (auto* state = find(server.id, server.startedAt)) {
+    ++state->running;
+  }
+}
+
+void
+ServerRegistry::end(const ServerEntry& server)
+{
+  if (auto* state = find(server.id, server.startedAt)) {
+    --state->running;
+  }
+}
+
+void
+ServerRegistry::succeeded(const ServerEntry& server, double pace)
+{
+  if (auto* state = find(server.id, server.startedAt)) {
+    state->failures = 0;
+    state->avoidUntil = {};
+    state->pace =
+      state->pace == 0 ? pace : state->pace + kPaceGain * (pace - state->pace);
+  }
+}
+
+void
+ServerRegistry::failed(const ServerEntry& server, TimePoint now)
+{
+  if (auto* state = find(server.id, server.startedAt)) {
+    const int doublings = std::min(state->failures, 4);
+    const auto pause =
+      std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+    // Requests that fail together are one failure of the server.
+    if (now >= state->avoidUntil) {
+      ++state->failures;
+      state->avoidUntil = now + pause;
+    }
+  }
+}
+
+void
+ServerRegistry::refused(const ServerEntry& server, TimePoint now)
+{
+  if (auto* state = find(server.id, server.startedAt)) {
+    state->avoidUntil = std::max(state->avoidUntil, now + kRefusalPause);
+  }
+}
+
+void
+ServerRegistry::noteLeaving(const ServerEntry& server)
+{
+  if (auto* state = find(server.id, server.startedAt)) {
+    state->leaving = true;
+  }
+}
+
+void
+ServerRegistry::noteVersion(const ServerEntry& server,
+                            const std::string& model,
+                            std::int64_t version)
+{
+  if (auto* state = find(server.id, server.startedAt)) {
+    auto& known = state->entry.versions[model];
+    known = std::max(known, version);
+  }
+}
+
+void
+ServerRegistry::noteLoading(const std::string& id,
+                            std::int64_t startedAt,
+                            TimePoint until)
+{
+  if (auto* state = find(id, startedAt)) {
+    state->loadingUntil = until;
+  }
+}
+
+double
+ServerRegistry::medianPace(const std::string& service) const
+{
+  std::vector<double> paces;
+  for (const auto& [id, server] : mServers) {
+    if (server.entry.service == service && server.pace > 0) {
+      paces.push_back(server.pace);
+    }
+  }
+  if (paces.empty()) {
+    return 0;
+  }
+  const auto middle =
+    paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+  std::ranges::nth_element(paces, middle);
+  return *middle;
+}
+
+} // namespace lentilrack::core
--- a/src/ctl/bootstrap.cpp
+++ b/src/ctl/bootstrap.cpp
@@ -1,9 +1,9 @@
+#include "backends/error.h"
 #include "core/row_fields.h"
 #include "ctl/ctl_app.h"
 #include "ctl/first_table.h"
 #include "node/table_editor.h"
 #include "node/table_sync.h"
-#include "platform/error.h"
 #include "wire/table_codec.h"
 
 #include <fmt/format.h>
@@ -12,14 +12,14 @@
 
 namespace {
 
-using platform::PlatformError;
+using backends::BackendError;
 
 constexpr int kReads = 5;
 
 /// The highest revision in the history; 0 if there is none. A process that
 /// still has that table in force would ignore a first table with a lower one.
 net::Awaitable<core::Result<std::int64_t>>
-highestRevision(platform::KvClient& kv)
+highestRevision(backends::KvClient& kv)
 {
   const auto entries = co_await kv.list(node::kHistoryPrefix);
   if (!entries) {
@@ -36,7 +36,7 @@
 /// Whether the service holds exactly this table; an error if it cannot be
 /// read.
 net::Awaitable<core::Result<bool>>
-holds(platform::KvClient& kv, core::Table table)
+holds(backends::KvClient& kv, core::Table table)
 {
   std::error_code error;
   for (int i = 0; i < kReads; ++i) {
@@ -72,22 +72,22 @@
     co_return fail(first.error());
   }
   auto& table = first.value().table;
-  platform::KvClientOptions options;
+  backends::KvClientOptions options;
   options.endpoints = mSettings.kv;
-  platform::KvClient kv(mIo, std::move(options));
+  backends::KvClient kv(mIo, std::move(options));
   const auto highest = co_await highestRevision(kv);
   if (!highest) {
     co_return fail("the key-value service cannot be read: " +
                    highest.error().message());
   }
   setRevision(table, highest.value() + 1);
-  platform::KvPut put;
+  backends::KvPut put;
   put.key = node::kTableKey;
   put.value = wire::encode(table);
   put.expect = 0;
   const auto written = co_await kv.put(std::move(put));
-  if (!written && written.error() != PlatformError::Conflict &&
-      written.error() != PlatformError::OutcomeUnknown) {
+  if (!written && written.error() != BackendError::Conflict &&
+      written.error() != BackendError::OutcomeUnknown) {
     co_return fail("the table cannot be written: " + written.error().message());
   }
   if (!written) {
@@ -100,7 +100,7 @@
       co_return fail("there is a table already; use table import to change it");
     }
   }
-  platform::KvPut history;
+  backends::KvPut history;
   history.key = node::kHistoryPrefix + std::to_string(table.revision);
   history.value = wire::encode(table);
   const auto kept = co_await kv.put(std::move(history));
--- a/src/dispatch/chunk_store.cpp
+++ b/src/dispatch/chunk_store.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/chunk_store.h"
 
-#include "platform/weight_store_client.h"
+#include "backends/weight_store_client.h"
 
 #include <algorithm>
 #include <charconv>
@@ -191,7 +191,7 @@
     return std::nullopt;
   }
   auto data = readFile(found->second.path);
-  if (!data || platform::chunkChecksum(*data) != found->second.checksum) {
+  if (!data || backends::chunkChecksum(*data) != found->second.checksum) {
     remove(ChunkKey(key));
     return std::nullopt;
   }
@@ -209,7 +209,7 @@
   while (mBytes + data.size() > mLimit) {
     remove(ChunkKey(mUses.front()));
   }
-  const auto checksum = platform::chunkChecksum(data);
+  const auto checksum = backends::chunkChecksum(data);
   const auto path = mDirectory / fileName(key, checksum);
   auto temporary = path;
   temporary += kTemporary;
--- a/src/dispatch/dispatch_app.h
+++ b/src/dispatch/dispatch_app.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backends/engine_client.h"
 #include "core/scheduler.h"
 #include "dispatch/dispatch_service.h"
 #include "dispatch/fencing.h"
@@ -8,7 +9,6 @@
 #include "dispatch/weight_updater.h"
 #include "node/node.h"
 #include "node/process.h"
-#include "platform/engine_client.h"
 
 #include <string>
 
@@ -58,7 +58,7 @@
   Fencing mFencing;
   ServerMonitor mMonitor;
   DispatchService mService;
-  platform::EngineClient mEngines;
+  backends::EngineClient mEngines;
   std::shared_ptr<WeightUpdater> mUpdater;
   /// Null without a data directory.
   std::shared_ptr<WeightCache> mCache;
--- a/src/dispatch/dispatch_service.cpp
+++ b/src/dispatch/dispatch_service.cpp
@@ -213,11 +213,11 @@
   }
 }
 
-platform::GenerateCall
+backends::GenerateCall
 DispatchService::generateCall(const core::JobStart& start)
 {
   const auto& work = start.work;
-  platform::GenerateCall call;
+  backends::GenerateCall call;
   call.request.attempt = engineAttempt(start);
   call.request.model = work.target;
   call.request.prompt = work.prompt;
@@ -237,10 +237,10 @@
   return call;
 }
 
-platform::ServiceCall
+backends::ServiceCall
 DispatchService::serviceCall(const core::JobStart& start)
 {
-  platform::ServiceCall call;
+  backends::ServiceCall call;
   call.content = start.work.call;
   call.requestId = start.work.idempotent ? "" : start.attempt.request;
   call.timeout = timeLeft(start);
--- a/src/dispatch/dispatch_service.h
+++ b/src/dispatch/dispatch_service.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "backends/engine_client.h"
+#include "backends/service_client.h"
 #include "core/pause_guard.h"
 #include "core/recent_answers.h"
 #include "core/scheduler.h"
 #include "dispatch/fencing.h"
 #include "node/node.h"
-#include "platform/engine_client.h"
-#include "platform/service_client.h"
 #include "wire/messages.h"
 
 #include <functional>
@@ -70,8 +70,8 @@
                const core::Outcome& outcome,
                const std::string& target) const;
   net::Awaitable<void> run(core::JobStart start);
-  platform::GenerateCall generateCall(const core::JobStart& start);
-  platform::ServiceCall serviceCall(const core::JobStart& start);
+  backends::GenerateCall generateCall(const core::JobStart& start);
+  backends::ServiceCall serviceCall(const core::JobStart& start);
   void takeChunk(core::JobId job, const core::Chunk& chunk);
   void cancel(core::JobId job);
   void cancelRun(core::JobId job);
@@ -84,8 +84,8 @@
   core::Scheduler& mScheduler;
   Fencing& mFencing;
   StaleFencing mOnStaleFencing;
-  platform::EngineClient mEngines;
-  platform::ServiceClient mServices;
+  backends::EngineClient mEngines;
+  backends::ServiceClient mServices;
   core::RecentAnswers mRecentAnswers;
   std::map<core::JobId, Active> mActive;
   core::PauseGuard mPauseGuard;
--- a/src/dispatch/fencing.cpp
+++ b/src/dispatch/fencing.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/fencing.h"
 
-#include "platform/error.h"
+#include "backends/error.h"
 
 namespace lentilrack::dispatch {
 
@@ -12,7 +12,7 @@
 
 } // namespace
 
-Fencing::Fencing(platform::KvClient& kv, net::Logger log)
+Fencing::Fencing(backends::KvClient& kv, net::Logger log)
   : mKv(kv)
   , mLog(std::move(log))
 {
@@ -26,7 +26,7 @@
     const auto current = co_await mKv.read(key);
     const bool absent =
       !current &&
-      current.error() == make_error_code(platform::PlatformError::NotFound);
+      current.error() == make_error_code(backends::BackendError::NotFound);
     if (!current && !absent) {
       co_return false;
     }
@@ -39,7 +39,7 @@
     }
     auto& number = mNumbers[server];
     const auto raised = std::max(last, number) + 1;
-    platform::KvPut put;
+    backends::KvPut put;
     put.key = key;
     put.value = raised;
     put.expect = revision;
@@ -52,7 +52,7 @@
     // reads back and raises once more, which is harmless.
     mNumbers[server] = std::max(mNumbers[server], last);
     if (written.error() ==
-        make_error_code(platform::PlatformError::Unavailable)) {
+        make_error_code(backends::BackendError::Unavailable)) {
       co_return false;
     }
   }
--- a/src/dispatch/fencing.h
+++ b/src/dispatch/fencing.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "backends/kv_client.h"
 #include "net/asio.h"
 #include "net/log.h"
-#include "platform/kv_client.h"
 
 #include <cstdint>
 #include <map>
@@ -16,7 +16,7 @@
 class Fencing
 {
 public:
-  Fencing(platform::KvClient& kv, net::Logger log);
+  Fencing(backends::KvClient& kv, net::Logger log);
 
   /// Raises the number of a server by compare-and-swap. Without the key-value
   /// service the last known number stays. Returns whether it was raised.
@@ -26,7 +26,7 @@
   std::int64_t number(const std::string& server) const;
 
 private:
-  platform::KvClient& mKv;
+  backends::KvClient& mKv;
   net::Logger mLog;
   std::map<std::string, std::int64_t> mNumbers;
 };
--- a/src/dispatch/server_monitor.h
+++ b/src/dispatch/server_monitor.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "backends/engine_client.h"
 #include "core/scheduler.h"
 #include "dispatch/fencing.h"
 #include "node/node.h"
-#include "platform/engine_client.h"
 
 #include <functional>
 #include <set>
@@ -54,7 +54,7 @@
   core::Scheduler& mScheduler;
   Fencing& mFencing;
   ServerMonitorOptions mOptions;
-  platform::EngineClient mEngines;
+  backends::EngineClient mEngines;
   std::function<void()> mChanged;
   std::function<bool()> mKeepOwned;
   /// Names of the live dispatchers at the last evaluation.
--- a/src/dispatch/weight_cache.cpp
+++ b/src/dispatch/weight_cache.cpp
@@ -1,18 +1,18 @@
 #include "dispatch/weight_cache.h"
 
+#include "backends/error.h"
 #include "core/weight_rollout.h"
 #include "net/random.h"
-#include "platform/error.h"
 #include "wire/object_reader.h"
 
 #include <algorithm>
 
 namespace lentilrack::dispatch {
 
+using backends::BackendError;
 using core::Clock;
 using core::Millis;
 using net::Awaitable;
-using platform::PlatformError;
 
 namespace {
 
@@ -35,10 +35,10 @@
 net::HttpResponse
 failureResponse(std::error_code error)
 {
-  if (error == PlatformError::NotFound) {
+  if (error == BackendError::NotFound) {
     return plainResponse(404, "not_found");
   }
-  if (error == PlatformError::RateLimited) {
+  if (error == BackendError::RateLimited) {
     auto response = plainResponse(429, "rate_limited");
     response.headers.emplace_back("Retry-After", "1");
     return response;
@@ -47,7 +47,7 @@
 }
 
 net::HttpResponse
-versionResponse(const platform::WeightVersion& version)
+versionResponse(const backends::WeightVersion& version)
 {
   net::HttpResponse response;
   response.body = wire::Json{
@@ -147,7 +147,7 @@
     }
     state->error = data.error();
     const auto pause = mOptions.backoff(failures, net::randomShare());
-    const bool final = state->error == PlatformError::NotFound;
+    const bool final = state->error == BackendError::NotFound;
     if (final || Clock::now() + pause >= end) {
       break;
     }
@@ -182,7 +182,7 @@
     if (data) {
       response.contentType = "application/octet-stream";
       response.headers.emplace_back("X-Checksum",
-                                    platform::chunkChecksum(data.value()));
+                                    backends::chunkChecksum(data.value()));
       response.body = std::move(data.value());
     } else {
       response = failureResponse(data.error());
--- a/src/dispatch/weight_cache.h
+++ b/src/dispatch/weight_cache.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "backends/weight_store_client.h"
 #include "dispatch/chunk_store.h"
 #include "net/http_router.h"
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/notifier.h"
-#include "platform/weight_store_client.h"
 
 #include <functional>
 #include <map>
@@ -69,14 +69,14 @@
   bool startFollowing(const std::string& model);
 
   net::asio::io_context& mIo;
-  platform::WeightStoreClient mStore;
+  backends::WeightStoreClient mStore;
   net::Metrics& mMetrics;
   net::Logger mLog;
   WeightCacheOptions mOptions;
   ChunkStore mDisk;
   std::map<ChunkKey, std::shared_ptr<Download>> mDownloads;
   /// Models whose announcements are followed, with the newest one.
-  std::map<std::string, platform::WeightVersion> mVersions;
+  std::map<std::string, backends::WeightVersion> mVersions;
 };
 
 } // namespace lentilrack::dispatch
--- a/src/dispatch/weight_updater.h
+++ b/src/dispatch/weight_updater.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "backends/weight_store_client.h"
 #include "core/weight_rollout.h"
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/notifier.h"
-#include "platform/weight_store_client.h"
 
 #include <functional>
 #include <map>
@@ -49,7 +49,7 @@
     load;
   /// Called for each new version that is announced; may be empty.
   std::function<void(const std::string& model,
-                     const platform::WeightVersion& version)>
+                     const backends::WeightVersion& version)>
     announced;
 };
 
@@ -96,7 +96,7 @@
                                std::int64_t emptyPolls) const;
 
   net::asio::io_context& mIo;
-  platform::WeightStoreClient mStore;
+  backends::WeightStoreClient mStore;
   net::Metrics& mMetrics;
   net::Logger mLog;
   WeightUpdaterOptions mOptions;
--- a/src/entry/admin_api.cpp
+++ b/src/entry/admin_api.cpp
@@ -1,9 +1,9 @@
 #include "entry/admin_api.h"
 
+#include "backends/error.h"
 #include "core/table_csv.h"
 #include "entry/admin_answer.h"
 #include "entry/admin_views.h"
-#include "platform/error.h"
 #include "wire/table_codec.h"
 
 #include <charconv>
@@ -170,7 +170,7 @@
   if (table) {
     co_return jsonAnswer(wire::encode(table.value()));
   }
-  if (table.error() != platform::PlatformError::NotFound) {
+  if (table.error() != backends::BackendError::NotFound) {
     co_return storeFailure(table.error());
   }
   co_return refusal(kNotFound,
--- a/src/entry/admin_api.h
+++ b/src/entry/admin_api.h
@@ -23,7 +23,7 @@
   core::ProcessId self;
   core::TableReplica& table;
   core::Membership& members;
-  platform::KvClient& kv;
+  backends::KvClient& kv;
   net::Metrics& metrics;
   net::Logger log;
   /// Node::cutOff().
--- a/src/entry/sample_scorer.cpp
+++ b/src/entry/sample_scorer.cpp
@@ -1,7 +1,7 @@
 #include "entry/sample_scorer.h"
 
+#include "backends/error.h"
 #include "net/random.h"
-#include "platform/error.h"
 
 namespace lentilrack::entry {
 
@@ -81,10 +81,10 @@
     if (jobs.empty()) {
       break;
     }
-    std::error_code error = platform::PlatformError::Unavailable;
+    std::error_code error = backends::BackendError::Unavailable;
     const auto endpoint = nextEndpoint();
     if (endpoint) {
-      std::vector<platform::ScoreItem> items;
+      std::vector<backends::ScoreItem> items;
       for (const auto& job : jobs) {
         items.push_back({ job.prompt, job.text });
       }
@@ -92,7 +92,7 @@
         co_await mClient.score(*endpoint, std::move(items), mOptions.timeout);
       error = scores ? std::error_code() : scores.error();
       if (scores && scores.value().size() != jobs.size()) {
-        error = platform::PlatformError::BadAnswer;
+        error = backends::BackendError::BadAnswer;
       }
       if (!error) {
         for (std::size_t i = 0; i < jobs.size(); ++i) {
@@ -105,7 +105,7 @@
     mLog.warning("Scoring failed: {}.", error.message());
     const auto pause = mOptions.backoff(++failures, net::randomShare());
     co_await net::sleepFor(pause);
-    if (error != platform::PlatformError::Unavailable) {
+    if (error != backends::BackendError::Unavailable) {
       retry(std::move(jobs));
       break;
     }
--- a/src/entry/sample_scorer.h
+++ b/src/entry/sample_scorer.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "backends/scorer_client.h"
 #include "core/step_policy.h"
 #include "net/asio.h"
 #include "net/log.h"
 #include "net/metrics.h"
-#include "platform/scorer_client.h"
 
 #include <deque>
 #include <functional>
@@ -63,7 +63,7 @@
   std::optional<core::Endpoint> nextEndpoint();
 
   net::asio::io_context& mIo;
-  platform::ScorerClient mClient;
+  backends::ScorerClient mClient;
   net::Metrics& mMetrics;
   net::Logger mLog;
   SampleScorerOptions mOptions;
--- a/src/entry/trainer_state.h
+++ b/src/entry/trainer_state.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "backends/weight_store_client.h"
 #include "entry/step_codec.h"
 #include "entry/step_runner.h"
 #include "entry/trainer_api.h"
-#include "platform/weight_store_client.h"
 
 #include <map>
 #include <set>
@@ -57,7 +57,7 @@
   node::Node& node;
   TrainerHooks hooks;
   net::Logger log;
-  platform::WeightStoreClient weightStore;
+  backends::WeightStoreClient weightStore;
   std::shared_ptr<core::VersionTrack> versions;
   std::shared_ptr<StepServices> services;
   std::map<StepKey, std::shared_ptr<StepRunner>> steps;
--- /dev/null
+++ b/src/gateway/cluster_view.cpp
@@ -0,0 +1,405 @@
+#include "gateway/cluster_view.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Millis;
+using Json = nlohmann::json;
+
+constexpr Millis kWatchWait{ 1'500 };
+constexpr Millis kFailurePause{ 100 };
+
+constexpr std::string_view kPrefix = "lentilrack/";
+constexpr std::string_view kInstances = "lentilrack/instances/";
+constexpr std::string_view kBatches = "lentilrack/batches/";
+constexpr std::string_view kOwners = "lentilrack/owners/";
+constexpr std::string_view kLeader = "lentilrack/leader";
+
+/// Time since the boot of the machine, with the time in which it slept.
+Millis
+bootTime()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr std::int64_t kMillis = 1000;
+  constexpr std::int64_t kNanos = 1'000'000;
+  return Millis(now.tv_sec * kMillis + now.tv_nsec / kNanos);
+}
+
+std::optional<core::Endpoint>
+endpointOf(const Json& json, const char* name)
+{
+  return core::Endpoint::parse(json.value(name, ""));
+}
+
+std::optional<Peer>
+decodePeer(const StoreItem& item)
+{
+  const auto json = Json::parse(item.value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  return Peer{ item.key.substr(kInstances.size()),
+               json.value("failure_domain", ""),
+               endpointOf(json, "callers"),
+               endpointOf(json, "peers"),
+               json.value("leaving", false) };
+}
+
+} // namespace
+
+namespace keys {
+
+std::string
+instance(const std::string& name)
+{
+  return std::string(kInstances) + name;
+}
+
+std::string
+batch(const std::string& id)
+{
+  return std::string(kBatches) + id;
+}
+
+std::string
+owner(const std::string& id)
+{
+  return std::string(kOwners) + id;
+}
+
+std::string
+leader()
+{
+  return std::string(kLeader);
+}
+
+std::string
+dataPrefix(const std::string& id)
+{
+  return "lentilrack-data/" + id + "/";
+}
+
+std::string
+bodyPart(const std::string& id, std::size_t index)
+{
+  return fmt::format("{}body/{:04}", dataPrefix(id), index);
+}
+
+std::string
+resultsPrefix(const std::string& id)
+{
+  return dataPrefix(id) + "results/";
+}
+
+std::string
+results(const std::string& id, std::size_t position)
+{
+  return fmt::format("{}{:08}", resultsPrefix(id), position);
+}
+
+} // namespace keys
+
+Millis
+unixNow()
+{
+  return std::chrono::duration_cast<Millis>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::string
+BatchRecord::encode() const
+{
+  return Json{
+    { "host", host },
+    { "path", path },
+    { "total", total },
+    { "parts", parts },
+    { "submitted_at", submittedAt.count() },
+    { "state", static_cast<int>(state) }
+  }.dump();
+}
+
+std::optional<BatchRecord>
+BatchRecord::decode(const StoreItem& item)
+{
+  const auto json = Json::parse(item.value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  BatchRecord record;
+  record.host = json.value("host", "");
+  record.path = json.value("path", "");
+  record.total = json.value("total", std::size_t{ 0 });
+  record.parts = json.value("parts", std::size_t{ 0 });
+  record.submittedAt = Millis(json.value("submitted_at", std::int64_t{ 0 }));
+  record.state = static_cast<BatchState>(json.value("state", 0));
+  record.revision = item.revision;
+  return record;
+}
+
+std::string
+Holder::encode() const
+{
+  return Json{ { "instance", instance }, { "lifetime", lifetime } }.dump();
+}
+
+std::optional<Holder>
+Holder::decode(const StoreItem& item)
+{
+  const auto json = Json::parse(item.value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  return Holder{ json.value("instance", ""),
+                 json.value("lifetime", ""),
+                 item.revision };
+}
+
+ClusterView::ClusterView(Context& context)
+  : mContext(context)
+{
+}
+
+void
+ClusterView::start()
+{
+  net::spawn(mContext.io, follow());
+  net::spawn(mContext.io, keepRegistered());
+}
+
+bool
+ClusterView::leaseIsFresh(Millis margin) const
+{
+  return mLease != 0 && bootTime() + margin < mRenewedAt + kLeaseTime;
+}
+
+const Holder*
+ClusterView::ownerOf(const std::string& batch) const
+{
+  const auto found = mOwners.find(batch);
+  return found == mOwners.end() ? nullptr : &found->second;
+}
+
+bool
+ClusterView::isSelf(const Holder& holder) const
+{
+  return holder.instance == mContext.settings.instance &&
+         holder.lifetime == mContext.lifetime;
+}
+
+std::size_t
+ClusterView::rankFor(const std::string& name) const
+{
+  const auto weight = [&](const std::string& instance) {
+    const auto text = instance + "|" + name;
+    return XXH3_64bits(text.data(), text.size());
+  };
+  const auto own = weight(mContext.settings.instance);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(mPeers, [&](const auto& item) {
+      return !item.second.isLeaving && weight(item.first) > own;
+    }));
+}
+
+net::Awaitable<void>
+ClusterView::follow()
+{
+  std::int64_t revision = 0;
+  for (;;) {
+    if (revision == 0) {
+      auto listing = co_await mContext.store.list(std::string(kPrefix));
+      if (!listing) {
+        co_await net::sleepFor(kFailurePause);
+        continue;
+      }
+      dropMissing(listing.value());
+      std::ranges::for_each(listing.value().items,
+                            [this](const auto& item) { takeItem(item); });
+      revision = listing.value().revision;
+      mIsSynced = true;
+      if (mOnChange) {
+        mOnChange();
+      }
+    }
+    auto changes =
+      co_await mContext.store.watch(std::string(kPrefix), revision, kWatchWait);
+    if (!changes) {
+      const bool isLost = changes.error() == StoreError::HistoryLost;
+      revision = 0;
+      co_await net::sleepFor(isLost ? Millis(0) : kFailurePause);
+      continue;
+    }
+    for (const auto& change : changes.value().changes) {
+      if (change.value) {
+        takeItem({ change.key, *change.value, change.revision });
+      } else {
+        noteRemoved(change.key, change.revision);
+      }
+      revision = std::max(revision, change.revision);
+    }
+    if (!changes.value().changes.empty() && mOnChange) {
+      mOnChange();
+    }
+  }
+}
+
+void
+ClusterView::dropMissing(const StoreListing& listing)
+{
+  std::map<std::string, std::int64_t> listed;
+  for (const auto& item : listing.items) {
+    listed[item.key] = item.revision;
+  }
+  const auto known = mRevisions;
+  for (const auto& [key, revision] : known) {
+    if (!listed.contains(key) && revision <= listing.revision) {
+      noteRemoved(key, listing.revision);
+    }
+  }
+}
+
+void
+ClusterView::takeItem(const StoreItem& item)
+{
+  auto& known = mRevisions[item.key];
+  if (item.revision <= known) {
+    return;
+  }
+  known = item.revision;
+  const std::string_view key = item.key;
+  if (key.starts_with(kInstances)) {
+    if (auto peer = decodePeer(item)) {
+      mContext.log.info(
+        "member",
+        { { "instance", peer->instance },
+          { "revision", item.revision },
+          { "outcome", peer->isLeaving ? "leaving" : "present" } });
+      mPeers[peer->instance] = std::move(*peer);
+    }
+  } else if (key.starts_with(kBatches)) {
+    if (auto record = BatchRecord::decode(item)) {
+      mBatches[item.key.substr(kBatches.size())] = std::move(*record);
+    }
+  } else if (key.starts_with(kOwners)) {
+    if (auto holder = Holder::decode(item)) {
+      mOwners[item.key.substr(kOwners.size())] = std::move(*holder);
+    }
+  } else if (key == kLeader) {
+    mLeader = Holder::decode(item);
+  }
+}
+
+void
+ClusterView::noteRemoved(const std::string& removed, std::int64_t revision)
+{
+  auto& known = mRevisions[removed];
+  if (revision <= known) {
+    return;
+  }
+  mRevisions.erase(removed);
+  const std::string_view key = removed;
+  if (key.starts_with(kInstances)) {
+    const auto name = removed.substr(kInstances.size());
+    mContext.log.info("member",
+                      { { "instance", name },
+                        { "revision", revision },
+                        { "outcome", "gone" } });
+    mPeers.erase(name);
+    mIsRegistered = mIsRegistered && name != mContext.settings.instance;
+  } else if (key.starts_with(kBatches)) {
+    mBatches.erase(removed.substr(kBatches.size()));
+  } else if (key.starts_with(kOwners)) {
+    mOwners.erase(removed.substr(kOwners.size()));
+  } else if (key == kLeader) {
+    mLeader.reset();
+  }
+}
+
+void
+ClusterView::notePeerLeaving(const std::string& instance)
+{
+  const auto found = mPeers.find(instance);
+  if (found != mPeers.end()) {
+    found->second.isLeaving = true;
+  }
+}
+
+net::Awaitable<void>
+ClusterView::keepRegistered()
+{
+  for (;;) {
+    const auto sentAt = bootTime();
+    if (mLease == 0) {
+      auto lease = co_await mContext.store.grantLease(
+        std::max(kLeaseTime, mContext.settings.shortestLease));
+      if (lease) {
+        mLease = lease.value();
+        mRenewedAt = sentAt;
+        mIsRegistered = false;
+      }
+    } else {
+      const auto error = co_await mContext.store.renewLease(mLease);
+      if (!error) {
+        mRenewedAt = sentAt;
+      } else if (error == StoreError::NoLease) {
+        mContext.log.warning("lease",
+                             { { "lease", mLease }, { "outcome", "lost" } });
+        mLease = 0;
+        mIsRegistered = false;
+        continue;
+      }
+    }
+    if (mLease != 0 && !mIsRegistered) {
+      mIsRegistered = co_await registerSelf();
+    }
+    co_await net::sleepFor(mIsRegistered ? kRenewPause : kFailurePause);
+  }
+}
+
+net::Awaitable<bool>
+ClusterView::registerSelf()
+{
+  const auto& settings = mContext.settings;
+  Json json = { { "failure_domain", settings.failureDomain },
+                { "leaving", mContext.isLeaving } };
+  if (settings.callerAddress) {
+    json["callers"] = settings.callerAddress->text();
+  }
+  if (settings.peerAddress) {
+    json["peers"] = settings.peerAddress->text();
+  }
+  StoreTransaction transaction;
+  transaction.writes = {
+    { keys::instance(settings.instance), json.dump(), mLease }
+  };
+  const auto commit = co_await mContext.store.commit(transaction);
+  if (!commit.error) {
+    takeItem({ transaction.writes[0].key,
+               transaction.writes[0].value,
+               commit.revision });
+  } else if (commit.error == StoreError::NoLease) {
+    mLease = 0;
+  }
+  co_return !commit.error;
+}
+
+net::Awaitable<void>
+ClusterView::leave()
+{
+  if (mLease != 0) {
+    const bool isTold = co_await registerSelf();
+    mContext.log.info("leaving_told", { { "outcome", isTold } });
+  }
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/cluster_view.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "gateway/context.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lentilrack::gateway {
+
+/// Another process of the system, as it describes itself in the store.
+struct Peer
+{
+  std::string instance;
+  std::string failureDomain;
+  std::optional<core::Endpoint> callers;
+  std::optional<core::Endpoint> peers;
+  bool isLeaving = false;
+};
+
+enum class BatchState
+{
+  Open,
+  /// Every item has its result.
+  Finished,
+  /// The trainer has ended it.
+  Ended,
+};
+
+/// What every process knows of a batch.
+struct BatchRecord
+{
+  std::string host;
+  std::string path;
+  std::size_t total = 0;
+  /// Number of keys that hold the submission.
+  std::size_t parts = 0;
+  /// Unix time of the submission.
+  core::Millis submittedAt{ 0 };
+  BatchState state = BatchState::Open;
+  std::int64_t revision = 0;
+
+  std::string encode() const;
+  static std::optional<BatchRecord> decode(const StoreItem& item);
+};
+
+/// Who may write results of a batch, or give orders to servers.
+struct Holder
+{
+  std::string instance;
+  std::string lifetime;
+  std::int64_t revision = 0;
+
+  std::string encode() const;
+  static std::optional<Holder> decode(const StoreItem& item);
+};
+
+/// Keys of this system in the store.
+namespace keys {
+std::string
+instance(const std::string& name);
+std::string
+batch(const std::string& id);
+std::string
+owner(const std::string& id);
+std::string
+leader();
+std::string
+bodyPart(const std::string& id, std::size_t index);
+/// Results from a position on.
+std::string
+results(const std::string& id, std::size_t position);
+/// Everything that is stored of a batch besides its record and owner.
+std::string
+dataPrefix(const std::string& id);
+std::string
+resultsPrefix(const std::string& id);
+}
+
+/// Unix time, for what outlives a process.
+core::Millis
+unixNow();
+
+/// What all processes know together: members, batches, owners, the leader. It
+/// follows the store by one watch, and keeps this process registered by a
+/// lease, which also carries everything that this process holds.
+class ClusterView
+{
+public:
+  /// Time after which others may take over what a process holds. Three
+  /// renewals may be lost before.
+  static constexpr core::Millis kLeaseTime{ 2'000 };
+  static constexpr core::Millis kRenewPause{ 500 };
+
+  explicit ClusterView(Context& context);
+
+  void start();
+  void onChange(std::function<void()> hook) { mOnChange = std::move(hook); }
+
+  /// 0 while there is none.
+  std::int64_t lease() const { return mLease; }
+  /// Until when nobody else can hold what the lease carries, unless the store
+  /// revokes it. Counts time in which the machine was suspended.
+  bool leaseIsFresh(core::Millis margin) const;
+  bool isRegistered() const { return mIsRegistered; }
+  bool isSynced() const { return mIsSynced; }
+
+  const std::map<std::string, Peer>& peers() const { return mPeers; }
+  const std::map<std::string, BatchRecord>& batches() const { return mBatches; }
+  const Holder* ownerOf(const std::string& batch) const;
+  const Holder* leader() const { return mLeader ? &*mLeader : nullptr; }
+  bool isSelf(const Holder& holder) const;
+  /// Position of this instance in the order in which processes take over the
+  /// thing of this name.
+  std::size_t rankFor(const std::string& name) const;
+
+  /// What this process has just read or written itself.
+  void takeItem(const StoreItem& item);
+  void noteRemoved(const std::string& key, std::int64_t revision);
+  /// A peer has told that it leaves, or does not answer.
+  void notePeerLeaving(const std::string& instance);
+  /// Tells the others that this process leaves.
+  net::Awaitable<void> leave();
+
+private:
+  net::Awaitable<void> follow();
+  net::Awaitable<void> keepRegistered();
+  net::Awaitable<bool> registerSelf();
+  void dropMissing(const StoreListing& listing);
+
+  Context& mContext;
+  std::function<void()> mOnChange;
+  std::map<std::string, Peer> mPeers;
+  std::map<std::string, BatchRecord> mBatches;
+  std::map<std::string, Holder> mOwners;
+  std::optional<Holder> mLeader;
+  /// Last revision seen of each key, so that older news changes nothing.
+  std::map<std::string, std::int64_t> mRevisions;
+  std::int64_t mLease = 0;
+  core::Millis mRenewedAt{ 0 };
+  bool mIsRegistered = false;
+  bool mIsSynced = false;
+};
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/context.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/desired_state.h"
+#include "core/server_registry.h"
+#include "gateway/coordination_store.h"
+#include "gateway/decision_log.h"
+#include "gateway/wire_format.h"
+#include "net/http_client.h"
+#include "net/metrics.h"
+
+#include <pcg_random.hpp>
+
+#include <memory>
+#include <random>
+
+namespace lentilrack::gateway {
+
+/// What all parts of the process share. The parts run on one thread.
+struct Context
+{
+  net::asio::io_context& io;
+  ProcessSettings settings;
+  const WireFormat& format;
+  CoordinationStore& store;
+  DecisionLog& log;
+  net::Metrics metrics;
+  net::HttpClient http;
+  core::ServerRegistry registry;
+  /// Null until the first desired state is known.
+  std::shared_ptr<const core::DesiredState> desired;
+  /// Newest version that was named, by model.
+  std::map<std::string, std::int64_t> namedVersions;
+  /// Tells this process from earlier ones of the same instance.
+  std::string lifetime;
+  /// SIGTERM came.
+  bool isLeaving = false;
+  pcg64 random{ std::random_device{}() };
+
+  Context(net::asio::io_context& context,
+          ProcessSettings processSettings,
+          const WireFormat& wireFormat,
+          CoordinationStore& coordinationStore,
+          DecisionLog& decisionLog)
+    : io(context)
+    , settings(std::move(processSettings))
+    , format(wireFormat)
+    , store(coordinationStore)
+    , log(decisionLog)
+    , http(context)
+    , lifetime(std::to_string(random()))
+  {
+  }
+
+  /// Uniform in [0, 1).
+  double draw() { return std::uniform_real_distribution<double>(0, 1)(random); }
+};
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/coordination_store.cpp
@@ -0,0 +1,46 @@
+#include "gateway/coordination_store.h"
+
+namespace lentilrack::gateway {
+
+namespace {
+
+class StoreCategory : public std::error_category
+{
+public:
+  const char* name() const noexcept override { return "store"; }
+  std::string message(int value) const override
+  {
+    switch (static_cast<StoreError>(value)) {
+      case StoreError::Unavailable:
+        return "the store did not take the call";
+      case StoreError::OutcomeUnknown:
+        return "the outcome of the write is unknown";
+      case StoreError::Conflict:
+        return "a condition does not hold";
+      case StoreError::NoLease:
+        return "the lease has ended";
+      case StoreError::HistoryLost:
+        return "the history is no longer kept";
+      case StoreError::BadAnswer:
+        return "the store's answer cannot be read";
+    }
+    return "unknown error";
+  }
+};
+
+} // namespace
+
+const std::error_category&
+storeCategory()
+{
+  static const StoreCategory kCategory;
+  return kCategory;
+}
+
+std::error_code
+make_error_code(StoreError error)
+{
+  return { static_cast<int>(error), storeCategory() };
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/decision_log.cpp
@@ -0,0 +1,161 @@
+#include "gateway/decision_log.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+/// Standard output without waiting for its reader. A line that is cut short is
+/// finished before the next; lines that do not fit meanwhile are dropped.
+class OutputSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+  OutputSink()
+  {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    // Without the flag the output still works, but may block.
+    if (flags >= 0) {
+      fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& message) override
+  {
+    if (!drain()) {
+      return;
+    }
+    spdlog::memory_buf_t line;
+    base_sink::formatter_->format(message, line);
+    mRest.assign(line.data(), line.size());
+    const auto size = mRest.size();
+    drain();
+    // A line of which nothing was taken is dropped.
+    if (mRest.size() == size) {
+      mRest.clear();
+    }
+  }
+  void flush_() override {}
+
+private:
+  bool drain()
+  {
+    while (!mRest.empty()) {
+      const auto written = ::write(STDOUT_FILENO, mRest.data(), mRest.size());
+      if (written <= 0) {
+        return false;
+      }
+      mRest.erase(0, static_cast<std::size_t>(written));
+    }
+    return true;
+  }
+
+  std::string mRest;
+};
+
+void
+appendText(std::string& line, std::string_view text)
+{
+  const bool isPlain = std::ranges::all_of(text, [](unsigned char c) {
+    return c >= ' ' && c < 0x7f && c != '"' && c != '\\';
+  });
+  if (isPlain) {
+    line += '"';
+    line += text;
+    line += '"';
+  } else {
+    line += nlohmann::json(text).dump(
+      -1, ' ', true, nlohmann::json::error_handler_t::replace);
+  }
+}
+
+void
+append(std::string& line, const DecisionLog::Field& field)
+{
+  line += fmt::format(",\"{}\":", field.name);
+  if (const auto* text = std::get_if<std::string_view>(&field.value)) {
+    appendText(line, *text);
+  } else if (const auto* number = std::get_if<std::int64_t>(&field.value)) {
+    line += std::to_string(*number);
+  } else if (const auto* real = std::get_if<double>(&field.value)) {
+    line += fmt::format("{:.3f}", *real);
+  } else {
+    line += std::get<bool>(field.value) ? "true" : "false";
+  }
+}
+
+} // namespace
+
+DecisionLog::DecisionLog()
+  : DecisionLog(std::make_shared<OutputSink>())
+{
+}
+
+DecisionLog::DecisionLog(spdlog::sink_ptr sink)
+  : mLogger(std::make_shared<spdlog::logger>("decisions", std::move(sink)))
+{
+  mLogger->set_formatter(std::make_unique<spdlog::pattern_formatter>(
+    R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})",
+    spdlog::pattern_time_type::utc));
+  mLogger->flush_on(spdlog::level::off);
+}
+
+void
+DecisionLog::info(std::string_view event, std::initializer_list<Field> fields)
+{
+  write(spdlog::level::info, event, fields);
+}
+
+void
+DecisionLog::warning(std::string_view event,
+                     std::initializer_list<Field> fields)
+{
+  write(spdlog::level::warn, event, fields);
+}
+
+void
+DecisionLog::write(spdlog::level::level_enum level,
+                   std::string_view event,
+                   std::initializer_list<Field> fields)
+{
+  if (!takeToken()) {
+    ++mSuppressed;
+    ++mSuppressedTotal;
+    return;
+  }
+  std::string line = fmt::format("\"event\":\"{}\"", event);
+  for (const auto& field : fields) {
+    append(line, field);
+  }
+  if (mSuppressed > 0) {
+    line += fmt::format(",\"suppressed_before\":{}", mSuppressed);
+    mSuppressed = 0;
+  }
+  mLogger->log(level, spdlog::string_view_t(line));
+}
+
+bool
+DecisionLog::takeToken()
+{
+  const auto now = core::Clock::now();
+  const double seconds = std::chrono::duration<double>(now - mRefilled).count();
+  mTokens = std::min(kBurst, mTokens + seconds * kLinesPerSecond);
+  mRefilled = now;
+  if (mTokens < 1) {
+    return false;
+  }
+  mTokens -= 1;
+  return true;
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/decision_log.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <spdlog/logger.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace lentilrack::gateway {
+
+/// Structured log on standard output: one JSON object a line, one line for
+/// each decision. It never blocks: lines over the rate, and lines that the
+/// reader of the output does not take in time, are left out and counted.
+class DecisionLog
+{
+public:
+  using Value = std::variant<std::string_view, std::int64_t, double, bool>;
+  struct Field
+  {
+    Field(std::string_view fieldName, std::string_view text)
+      : name(fieldName)
+      , value(text)
+    {
+    }
+    Field(std::string_view fieldName, const std::string& text)
+      : Field(fieldName, std::string_view(text))
+    {
+    }
+    Field(std::string_view fieldName, const char* text)
+      : Field(fieldName, std::string_view(text))
+    {
+    }
+    Field(std::string_view fieldName, core::Millis time)
+      : name(fieldName)
+      , value(static_cast<std::int64_t>(time.count()))
+    {
+    }
+    template<typename Number>
+    Field(std::string_view fieldName, Number number)
+      : name(fieldName)
+    {
+      if constexpr (std::is_same_v<Number, bool>) {
+        value = number;
+      } else if constexpr (std::is_floating_point_v<Number>) {
+        value = static_cast<double>(number);
+      } else {
+        value = static_cast<std::int64_t>(number);
+      }
+    }
+
+    std::string_view name;
+    Value value;
+  };
+
+  /// About 0.2 ms of processor time a second at the full rate.
+  static constexpr double kLinesPerSecond = 100;
+  static constexpr double kBurst = 300;
+
+  DecisionLog();
+  /// Writes to a sink of the caller's, for tests.
+  explicit DecisionLog(spdlog::sink_ptr sink);
+
+  void info(std::string_view event, std::initializer_list<Field> fields);
+  void warning(std::string_view event, std::initializer_list<Field> fields);
+  std::int64_t suppressed() const { return mSuppressedTotal; }
+
+private:
+  void write(spdlog::level::level_enum level,
+             std::string_view event,
+             std::initializer_list<Field> fields);
+  bool takeToken();
+
+  std::shared_ptr<spdlog::logger> mLogger;
+  double mTokens = kBurst;
+  core::TimePoint mRefilled = core::Clock::now();
+  std::int64_t mSuppressed = 0;
+  std::int64_t mSuppressedTotal = 0;
+};
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/forwarder.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "gateway/context.h"
+#include "net/http_server.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace lentilrack::gateway {
+
+/// A request to a service and what it may cost.
+struct ServiceCall
+{
+  /// Tells in the log which request of a caller this is.
+  std::string id;
+  std::string service;
+  net::HttpRequest request;
+  /// Servers that may run it.
+  int maxAttempts = 1;
+  /// It may run more than once.
+  bool isRepeatable = false;
+  /// A failure that a server answers is tried again elsewhere.
+  bool retriesFailures = true;
+  /// A copy goes to another server when the first is slow.
+  bool mayHedge = false;
+  core::TimePoint deadline;
+  std::shared_ptr<net::CancelSignal> cancel;
+};
+
+/// What is known of a call that has ended.
+enum class CallEnd
+{
+  /// A server answered; the answer is whole.
+  Answered,
+  /// No server ran it, nor will one.
+  NotRun,
+  /// A server may have run it and there is no answer.
+  Unknown,
+  Cancelled,
+};
+
+struct CallOutcome
+{
+  CallEnd end = CallEnd::NotRun;
+  net::HttpResponse response;
+  /// Why there is no answer, for the log.
+  std::string reason;
+  std::string server;
+  int attempts = 0;
+};
+
+/// Sends plain requests to the servers of a service.
+class Forwarder
+{
+public:
+  explicit Forwarder(Context& context);
+
+  /// Passes a caller's request on and answers it.
+  net::Awaitable<void> forward(net::HttpExchange& exchange,
+                               const core::Route& route);
+  net::Awaitable<CallOutcome> call(ServiceCall call);
+
+  /// The request without the headers that concern one connection, and without
+  /// those that this system sets.
+  net::HttpRequest passedOn(const net::HttpRequest& request) const;
+
+private:
+  friend class ServiceCallRun;
+
+  Context& mContext;
+};
+
+/// An answer of this system's own, for a request that no server has run.
+net::HttpResponse
+refusal(int status, const std::string& reason, core::Millis retryAfter);
+
+/// An answer of this system's own that promises nothing.
+net::HttpResponse
+failure(int status, const std::string& reason);
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,307 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Clock;
+using core::Millis;
+
+/// How long callers may keep an address answer. Short, since a machine that
+/// dies stays in the answers that were given before.
+constexpr Millis kAddressLife{ 2'000 };
+constexpr std::size_t kMostAddresses = 64;
+/// Connections outlive the idle time that callers are told, so that none is
+/// closed under a request.
+constexpr Millis kIdleMargin{ 3'000 };
+/// Callers keep address answers for up to three lifetimes; a leaving process
+/// keeps serving at least this long.
+constexpr Millis kLongestFarewell{ 6'000 };
+constexpr Millis kLeavingRound{ 50 };
+/// Time before the end of the grace in which open connections are closed.
+constexpr Millis kEndMargin{ 1'000 };
+constexpr Millis kRetryAfter{ 300 };
+
+std::size_t
+number(const std::string& text)
+{
+  std::size_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+net::HttpLimits
+internalLimits()
+{
+  return {};
+}
+
+} // namespace
+
+Gateway::Gateway(Context& context)
+  : mContext(context)
+  , mCluster(context)
+  , mPeers(context, mCluster)
+  , mState(context)
+  , mForwarder(context)
+  , mBatches(context, mCluster, mForwarder, mPeers)
+  , mLeader(context, mCluster, mState, mPeers)
+{
+  mCluster.onChange([this] { mBatches.onClusterChange(); });
+  mLeader.onDuty([this] { return mBatches.sweep(); });
+  mContext.metrics.gauge("open_batches", [this] {
+    return static_cast<double>(mBatches.openRuns());
+  });
+  mContext.metrics.gauge("log_lines_suppressed", [this] {
+    return static_cast<double>(mContext.log.suppressed());
+  });
+  mContext.metrics.gauge("desired_state_version", [this] {
+    return mContext.desired ? static_cast<double>(mContext.desired->version())
+                            : 0.0;
+  });
+}
+
+bool
+Gateway::listen(const std::optional<core::Endpoint>& endpoint,
+                std::function<net::HttpLimits()> limits,
+                net::HttpHandler handler)
+{
+  if (!endpoint) {
+    return true;
+  }
+  auto server = std::make_unique<net::HttpServer>(
+    mContext.io, std::move(limits), std::move(handler));
+  const auto bound = server->listen(*endpoint);
+  mServers.push_back(std::move(server));
+  if (!bound) {
+    mContext.log.warning("listen_failed",
+                         { { "address", endpoint->text() },
+                           { "error", bound.error().message() } });
+  }
+  return bound.has_value();
+}
+
+bool
+Gateway::start()
+{
+  const auto& settings = mContext.settings;
+  const bool isBound =
+    listen(
+      settings.callerAddress,
+      [this] { return callerLimits(); },
+      [this](net::HttpExchange& e) { return handleCaller(e); }) &&
+    listen(settings.readinessAddress,
+           internalLimits,
+           [this](net::HttpExchange& e) { return handleReadiness(e); }) &&
+    listen(
+      settings.peerAddress,
+      [] {
+        net::HttpLimits limits;
+        limits.bodyBytes = 8UL * 1024 * 1024;
+        return limits;
+      },
+      [this](net::HttpExchange& e) { return handlePeer(e); }) &&
+    listen(settings.addressServiceAddress,
+           internalLimits,
+           [this](net::HttpExchange& e) { return handleAddresses(e); });
+  if (isBound) {
+    mState.start();
+    mCluster.start();
+    mBatches.start();
+    mLeader.start();
+  }
+  return isBound;
+}
+
+bool
+Gateway::isReady() const
+{
+  return !mContext.isLeaving && mContext.desired && mCluster.isSynced() &&
+         !mContext.registry.empty();
+}
+
+net::HttpLimits
+Gateway::callerLimits() const
+{
+  net::HttpLimits limits;
+  limits.keepConnections = !mContext.isLeaving;
+  if (mContext.desired) {
+    const auto& wanted = mContext.desired->limits();
+    limits.bodyBytes = wanted.bodyBytes;
+    limits.headerBytes = wanted.headerBytes;
+    limits.readTime = std::max(limits.readTime, wanted.headerTime);
+    limits.idleTime = wanted.idleTime + kIdleMargin;
+  }
+  return limits;
+}
+
+net::Awaitable<void>
+Gateway::handleCaller(net::HttpExchange& exchange)
+{
+  const auto call = mContext.format.classify(exchange.request());
+  if (const auto* read = std::get_if<ReadBatch>(&call)) {
+    co_await mBatches.read(exchange, *read);
+  } else if (const auto* body = std::get_if<ReadItemBody>(&call)) {
+    co_await mBatches.readItemBody(exchange, *body);
+  } else if (const auto* end = std::get_if<EndBatch>(&call)) {
+    co_await mBatches.end(exchange, *end);
+  } else if (const auto* bad = std::get_if<BadCall>(&call)) {
+    co_await exchange.respond(failure(400, bad->reason));
+  } else {
+    co_await handleForward(exchange);
+  }
+}
+
+net::Awaitable<void>
+Gateway::handleForward(net::HttpExchange& exchange)
+{
+  const auto& request = exchange.request();
+  // The state stays in force for this request, whatever comes meanwhile.
+  const auto desired = mContext.desired;
+  const auto* route =
+    desired ? desired->match(request.header("Host"), request.target) : nullptr;
+  const auto id = request.header(mContext.format.headers().requestId);
+  if (!desired) {
+    mContext.log.info("request",
+                      { { "request", id }, { "outcome", "no_desired_state" } });
+    co_await exchange.respond(refusal(503, "not_ready", kRetryAfter));
+    co_return;
+  }
+  if (route == nullptr) {
+    mContext.log.info("request",
+                      { { "request", id },
+                        { "state_version", desired->version() },
+                        { "outcome", "no_route" } });
+    co_await exchange.respond(failure(404, "no_route"));
+    co_return;
+  }
+  if (route->kind == core::RouteKind::Batch) {
+    co_await mBatches.submit(exchange, *route);
+    co_return;
+  }
+  co_await mForwarder.forward(exchange, *route);
+}
+
+net::Awaitable<void>
+Gateway::handleReadiness(net::HttpExchange& exchange)
+{
+  if (exchange.request().path() == "/metrics") {
+    net::HttpResponse response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = mContext.metrics.text();
+    co_await exchange.respond(std::move(response));
+    co_return;
+  }
+  net::HttpResponse response;
+  const bool isCall = mContext.format.isReadinessCall(exchange.request());
+  response.status = !isCall ? 404 : isReady() ? 200 : 503;
+  co_await exchange.respond(std::move(response));
+}
+
+std::vector<core::Endpoint>
+Gateway::callerAddresses() const
+{
+  std::vector<core::Endpoint> addresses;
+  for (const auto& [name, peer] : mCluster.peers()) {
+    const bool isSelf = name == mContext.settings.instance;
+    const bool isServing = isSelf ? isReady() : !peer.isLeaving && peer.callers;
+    if (isServing && peer.callers && addresses.size() < kMostAddresses) {
+      addresses.push_back(*peer.callers);
+    }
+  }
+  // Without the store this process still knows itself.
+  if (addresses.empty() && mContext.settings.callerAddress &&
+      !mContext.isLeaving) {
+    addresses.push_back(*mContext.settings.callerAddress);
+  }
+  return addresses;
+}
+
+net::Awaitable<void>
+Gateway::handleAddresses(net::HttpExchange& exchange)
+{
+  if (!mContext.format.isAddressCall(exchange.request())) {
+    co_await exchange.respond(failure(404, "no_such_call"));
+    co_return;
+  }
+  const auto addresses = callerAddresses();
+  if (addresses.empty()) {
+    co_await exchange.respond(refusal(503, "no_addresses", kRetryAfter));
+    co_return;
+  }
+  net::HttpResponse response;
+  response.body = mContext.format.encodeAddresses(
+    addresses,
+    std::min(kAddressLife, mContext.settings.bounds.longestAddressLife));
+  co_await exchange.respond(std::move(response));
+}
+
+net::Awaitable<void>
+Gateway::handlePeer(net::HttpExchange& exchange)
+{
+  const auto& request = exchange.request();
+  const auto path = request.path();
+  const auto after = [&](const char* prefix) {
+    return path.substr(std::string_view(prefix).size());
+  };
+  net::HttpResponse response;
+  response.body = "{}";
+  if (path.starts_with(peer_paths::kResults)) {
+    response = co_await mBatches.readOwn(
+      { after(peer_paths::kResults),
+        number(request.query("after")),
+        Millis(static_cast<std::int64_t>(number(request.query("wait")))) });
+  } else if (path.starts_with(peer_paths::kItemBody)) {
+    response = mBatches.itemBodyOfOwn(
+      { after(peer_paths::kItemBody), request.query("item") });
+  } else if (path.starts_with(peer_paths::kEndBatch)) {
+    mBatches.noteEnded(after(peer_paths::kEndBatch));
+  } else if (path == peer_paths::kWeights) {
+    mLeader.takeNews(request.body);
+  } else if (path.starts_with(peer_paths::kLeaving)) {
+    mCluster.notePeerLeaving(after(peer_paths::kLeaving));
+  } else {
+    response = failure(404, "no_such_call");
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+void
+Gateway::leave(std::function<void()> done)
+{
+  if (!mContext.isLeaving) {
+    mContext.isLeaving = true;
+    net::spawn(mContext.io, runDown(std::move(done)));
+  }
+}
+
+net::Awaitable<void>
+Gateway::runDown(std::function<void()> done)
+{
+  const auto start = Clock::now();
+  const auto grace = mContext.settings.bounds.grace;
+  mContext.log.info("leaving", { { "grace_ms", grace } });
+  mPeers.tellAll(peer_paths::kLeaving + mContext.settings.instance, "");
+  co_await mBatches.handOverAll();
+  net::spawn(mContext.io, mCluster.leave());
+  const auto farewell = std::min(kLongestFarewell, grace - 2 * kEndMargin);
+  const auto end = start + grace - kEndMargin;
+  co_await net::sleepFor(farewell);
+  // Idle connections end only now: callers have had time to learn of others.
+  std::ranges::for_each(mServers, [](auto& server) { server->closeIdle(); });
+  const auto active = [this] {
+    return std::ranges::any_of(mServers, [](const auto& server) {
+      return server->activeExchanges() > 0;
+    });
+  };
+  while (active() && Clock::now() < end) {
+    co_await net::sleepFor(kLeavingRound);
+  }
+  mContext.log.info("stopped", { { "outcome", active() ? "cut" : "clean" } });
+  done();
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gateway/batch_service.h"
+#include "gateway/state_sync.h"
+#include "gateway/weight_leader.h"
+#include "net/http_server.h"
+
+#include <memory>
+#include <vector>
+
+namespace lentilrack::gateway {
+
+/// The process that serves callers, trainers and peers on one instance.
+class Gateway
+{
+public:
+  explicit Gateway(Context& context);
+
+  /// Binds all addresses and starts. False if one cannot be bound.
+  bool start();
+  /// Leaves: takes no new connections' work for long, gives its batches away,
+  /// finishes requests and calls `done`.
+  void leave(std::function<void()> done);
+  bool isReady() const;
+
+private:
+  net::Awaitable<void> handleCaller(net::HttpExchange& exchange);
+  net::Awaitable<void> handlePeer(net::HttpExchange& exchange);
+  net::Awaitable<void> handleReadiness(net::HttpExchange& exchange);
+  net::Awaitable<void> handleAddresses(net::HttpExchange& exchange);
+  net::Awaitable<void> handleForward(net::HttpExchange& exchange);
+  net::Awaitable<void> runDown(std::function<void()> done);
+  net::HttpLimits callerLimits() const;
+  bool listen(const std::optional<core::Endpoint>& endpoint,
+              std::function<net::HttpLimits()> limits,
+              net::HttpHandler handler);
+  std::vector<core::Endpoint> callerAddresses() const;
+
+  Context& mContext;
+  ClusterView mCluster;
+  PeerClient mPeers;
+  StateSync mState;
+  Forwarder mForwarder;
+  BatchService mBatches;
+  WeightLeader mLeader;
+  std::vector<std::unique_ptr<net::HttpServer>> mServers;
+};
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/peer_client.cpp
@@ -0,0 +1,74 @@
+#include "gateway/peer_client.h"
+
+namespace lentilrack::gateway {
+
+namespace {
+
+/// Peers are at most a few milliseconds away.
+constexpr core::Millis kConnectTimeout{ 250 };
+constexpr core::Millis kTellTimeout{ 800 };
+
+} // namespace
+
+PeerClient::PeerClient(Context& context, ClusterView& cluster)
+  : mContext(context)
+  , mCluster(cluster)
+{
+}
+
+net::Awaitable<std::optional<net::HttpResponse>>
+PeerClient::ask(std::string instance,
+                net::HttpRequest request,
+                core::Millis timeout)
+{
+  const auto peer = mCluster.peers().find(instance);
+  if (peer == mCluster.peers().end() || !peer->second.peers) {
+    co_return std::nullopt;
+  }
+  const auto endpoint = *peer->second.peers;
+  co_return co_await ask(endpoint, std::move(request), timeout);
+}
+
+net::Awaitable<std::optional<net::HttpResponse>>
+PeerClient::ask(core::Endpoint endpoint,
+                net::HttpRequest request,
+                core::Millis timeout)
+{
+  net::HttpCall call;
+  call.endpoint = endpoint;
+  call.request = std::move(request);
+  call.connectTimeout = kConnectTimeout;
+  call.timeout = timeout;
+  auto result = co_await mContext.http.call(std::move(call));
+  if (result.error) {
+    mContext.log.warning(
+      "peer_call",
+      { { "peer", endpoint.text() }, { "error", result.error.message() } });
+    co_return std::nullopt;
+  }
+  co_return std::move(result.response);
+}
+
+void
+PeerClient::tellAll(const std::string& path, const std::string& body)
+{
+  for (const auto& [name, peer] : mCluster.peers()) {
+    const bool isOther = name != mContext.settings.instance && peer.peers;
+    if (isOther) {
+      net::HttpRequest request;
+      request.method = "POST";
+      request.target = path;
+      request.body = body;
+      net::spawn(mContext.io, tell(*peer.peers, std::move(request)));
+    }
+  }
+}
+
+net::Awaitable<void>
+PeerClient::tell(core::Endpoint endpoint, net::HttpRequest request)
+{
+  // News is only a hint; whoever misses it learns the same from the store.
+  co_await ask(endpoint, std::move(request), kTellTimeout);
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/peer_client.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "gateway/cluster_view.h"
+#include "gateway/context.h"
+
+#include <optional>
+#include <string>
+
+namespace lentilrack::gateway {
+
+/// Paths of the calls between processes of the system.
+namespace peer_paths {
+inline constexpr const char* kResults = "/peer/results/";
+inline constexpr const char* kItemBody = "/peer/items/";
+inline constexpr const char* kEndBatch = "/peer/ended/";
+inline constexpr const char* kWeights = "/peer/weights";
+inline constexpr const char* kLeaving = "/peer/leaving/";
+inline constexpr const char* kState = "/peer/state";
+}
+
+/// Calls to other processes of the system.
+class PeerClient
+{
+public:
+  PeerClient(Context& context, ClusterView& cluster);
+
+  /// The answer of the peer, or nothing if there is none in time.
+  net::Awaitable<std::optional<net::HttpResponse>> ask(std::string instance,
+                                                       net::HttpRequest request,
+                                                       core::Millis timeout);
+  net::Awaitable<std::optional<net::HttpResponse>> ask(core::Endpoint endpoint,
+                                                       net::HttpRequest request,
+                                                       core::Millis timeout);
+  /// Sends the same to every other process and does not wait.
+  void tellAll(const std::string& path, const std::string& body);
+
+private:
+  net::Awaitable<void> tell(core::Endpoint endpoint, net::HttpRequest request);
+
+  Context& mContext;
+  ClusterView& mCluster;
+};
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/weight_leader.cpp
@@ -0,0 +1,321 @@
+#include "gateway/weight_leader.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Clock;
+using core::Millis;
+using Json = nlohmann::json;
+
+constexpr Millis kRound{ 100 };
+constexpr Millis kConnectTimeout{ 250 };
+constexpr Millis kOrderTimeout{ 900 };
+/// A load takes 0.9 s at best; asking earlier only costs a call.
+constexpr Millis kShortestLoad{ 920 };
+constexpr Millis kCheckPause{ 200 };
+/// A server that is not busy this long after an order did not take it.
+constexpr Millis kLostOrder{ 2'000 };
+/// Servers are given no item for this long after an order.
+constexpr Millis kLoadingNotice{ 1'500 };
+/// An order is given only if the lease has at least this much left, which is
+/// longer than the order takes to arrive.
+constexpr Millis kLeaseMargin{ 400 };
+constexpr Millis kClaimPause{ 300 };
+/// How much longer than the pause between holders a new holder waits, for
+/// orders that are still on their way.
+constexpr Millis kHolderMargin{ 300 };
+constexpr Millis kDutyPause{ 15'000 };
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+
+} // namespace
+
+WeightLeader::WeightLeader(Context& context,
+                           ClusterView& cluster,
+                           StateSync& state,
+                           PeerClient& peers)
+  : mContext(context)
+  , mCluster(cluster)
+  , mState(state)
+  , mPeers(peers)
+{
+}
+
+void
+WeightLeader::start()
+{
+  net::spawn(mContext.io, lead());
+}
+
+bool
+WeightLeader::mayOrder() const
+{
+  return mFence != 0 && Clock::now() >= mOrdersFrom &&
+         mCluster.leaseIsFresh(kLeaseMargin) && !mContext.isLeaving;
+}
+
+net::Awaitable<void>
+WeightLeader::lead()
+{
+  auto dutyAt = Clock::now() + kDutyPause;
+  for (;;) {
+    co_await net::sleepFor(kRound);
+    const auto* leader = mCluster.leader();
+    const bool isSelf = leader != nullptr && mCluster.isSelf(*leader);
+    if (!isSelf) {
+      mFence = 0;
+      co_await claim();
+      continue;
+    }
+    mFence = leader->revision;
+    co_await reportRetirements();
+    if (!mayOrder() || !mContext.desired) {
+      continue;
+    }
+    for (const auto& [model, version] : mContext.namedVersions) {
+      mWave.setTarget(model, version);
+    }
+    std::map<std::string, std::vector<std::string>> models;
+    for (const auto& service : mContext.desired->services()) {
+      if (!service.models.empty()) {
+        models[service.name] = service.models;
+      }
+    }
+    const auto now = Clock::now();
+    for (const auto& load : mWave.loads()) {
+      const auto& id = load.order.server.id;
+      const bool isDue = now - load.since >= kShortestLoad &&
+                         now - mCheckedAt[id] >= kCheckPause &&
+                         !mBusy.contains(id);
+      if (isDue) {
+        mCheckedAt[id] = now;
+        mBusy.insert(id);
+        net::spawn(mContext.io, checkLoad(load));
+      }
+    }
+    const auto orders = mWave.plan(mContext.registry.all(), models, now);
+    for (const auto& order : orders) {
+      if (mBusy.insert(order.server.id).second) {
+        mWave.begun(order, now);
+        net::spawn(mContext.io, giveOrder(order));
+      }
+    }
+    if (mDuty && now >= dutyAt) {
+      dutyAt = now + kDutyPause;
+      co_await mDuty();
+    }
+  }
+}
+
+net::Awaitable<void>
+WeightLeader::claim()
+{
+  const auto* leader = mCluster.leader();
+  const auto now = Clock::now();
+  const bool isOwnInstance =
+    leader != nullptr && leader->instance == mContext.settings.instance;
+  const bool isVacant = leader == nullptr || isOwnInstance;
+  if (!isVacant || !mCluster.isSynced() || !mCluster.isRegistered() ||
+      mContext.isLeaving) {
+    mVacantSince = {};
+    co_return;
+  }
+  if (mVacantSince == core::TimePoint{}) {
+    mVacantSince = now;
+  }
+  const auto turn =
+    kClaimPause * static_cast<int>(mCluster.rankFor(keys::leader()));
+  if (!isOwnInstance && now - mVacantSince < turn) {
+    co_return;
+  }
+  const Holder self{ mContext.settings.instance, mContext.lifetime, 0 };
+  StoreTransaction transaction;
+  transaction.expectations = { { keys::leader(),
+                                 isOwnInstance ? leader->revision : 0 } };
+  transaction.writes = { { keys::leader(), self.encode(), mCluster.lease() } };
+  const auto commit = co_await mContext.store.commit(std::move(transaction));
+  mContext.log.info(
+    "leader_claimed",
+    { { "fence", commit.revision },
+      { "outcome", commit.error ? commit.error.message() : "done" } });
+  if (!commit.error) {
+    // Another holder may have given its last order when its lease ended, or
+    // has not noticed yet that the store has revoked it.
+    const auto pause = isOwnInstance
+                         ? Millis(0)
+                         : mContext.settings.bounds.holderPause +
+                             ClusterView::kLeaseTime + kHolderMargin;
+    mOrdersFrom = Clock::now() + pause;
+    mCluster.takeItem({ keys::leader(), self.encode(), commit.revision });
+  } else {
+    std::ranges::for_each(
+      commit.current, [this](const auto& item) { mCluster.takeItem(item); });
+  }
+}
+
+net::Awaitable<void>
+WeightLeader::giveOrder(core::LoadOrder order)
+{
+  const auto id = order.server.id;
+  auto* state = mContext.registry.find(id, order.server.startedAt);
+  if (state == nullptr) {
+    mWave.finished(id);
+    mBusy.erase(id);
+    co_return;
+  }
+  WeightOrder wire;
+  wire.server = state->entry;
+  wire.model = order.model;
+  wire.version = order.version;
+  wire.waitForRuns = mContext.desired->wantsSingleVersion();
+  wire.holder = mContext.settings.instance;
+  wire.fence = mFence;
+  net::HttpCall call;
+  call.endpoint = order.server.endpoint;
+  call.request = mContext.format.encodeOrder(wire);
+  call.connectTimeout = kConnectTimeout;
+  call.timeout = kOrderTimeout;
+  call.beforeFirstByte = [this] { return mayOrder(); };
+  auto result = co_await mContext.http.call(std::move(call));
+  const auto now = Clock::now();
+  const auto status = result.response.status;
+  mContext.log.info(
+    "weight_order",
+    { { "server", id },
+      { "model", order.model },
+      { "version", order.version },
+      { "fence", wire.fence },
+      { "expected_orders", wire.server.orderCount },
+      { "status", status },
+      { "outcome", result.error ? result.error.message() : "answered" } });
+  mBusy.erase(id);
+  if (status == kAccepted || (result.error && result.sent)) {
+    // Without an answer the order may still be carried out.
+    mContext.registry.noteLoading(
+      id, order.server.startedAt, now + kLoadingNotice);
+    tell(order.server, order.model, 0, kLoadingNotice);
+    co_return;
+  }
+  mWave.finished(id);
+  if (status == kOk) {
+    mContext.registry.noteVersion(order.server, order.model, order.version);
+    tell(order.server, order.model, order.version, Millis(0));
+  } else {
+    mWave.refused(order, now);
+    mBusy.insert(id);
+    co_await checkLoad({ order, now });
+  }
+}
+
+net::Awaitable<void>
+WeightLeader::checkLoad(core::WeightWave::Load load)
+{
+  const auto& order = load.order;
+  const auto id = order.server.id;
+  net::HttpCall call;
+  call.endpoint = order.server.endpoint;
+  call.request = mContext.format.encodeReportCall(order.server);
+  call.connectTimeout = kConnectTimeout;
+  call.timeout = kOrderTimeout;
+  auto result = co_await mContext.http.call(std::move(call));
+  mBusy.erase(id);
+  const auto now = Clock::now();
+  auto report = mContext.format.decodeReport(result.response.body);
+  if (result.error || result.response.status != kOk || !report) {
+    if (now - load.since > kLostOrder) {
+      mWave.finished(id);
+      mWave.refused(order, now);
+    }
+    co_return;
+  }
+  auto* state = mContext.registry.find(id, order.server.startedAt);
+  if (state != nullptr) {
+    state->entry.orderCount =
+      std::max(state->entry.orderCount, report.value().orderCount);
+  }
+  const auto version = report.value().versions[order.model];
+  if (version >= order.version) {
+    mContext.registry.noteVersion(order.server, order.model, version);
+    mContext.registry.noteLoading(id, order.server.startedAt, now);
+    tell(order.server, order.model, version, Millis(0));
+    mWave.finished(id);
+    mContext.metrics.observe(
+      "weight_load_ms",
+      std::chrono::duration<double, std::milli>(now - load.since).count());
+  } else if (!report.value().isBusy && now - load.since > kLostOrder) {
+    mWave.finished(id);
+    mWave.refused(order, now);
+  }
+}
+
+void
+WeightLeader::tell(const core::ServerEntry& server,
+                   const std::string& model,
+                   std::int64_t version,
+                   Millis loading)
+{
+  const Json news = { { "server", server.id },
+                      { "started_at", server.startedAt },
+                      { "model", model },
+                      { "version", version },
+                      { "loading_ms", loading.count() } };
+  mPeers.tellAll(peer_paths::kWeights, news.dump());
+}
+
+void
+WeightLeader::takeNews(const std::string& body)
+{
+  const auto news = Json::parse(body, nullptr, false);
+  if (!news.is_object()) {
+    mContext.log.warning("malformed_news", { { "bytes", body.size() } });
+    return;
+  }
+  const auto id = news.value("server", "");
+  const auto startedAt = news.value("started_at", std::int64_t{ 0 });
+  auto* state = mContext.registry.find(id, startedAt);
+  if (state == nullptr) {
+    return;
+  }
+  const auto version = news.value("version", std::int64_t{ 0 });
+  if (version > 0) {
+    mContext.registry.noteVersion(
+      state->entry, news.value("model", ""), version);
+  }
+  mContext.registry.noteLoading(
+    id,
+    startedAt,
+    Clock::now() + Millis(news.value("loading_ms", std::int64_t{ 0 })));
+}
+
+net::Awaitable<void>
+WeightLeader::reportRetirements()
+{
+  // Nothing that must last is on a machine's disk, so each is empty already.
+  const auto wanted = mState.retirements();
+  for (const auto& [instance, revision] : wanted) {
+    auto& done = mRetired[instance];
+    if (done >= revision) {
+      continue;
+    }
+    auto [key, value] = mContext.format.retirementDone(instance);
+    StoreTransaction transaction;
+    transaction.writes = { { key, value, 0 } };
+    const auto commit = co_await mContext.store.commit(std::move(transaction));
+    mContext.log.info(
+      "retired",
+      { { "machine", instance },
+        { "requested_at", revision },
+        { "outcome", commit.error ? commit.error.message() : "done" } });
+    if (!commit.error) {
+      done = revision;
+    }
+  }
+}
+
+} // namespace lentilrack::gateway
--- a/src/net/beast.cpp
+++ b/src/net/beast.cpp
@@ -1,5 +1,8 @@
 #include "net/beast.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace lentilrack::net {
 
 bool
@@ -24,6 +27,29 @@
   return !error;
 }
 
+void
+limitSilence(asio::ip::tcp::socket& socket)
+{
+  // Both below the 3 s after which a healed fault no longer excuses a node.
+  constexpr int kUnacknowledgedMs = 2500;
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr int kOn = 1;
+  const auto handle = socket.native_handle();
+  // A socket that refuses an option still works, without the earlier notice.
+  setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof(kOn));
+  setsockopt(handle,
+             IPPROTO_TCP,
+             TCP_USER_TIMEOUT,
+             &kUnacknowledgedMs,
+             sizeof(kUnacknowledgedMs));
+  for (const int option : { TCP_KEEPIDLE, TCP_KEEPINTVL }) {
+    setsockopt(
+      handle, IPPROTO_TCP, option, &kProbeSeconds, sizeof(kProbeSeconds));
+  }
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
 Awaitable<void>
 acceptConnections(asio::ip::tcp::acceptor& acceptor,
                   std::function<void(asio::ip::tcp::socket)> take)
@@ -43,6 +69,7 @@
       continue;
     }
     socket.set_option(asio::ip::tcp::no_delay(true), error);
+    limitSilence(socket);
     take(std::move(socket));
   }
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include "net/error.h"
 
 #include <array>
+#include <charconv>
 #include <map>
 
 namespace lentilrack::net {
@@ -14,6 +15,26 @@
 
 constexpr std::size_t kKeptPerEndpoint = 64;
 constexpr core::Millis kKeepTime{ 20'000 };
+/// A kept connection is left alone this long before the time at which the
+/// server has said that it closes it: more than a request needs to arrive.
+constexpr core::Millis kKeepMargin{ 500 };
+
+/// The time in a header `Keep-Alive: timeout=N`, N in whole seconds.
+core::Millis
+announcedKeepTime(const Headers& headers)
+{
+  constexpr std::string_view kParameter = "timeout=";
+  const auto value = headerValue(headers, "Keep-Alive");
+  const auto start = value.find(kParameter);
+  if (start == std::string::npos) {
+    return kKeepTime;
+  }
+  int seconds = 0;
+  const auto* first = value.data() + start + kParameter.size();
+  std::from_chars(first, value.data() + value.size(), seconds);
+  return std::min(kKeepTime,
+                  core::Millis(std::chrono::seconds(seconds)) - kKeepMargin);
+}
 
 http::request<http::string_body>
 toBeast(HttpRequest request, const core::Endpoint& endpoint)
@@ -22,9 +43,11 @@
   message.method_string(request.method);
   message.target(request.target);
   message.version(11);
-  message.set(http::field::host, endpoint.text());
+  if (headerValue(request.headers, "Host").empty()) {
+    message.set(http::field::host, endpoint.text());
+  }
   for (const auto& [name, value] : request.headers) {
-    message.set(name, value);
+    message.insert(name, value);
   }
   message.body() = std::move(request.body);
   message.prepare_payload();
@@ -38,7 +61,7 @@
   struct Kept
   {
     std::shared_ptr<beast::tcp_stream> stream;
-    core::TimePoint since;
+    core::TimePoint until;
   };
 
   explicit State(asio::io_context& context)
@@ -51,7 +74,8 @@
 
   std::shared_ptr<beast::tcp_stream> takeKept(const core::Endpoint& endpoint);
   void keep(const core::Endpoint& endpoint,
-            std::shared_ptr<beast::tcp_stream> stream);
+            std::shared_ptr<beast::tcp_stream> stream,
+            core::Millis keepTime);
 };
 
 namespace {
@@ -77,7 +101,7 @@
   while (!streams.empty()) {
     const auto last = streams.back();
     streams.pop_back();
-    const bool isFresh = core::Clock::now() - last.since < kKeepTime;
+    const bool isFresh = core::Clock::now() < last.until;
     if (isFresh && isQuiet(*last.stream)) {
       return last.stream;
     }
@@ -87,12 +111,13 @@
 
 void
 HttpClient::State::keep(const core::Endpoint& endpoint,
-                        std::shared_ptr<beast::tcp_stream> stream)
+                        std::shared_ptr<beast::tcp_stream> stream,
+                        core::Millis keepTime)
 {
   auto& streams = kept[endpoint];
   if (streams.size() < kKeptPerEndpoint) {
     stream->expires_never();
-    streams.push_back({ std::move(stream), core::Clock::now() });
+    streams.push_back({ std::move(stream), core::Clock::now() + keepTime });
   }
 }
 
@@ -122,6 +147,7 @@
 
   Awaitable<HttpResult> run(bool isConnected)
   {
+    mResult.onKeptConnection = isConnected;
     if (!isConnected) {
       isConnected = co_await connect();
     }
@@ -171,6 +197,7 @@
     }
     if (!error) {
       mStream->socket().set_option(tcp::no_delay(true), error);
+      limitSilence(mStream->socket());
     }
     co_return check(error, NetError::ConnectFailed);
   }
@@ -204,7 +231,11 @@
     if (!check(error, NetError::ConnectionLost)) {
       co_return;
     }
-    takeHeader(parser.get());
+    const bool isAccepted = takeHeader(parser.get());
+    if (!isAccepted) {
+      mResult.error = NetError::BadMessage;
+      co_return;
+    }
     std::array<char, 16 * 1024> piece{};
     while (!parser.is_done()) {
       parser.get().body().data = piece.data();
@@ -222,10 +253,11 @@
       }
       takeData({ piece.data(), piece.size() - parser.get().body().size });
     }
-    mReusable = parser.keep_alive();
+    // Bytes behind the answer belong to no request.
+    mReusable = parser.keep_alive() && buffer.size() == 0;
   }
 
-  void takeHeader(const http::response<http::buffer_body>& message)
+  bool takeHeader(const http::response<http::buffer_body>& message)
   {
     mResult.response.status = static_cast<int>(message.result_int());
     for (const auto& field : message) {
@@ -237,6 +269,7 @@
     if (mCall.onStatus) {
       mCall.onStatus(mResult.response.status);
     }
+    return !mCall.acceptHeader || mCall.acceptHeader(mResult.response);
   }
 
   void takeData(std::string_view data)
@@ -280,8 +313,9 @@
   }
   ClientCall run(call, stream);
   auto result = co_await run.run(isConnected);
+  const auto keepTime = announcedKeepTime(result.response.headers);
   if (run.reusable() && !call.freshConnection) {
-    state->keep(endpoint, stream);
+    state->keep(endpoint, stream, keepTime);
   } else {
     stream->close();
   }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -28,6 +28,9 @@
   std::function<bool()> beforeFirstByte;
   /// Called once the status is known, before any data.
   std::function<void(int status)> onStatus;
+  /// Sees status and headers before any data; false ends the call with
+  /// BadMessage and closes the connection, on which nothing can be trusted.
+  std::function<bool(const HttpResponse&)> acceptHeader;
   /// Receives the body in pieces; without it the body is collected.
   std::function<void(std::string_view)> onData;
   /// Closes the connection and ends the call with Cancelled.
@@ -40,6 +43,9 @@
   /// Whether any byte of the request may have been written. False proves that
   /// the server did not see it.
   bool sent = false;
+  /// Whether the call went over a kept connection, which the server may have
+  /// closed before the request arrived.
+  bool onKeptConnection = false;
   /// Status 0 if no answer came.
   HttpResponse response{ 0, "", {}, "" };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -29,19 +29,23 @@
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
 {
-  State(asio::io_context& context, HttpLimits httpLimits, HttpHandler handle)
+  State(asio::io_context& context,
+        std::function<HttpLimits()> httpLimits,
+        HttpHandler handle)
     : io(context)
     , acceptor(context)
-    , limits(httpLimits)
+    , limits(std::move(httpLimits))
     , handler(std::move(handle))
   {
   }
 
   asio::io_context& io;
   tcp::acceptor acceptor;
-  HttpLimits limits;
+  std::function<HttpLimits()> limits;
   HttpHandler handler;
   std::set<beast::tcp_stream*> streams;
+  /// Those of `streams` on which no byte of a request has come.
+  std::set<beast::tcp_stream*> idle;
   std::size_t active = 0;
 
   void take(tcp::socket socket);
@@ -119,12 +123,13 @@
 public:
   ServerExchange(HttpRequest request,
                  std::shared_ptr<beast::tcp_stream> stream,
-                 core::Millis writeTime,
+                 std::function<HttpLimits()> limits,
                  bool keepAlive)
     : HttpExchange(std::move(request))
     , mStream(std::move(stream))
     , mWatch(std::make_shared<ClientWatch>(mStream))
-    , mWriteTime(writeTime)
+    , mLimits(std::move(limits))
+    , mWriteTime(mLimits().writeTime)
     , mKeepAlive(keepAlive)
   {
     mWatch->start();
@@ -141,11 +146,15 @@
     }
     mBegun = true;
     mEnded = true;
-    http::response<http::string_body> message(
-      static_cast<http::status>(response.status), 11);
-    message.set(http::field::content_type, response.contentType);
+    mKeepAlive = mKeepAlive && mLimits().keepConnections;
+    http::response<http::string_body> message;
+    message.result(static_cast<unsigned>(response.status));
+    message.version(11);
+    if (!response.contentType.empty()) {
+      message.set(http::field::content_type, response.contentType);
+    }
     for (const auto& [name, value] : response.headers) {
-      message.set(name, value);
+      message.insert(name, value);
     }
     message.keep_alive(mKeepAlive);
     message.body() = std::move(response.body);
@@ -157,15 +166,24 @@
     noteWrite(error);
   }
 
-  Awaitable<void> beginStream(int status, std::string contentType) override
+  Awaitable<void> beginStream(int status,
+                              std::string contentType,
+                              Headers headers) override
   {
     if (mBegun) {
       co_return;
     }
     mBegun = true;
-    http::response<http::empty_body> message(static_cast<http::status>(status),
-                                             11);
-    message.set(http::field::content_type, contentType);
+    mKeepAlive = mKeepAlive && mLimits().keepConnections;
+    http::response<http::empty_body> message;
+    message.result(static_cast<unsigned>(status));
+    message.version(11);
+    if (!contentType.empty()) {
+      message.set(http::field::content_type, contentType);
+    }
+    for (const auto& [name, value] : headers) {
+      message.insert(name, value);
+    }
     message.chunked(true);
     message.keep_alive(mKeepAlive);
     http::response_serializer<http::empty_body> serializer(message);
@@ -241,6 +259,7 @@
 
   std::shared_ptr<beast::tcp_stream> mStream;
   std::shared_ptr<ClientWatch> mWatch;
+  std::function<HttpLimits()> mLimits;
   core::Millis mWriteTime;
   bool mKeepAlive;
   bool mBegun = false;
@@ -266,7 +285,7 @@
 void
 HttpServer::State::take(tcp::socket socket)
 {
-  if (streams.size() >= limits.connections) {
+  if (streams.size() >= limits().connections) {
     return;
   }
   spawn(io,
@@ -295,18 +314,21 @@
 {
   boost::system::error_code error;
   http::request_parser<http::string_body> parser;
-  parser.body_limit(limits.bodyBytes);
-  parser.header_limit(limits.headerBytes);
+  const auto bounds = limits();
+  parser.body_limit(bounds.bodyBytes);
+  parser.header_limit(bounds.headerBytes);
   if (buffer.size() == 0) {
-    stream->expires_after(limits.idleTime);
+    stream->expires_after(bounds.idleTime);
+    idle.insert(stream.get());
     const auto size = co_await stream->async_read_some(
       buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
     buffer.commit(size);
+    idle.erase(stream.get());
     if (error) {
       co_return false;
     }
   }
-  stream->expires_after(limits.readTime);
+  stream->expires_after(bounds.readTime);
   co_await http::async_read(
     *stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
   if (error == http::error::body_limit) {
@@ -325,7 +347,7 @@
   const bool keepAlive = parser.get().keep_alive();
   stream->expires_never();
   ServerExchange exchange(
-    fromBeast(parser.release()), stream, limits.writeTime, keepAlive);
+    fromBeast(parser.release()), stream, limits, keepAlive);
   ++active;
   co_await handler(exchange);
   --active;
@@ -350,7 +372,7 @@
   message.keep_alive(false);
   message.body() = std::string(R"({"error":")") + code + "\"}";
   message.prepare_payload();
-  stream.expires_after(limits.writeTime);
+  stream.expires_after(limits().writeTime);
   boost::system::error_code ignored;
   co_await http::async_write(
     stream, message, asio::redirect_error(asio::use_awaitable, ignored));
@@ -368,7 +390,17 @@
 HttpServer::HttpServer(asio::io_context& io,
                        HttpLimits limits,
                        HttpHandler handler)
-  : mState(std::make_shared<State>(io, limits, std::move(handler)))
+  : HttpServer(
+      io,
+      [limits] { return limits; },
+      std::move(handler))
+{
+}
+
+HttpServer::HttpServer(asio::io_context& io,
+                       std::function<HttpLimits()> limits,
+                       HttpHandler handler)
+  : mState(std::make_shared<State>(io, std::move(limits), std::move(handler)))
 {
 }
 
@@ -400,6 +432,15 @@
   mState->acceptor.close(ignored);
 }
 
+void
+HttpServer::closeIdle()
+{
+  for (auto* stream : mState->idle) {
+    boost::system::error_code ignored;
+    stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+  }
+}
+
 void
 HttpServer::closeAll()
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -24,6 +24,8 @@
   /// Longest time for one write to a client that does not read.
   core::Millis writeTime{ 30'000 };
   std::size_t connections = 10'000;
+  /// False ends each connection with its next answer, for a leaving process.
+  bool keepConnections = true;
 };
 
 /// One request and the way to answer it: either respond(), or beginStream(),
@@ -39,7 +41,9 @@
   void setParameters(std::map<std::string, std::string> parameters);
 
   virtual Awaitable<void> respond(HttpResponse response) = 0;
-  virtual Awaitable<void> beginStream(int status, std::string contentType) = 0;
+  virtual Awaitable<void> beginStream(int status,
+                                      std::string contentType,
+                                      Headers headers = {}) = 0;
   /// False if the client is gone; further writes do nothing.
   virtual Awaitable<bool> write(std::string data) = 0;
   /// Ends the stream; without it the client sees a broken answer.
@@ -70,6 +74,10 @@
 {
 public:
   HttpServer(asio::io_context& io, HttpLimits limits, HttpHandler handler);
+  /// Asks for the limits before each request.
+  HttpServer(asio::io_context& io,
+             std::function<HttpLimits()> limits,
+             HttpHandler handler);
   ~HttpServer();
 
   /// Binds and starts to accept. Port 0 lets the kernel choose; the result is
@@ -77,6 +85,8 @@
   core::Result<core::Endpoint> listen(const core::Endpoint& endpoint);
   /// Stops accepting; exchanges that run go on.
   void stopAccepting();
+  /// Closes the connections that have no request.
+  void closeIdle();
   /// Closes all connections.
   void closeAll();
   /// Exchanges that have not been answered yet.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -91,7 +91,7 @@
   , http(context)
   , httpServer(
       context,
-      {},
+      net::HttpLimits{},
       [this](net::HttpExchange& exchange) { return router.handle(exchange); })
   , linkServer(context, { members.self().id, settings.linkSecret })
   , links(context, { members.self().id, settings.linkSecret })
@@ -213,7 +213,7 @@
       const auto granted = co_await kv.grantLease(kLeaseTime);
       lease = granted ? granted.value() : "";
       if (granted) {
-        platform::KvPut put;
+        backends::KvPut put;
         put.key = "members/" + members.self().id.name;
         put.value = wire::encode(members.self());
         put.lease = lease;
@@ -231,7 +231,7 @@
   if (settings.instanceList.port == 0) {
     co_return;
   }
-  platform::InstanceListClient client(http, settings.instanceList);
+  backends::InstanceListClient client(http, settings.instanceList);
   for (;;) {
     auto list = co_await client.fetch();
     if (list && list.value() != servers) {
@@ -401,7 +401,7 @@
   return mState->links;
 }
 
-platform::KvClient&
+backends::KvClient&
 Node::kv()
 {
   return mState->kv;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "backends/instance_list.h"
+#include "backends/kv_client.h"
 #include "core/membership.h"
 #include "core/table_replica.h"
 #include "net/http_client.h"
@@ -9,8 +11,6 @@
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/settings.h"
-#include "platform/instance_list.h"
-#include "platform/kv_client.h"
 
 #include <functional>
 #include <memory>
@@ -69,7 +69,7 @@
   net::HttpServer& httpServer();
   net::LinkServer& linkServer();
   net::LinkPool& links();
-  platform::KvClient& kv();
+  backends::KvClient& kv();
 
   /// Live members, itself included.
   core::Membership& members();
--- a/src/node/node_state.h
+++ b/src/node/node_state.h
@@ -32,7 +32,7 @@
   net::HttpServer httpServer;
   net::LinkServer linkServer;
   net::LinkPool links;
-  platform::KvClient kv;
+  backends::KvClient kv;
   TableSync sync;
   Heartbeat heartbeat;
   core::TimePoint started;
--- a/src/node/table_editor.cpp
+++ b/src/node/table_editor.cpp
@@ -1,7 +1,7 @@
 #include "node/table_editor.h"
 
+#include "backends/error.h"
 #include "node/table_sync.h"
-#include "platform/error.h"
 #include "wire/table_codec.h"
 
 #include <pcg_random.hpp>
@@ -13,7 +13,7 @@
 
 namespace {
 
-using platform::PlatformError;
+using backends::BackendError;
 
 /// The first wait after a failed or lost call; doubled for each further one.
 /// Waits of one edit sum to at most 5 s, so that an operator gets an answer
@@ -34,7 +34,7 @@
   if (!table) {
     log.error("Malformed table in the key-value service: {}",
               table.error().text());
-    return make_error_code(PlatformError::BadAnswer);
+    return make_error_code(BackendError::BadAnswer);
   }
   return std::move(table.value());
 }
@@ -43,7 +43,7 @@
 
 struct TableEditor::State
 {
-  platform::KvClient& kv;
+  backends::KvClient& kv;
   core::TableReplica& replica;
   net::Logger log;
   pcg32 random;
@@ -64,7 +64,7 @@
 {
   const auto entry = co_await kv.read(kTableKey);
   if (!entry) {
-    if (entry.error() == PlatformError::NotFound) {
+    if (entry.error() == BackendError::NotFound) {
       run.readMissing();
     } else {
       run.readFailed(entry.error().message());
@@ -84,16 +84,16 @@
 TableEditor::State::write(core::EditRun& run)
 {
   const auto& step = std::get<core::EditRun::Write>(run.step());
-  platform::KvPut put;
+  backends::KvPut put;
   put.key = kTableKey;
   put.value = wire::encode(step.table);
   put.expect = step.expect;
   const auto written = co_await kv.put(std::move(put));
   if (written) {
     run.writeDone();
-  } else if (written.error() == PlatformError::Conflict) {
+  } else if (written.error() == BackendError::Conflict) {
     run.writeConflict();
-  } else if (written.error() == PlatformError::OutcomeUnknown) {
+  } else if (written.error() == BackendError::OutcomeUnknown) {
     run.writeUnknown();
   } else {
     run.writeFailed(written.error().message());
@@ -113,12 +113,12 @@
 net::Awaitable<void>
 TableEditor::State::keep(core::Table table)
 {
-  platform::KvPut put;
+  backends::KvPut put;
   put.key = historyKey(table.revision);
   put.value = wire::encode(table);
   put.expect = 0;
   const auto written = co_await kv.put(std::move(put));
-  if (!written && written.error() != PlatformError::Conflict) {
+  if (!written && written.error() != BackendError::Conflict) {
     log.warning("Revision {} may be missing in the history: {}",
                 table.revision,
                 written.error().message());
@@ -150,7 +150,7 @@
 }
 
 TableEditor::TableEditor(net::asio::io_context& io,
-                         platform::KvClient& kv,
+                         backends::KvClient& kv,
                          core::TableReplica& replica,
                          net::Logger log,
                          std::uint64_t seed)
--- a/src/node/table_editor.h
+++ b/src/node/table_editor.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "backends/kv_client.h"
 #include "core/edit_run.h"
 #include "core/result.h"
 #include "core/table_replica.h"
 #include "net/asio.h"
 #include "net/log.h"
-#include "platform/kv_client.h"
 
 #include <cstdint>
 #include <memory>
@@ -26,7 +26,7 @@
   /// `seed` feeds the jitter between attempts. All references must outlive
   /// the editor.
   TableEditor(net::asio::io_context& io,
-              platform::KvClient& kv,
+              backends::KvClient& kv,
               core::TableReplica& replica,
               net::Logger log,
               std::uint64_t seed);
--- a/src/node/table_sync.cpp
+++ b/src/node/table_sync.cpp
@@ -1,6 +1,6 @@
 #include "node/table_sync.h"
 
-#include "platform/error.h"
+#include "backends/error.h"
 #include "wire/messages.h"
 #include "wire/table_codec.h"
 
@@ -32,7 +32,7 @@
                      core::Membership& members,
                      core::TableReplica& replica,
                      net::LinkPool& links,
-                     platform::KvClient& kv,
+                     backends::KvClient& kv,
                      net::Logger log)
   : mIo(io)
   , mMembers(members)
@@ -74,7 +74,7 @@
 TableSync::readService()
 {
   const auto entry = co_await mKv.read(kTableKey);
-  if (!entry && entry.error() != platform::PlatformError::NotFound) {
+  if (!entry && entry.error() != backends::BackendError::NotFound) {
     co_return false;
   }
   mLastAnswer = core::Clock::now();
--- a/src/node/table_sync.h
+++ b/src/node/table_sync.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "backends/kv_client.h"
 #include "core/membership.h"
 #include "core/table_replica.h"
 #include "net/link.h"
 #include "net/log.h"
-#include "platform/kv_client.h"
 
 namespace lentilrack::node {
 
@@ -21,7 +21,7 @@
             core::Membership& members,
             core::TableReplica& replica,
             net::LinkPool& links,
-            platform::KvClient& kv,
+            backends::KvClient& kv,
             net::Logger log);
 
   /// Registers the link handler that gives the table to peers.
@@ -48,7 +48,7 @@
   core::Membership& mMembers;
   core::TableReplica& mReplica;
   net::LinkPool& mLinks;
-  platform::KvClient& mKv;
+  backends::KvClient& mKv;
   net::Logger mLog;
   std::int64_t mServiceRevision = 0;
   core::TimePoint mLastAnswer;
--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -1,6 +1,6 @@
 #include "standins/engine_standin.h"
 
-#include "platform/error.h"
+#include "backends/error.h"
 #include "standins/answer_text.h"
 
 #include <algorithm>
@@ -365,7 +365,7 @@
     if (chunk) {
       co_return true;
     }
-    if (chunk.error() != platform::PlatformError::RateLimited) {
+    if (chunk.error() != backends::BackendError::RateLimited) {
       co_return false;
     }
     co_await net::sleepFor(kChunkRetry);
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "backends/weight_store_client.h"
 #include "net/http_client.h"
-#include "platform/weight_store_client.h"
 #include "standins/engine_cache.h"
 #include "standins/engine_run.h"
 #include "standins/lagged_value.h"
@@ -82,7 +82,7 @@
 
   Options mOptions;
   StandinServer mServer;
-  platform::WeightStoreClient mWeights;
+  backends::WeightStoreClient mWeights;
   EngineSlots mSlots;
   EngineCache mCache;
   std::map<std::string, std::int64_t> mModels;
--- a/src/standins/weight_store_standin.cpp
+++ b/src/standins/weight_store_standin.cpp
@@ -1,6 +1,6 @@
 #include "standins/weight_store_standin.h"
 
-#include "platform/weight_store_client.h"
+#include "backends/weight_store_client.h"
 
 #include <fmt/format.h>
 
@@ -127,7 +127,7 @@
   response.contentType = "application/octet-stream";
   response.body = chunkData(read);
   response.headers.emplace_back("X-Checksum",
-                                platform::chunkChecksum(response.body));
+                                backends::chunkChecksum(response.body));
   mReads.push_back(std::move(read));
   if (mServer.takeLostReply()) {
     exchange.abort();
--- a/tests/platform/platform_fixture.h
+++ b/tests/backends/backend_fixture.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 /// The error of a result; none if it has a value.
 template<typename T>
@@ -100,4 +100,4 @@
   return response;
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/backends/engine_client_test.cpp
@@ -1,9 +1,9 @@
+#include "backends/engine_client.h"
+#include "backends/engine_fixture.h"
 #include "net/error.h"
-#include "platform/engine_client.h"
-#include "platform/engine_fixture.h"
 #include "standins/answer_text.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -298,4 +298,4 @@
   });
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/tests/platform/engine_control_test.cpp
+++ b/tests/backends/engine_control_test.cpp
@@ -1,8 +1,8 @@
-#include "platform/engine_client.h"
-#include "platform/engine_fixture.h"
-#include "platform/error.h"
+#include "backends/engine_client.h"
+#include "backends/engine_fixture.h"
+#include "backends/error.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -126,7 +126,7 @@
     co_await control(mEngine.server(), R"({"fail_loads":1})");
     const auto failed =
       co_await mClient.load(engine, kModel, 2, store, Millis(5000));
-    EXPECT_EQ(failed, PlatformError::Refused);
+    EXPECT_EQ(failed, BackendError::Refused);
     const auto before = co_await mClient.loadReport(engine);
     EXPECT_EQ(before.value().models.at(kModel), 1);
     const auto loaded =
@@ -137,7 +137,7 @@
     EXPECT_EQ(after.value().slots, 2);
     const auto absent =
       co_await mClient.load(engine, kModel, 3, store, Millis(5000));
-    EXPECT_EQ(absent, PlatformError::Refused);
+    EXPECT_EQ(absent, BackendError::Refused);
   });
 }
 
@@ -168,4 +168,4 @@
   });
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/tests/platform/engine_fixture.h
+++ b/tests/backends/engine_fixture.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/engine_client.h"
-#include "platform/platform_fixture.h"
+#include "backends/backend_fixture.h"
+#include "backends/engine_client.h"
 #include "standins/engine_standin.h"
 #include "standins/weight_store_standin.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 using core::Millis;
 using core::Verdict;
@@ -81,4 +81,4 @@
   std::vector<core::Chunk> mChunks;
 };
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/tests/platform/kv_budget_test.cpp
+++ b/tests/backends/kv_budget_test.cpp
@@ -1,10 +1,10 @@
-#include "platform/kv_backoff.h"
-#include "platform/kv_budget.h"
+#include "backends/kv_backoff.h"
+#include "backends/kv_budget.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -109,4 +109,4 @@
   EXPECT_LE(backoff.retryAt(), kStart + Millis(100));
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/tests/platform/kv_client_test.cpp
+++ b/tests/backends/kv_client_test.cpp
@@ -1,9 +1,9 @@
-#include "platform/error.h"
-#include "platform/kv_client.h"
-#include "platform/platform_fixture.h"
+#include "backends/backend_fixture.h"
+#include "backends/error.h"
+#include "backends/kv_client.h"
 #include "standins/kv_standin.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -65,7 +65,7 @@
     const auto created = co_await client.put(write("config/a b+%", 1, 0));
     EXPECT_EQ(created.value(), 1);
     const auto again = co_await client.put(write("config/a b+%", 2, 0));
-    EXPECT_EQ(errorOf(again), PlatformError::Conflict);
+    EXPECT_EQ(errorOf(again), BackendError::Conflict);
     const auto swapped = co_await client.put(write("config/a b+%", 3, 1));
     EXPECT_EQ(swapped.value(), 2);
     co_await store(client, write("other", 9));
@@ -78,7 +78,7 @@
     const auto removed = co_await client.remove("other");
     EXPECT_FALSE(removed);
     const auto missing = co_await client.read("other");
-    EXPECT_EQ(errorOf(missing), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(missing), BackendError::NotFound);
     EXPECT_TRUE(client.available());
   });
 }
@@ -90,7 +90,7 @@
   run([&]() -> Awaitable<void> {
     co_await control(mKv.server(), R"({"lose_replies":1})");
     const auto put = co_await client.put(write("a", 1, 0));
-    EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
+    EXPECT_EQ(errorOf(put), BackendError::OutcomeUnknown);
     EXPECT_FALSE(client.available());
     const auto entry = co_await client.read("a");
     EXPECT_EQ(entry.value().value, 1);
@@ -109,10 +109,10 @@
   run([&]() -> Awaitable<void> {
     co_await control(mKv.server(), R"({"latency_ms":300})");
     const auto put = co_await client.put(write("a", 1, 0));
-    EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
+    EXPECT_EQ(errorOf(put), BackendError::OutcomeUnknown);
     EXPECT_EQ(client.calls(), 1U);
     const auto read = co_await client.read("a");
-    EXPECT_EQ(errorOf(read), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(read), BackendError::Unavailable);
     EXPECT_EQ(client.calls(), 3U);
   });
 }
@@ -125,7 +125,7 @@
   KvClient client(mIo, closed);
   run([&]() -> Awaitable<void> {
     const auto put = co_await client.put(write("a", 1));
-    EXPECT_EQ(errorOf(put), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(put), BackendError::Unavailable);
     EXPECT_FALSE(client.available());
   });
 }
@@ -160,7 +160,7 @@
     while (errors.size() < 20) {
       co_await net::sleepFor(Millis(1));
     }
-    EXPECT_EQ(std::ranges::count(errors, PlatformError::NotFound), 20);
+    EXPECT_EQ(std::ranges::count(errors, BackendError::NotFound), 20);
   });
 }
 
@@ -177,7 +177,7 @@
       fixed.endpoints = { server.endpoint() };
       KvClient client(mIo, fixed);
       const auto put = co_await client.put(write("a", 1));
-      EXPECT_EQ(errorOf(put), PlatformError::OutcomeUnknown);
+      EXPECT_EQ(errorOf(put), BackendError::OutcomeUnknown);
     }
   });
 }
@@ -190,7 +190,7 @@
   KvClient client(mIo, fixed);
   run([&]() -> Awaitable<void> {
     const auto read = co_await client.read("a");
-    EXPECT_EQ(errorOf(read), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(read), BackendError::BadAnswer);
   });
 }
 
@@ -208,11 +208,11 @@
     EXPECT_FALSE(renewed);
     co_await control(mKv.server(), R"({"lapse_leases":true})");
     const auto lapsed = co_await client.renewLease(lease.value());
-    EXPECT_EQ(lapsed, PlatformError::NotFound);
+    EXPECT_EQ(lapsed, BackendError::NotFound);
     const auto read = co_await client.read("member/a");
-    EXPECT_EQ(errorOf(read), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(read), BackendError::NotFound);
     const auto second = co_await client.put(put);
-    EXPECT_EQ(errorOf(second), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(second), BackendError::NotFound);
   });
 }
 
@@ -224,7 +224,7 @@
     const auto lease = co_await client.grantLease(Millis(1));
     co_await net::sleepFor(Millis(5));
     const auto lapsed = co_await client.renewLease(lease.value());
-    EXPECT_EQ(lapsed, PlatformError::NotFound);
+    EXPECT_EQ(lapsed, BackendError::NotFound);
   });
 }
 
@@ -259,7 +259,7 @@
     };
     net::spawn(mIo, cutter());
     const auto cut = co_await client.watch("a", 1, Millis(60'000));
-    EXPECT_EQ(errorOf(cut), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(cut), BackendError::Unavailable);
     const auto seen = co_await client.watch("a", 1, Millis(60'000));
     EXPECT_EQ(seen.value()->value, 2);
   });
@@ -274,7 +274,7 @@
   KvClient client(mIo, fixed);
   run([&]() -> Awaitable<void> {
     const auto seen = co_await client.watch("a", 4, Millis(1000));
-    EXPECT_EQ(errorOf(seen), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(seen), BackendError::BadAnswer);
   });
 }
 
@@ -296,7 +296,7 @@
     while (errors.size() < 51) {
       co_await net::sleepFor(Millis(1));
     }
-    EXPECT_EQ(std::ranges::count(errors, PlatformError::Unavailable), 51);
+    EXPECT_EQ(std::ranges::count(errors, BackendError::Unavailable), 51);
     EXPECT_EQ(client.calls(), 1U);
     EXPECT_EQ(mKv.server().requests(), 1);
   });
@@ -329,7 +329,7 @@
   run([&]() -> Awaitable<void> {
     std::vector<std::error_code> errors;
     co_await readInto(client, errors);
-    EXPECT_EQ(errors.at(0), PlatformError::Unavailable);
+    EXPECT_EQ(errors.at(0), BackendError::Unavailable);
     isDown = false;
     for (int i = 0; i < 20; ++i) {
       net::spawn(mIo, readInto(client, errors));
@@ -361,7 +361,7 @@
   KvClient client(mIo, own);
   run([&]() -> Awaitable<void> {
     const auto cut = co_await client.watch("a", 7, Millis(900));
-    EXPECT_EQ(errorOf(cut), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(cut), BackendError::Unavailable);
     for (int i = 0; i < 2; ++i) {
       const auto nothing = co_await client.watch("a", 7, Millis(900));
       EXPECT_FALSE(errorOf(nothing));
@@ -386,7 +386,7 @@
   run([&]() -> Awaitable<void> {
     co_await store(client, write("a", 1));
     const auto second = co_await client.put(write("a", 2));
-    EXPECT_EQ(errorOf(second), PlatformError::RateLimited);
+    EXPECT_EQ(errorOf(second), BackendError::RateLimited);
     EXPECT_EQ(mKv.server().requests(), 1);
     EXPECT_EQ(mKv.table().find("a")->value, 1);
   });
@@ -405,8 +405,8 @@
     };
     net::spawn(mIo, ender());
     const auto seen = co_await client->watch("a", 0, Millis(60'000));
-    EXPECT_EQ(errorOf(seen), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(seen), BackendError::Unavailable);
   });
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/tests/platform/service_clients_test.cpp
+++ b/tests/backends/service_clients_test.cpp
@@ -1,12 +1,12 @@
-#include "platform/error.h"
-#include "platform/instance_list.h"
-#include "platform/platform_fixture.h"
-#include "platform/scorer_client.h"
-#include "platform/service_client.h"
-#include "platform/weight_store_client.h"
+#include "backends/backend_fixture.h"
+#include "backends/error.h"
+#include "backends/instance_list.h"
+#include "backends/scorer_client.h"
+#include "backends/service_client.h"
+#include "backends/weight_store_client.h"
 #include "standins/fleet.h"
 
-namespace lentilrack::platform {
+namespace lentilrack::backends {
 
 namespace {
 
@@ -182,10 +182,10 @@
     EXPECT_EQ(scores.value(), expected);
     const auto few =
       co_await mScorers.score(partial.endpoint(), items, Millis(5000));
-    EXPECT_EQ(errorOf(few), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(few), BackendError::BadAnswer);
     co_await control(mFleet.scorers().at(0)->server(), R"({"down":true})");
     const auto none = co_await mScorers.score(scorer, items, Millis(5000));
-    EXPECT_EQ(errorOf(none), PlatformError::Unavailable);
+    EXPECT_EQ(errorOf(none), BackendError::Unavailable);
   });
 }
 
@@ -225,17 +225,17 @@
   FixedServer unchecked(mIo, fixedResponse(200, "weights"));
   run([&]() -> Awaitable<void> {
     const auto absent = co_await mWeights.chunk(store(), "tasting-note", 9, 0);
-    EXPECT_EQ(errorOf(absent), PlatformError::NotFound);
+    EXPECT_EQ(errorOf(absent), BackendError::NotFound);
     const auto chunk = co_await mWeights.chunk(store(), "tasting-note", 3, 0);
     EXPECT_EQ(chunk.value().size(), 65536U);
     const auto limited = co_await mWeights.chunk(store(), "tasting-note", 3, 1);
-    EXPECT_EQ(errorOf(limited), PlatformError::RateLimited);
+    EXPECT_EQ(errorOf(limited), BackendError::RateLimited);
     const auto bad =
       co_await mWeights.chunk(broken.endpoint(), "tasting-note", 3, 0);
-    EXPECT_EQ(errorOf(bad), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(bad), BackendError::BadAnswer);
     const auto without =
       co_await mWeights.chunk(unchecked.endpoint(), "tasting-note", 3, 0);
-    EXPECT_EQ(errorOf(without), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(without), BackendError::BadAnswer);
   });
 }
 
@@ -273,8 +273,8 @@
   InstanceListClient list(mHttp, server.endpoint());
   run([&]() -> Awaitable<void> {
     const auto result = co_await list.fetch();
-    EXPECT_EQ(errorOf(result), PlatformError::BadAnswer);
+    EXPECT_EQ(errorOf(result), BackendError::BadAnswer);
   });
 }
 
-} // namespace lentilrack::platform
+} // namespace lentilrack::backends
--- a/tests/dispatch/chunk_store_test.cpp
+++ b/tests/dispatch/chunk_store_test.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/chunk_store.h"
 
-#include "platform/weight_store_client.h"
+#include "backends/weight_store_client.h"
 #include "support/temporary_directory.h"
 
 #include <gtest/gtest.h>
@@ -61,7 +61,7 @@
 TEST(ChunkStore, RemovesTemporaryFilesOfACrash)
 {
   const testing::TemporaryDirectory directory;
-  const auto checksum = platform::chunkChecksum("content");
+  const auto checksum = backends::chunkChecksum("content");
   writeText(directory.path() / ("model@3@0@" + checksum + ".tmp"), "cont");
   ChunkStore store(directory.path(), kLimit);
   ASSERT_TRUE(store.open());
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -65,7 +65,7 @@
     caller.name = "caller";
     caller.tokenHash = core::hashToken("test token");
     table.principals["caller"] = caller;
-    platform::KvPut put;
+    backends::KvPut put;
     put.key = "config/table";
     put.value = wire::encode(table);
     const auto written = co_await mNode->kv().put(std::move(put));
--- a/tests/dispatch/weight_cache_test.cpp
+++ b/tests/dispatch/weight_cache_test.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/weight_cache.h"
 
-#include "platform/error.h"
+#include "backends/error.h"
 #include "support/fake_weight_store.h"
 #include "support/io_test.h"
 #include "support/temporary_directory.h"
@@ -137,7 +137,7 @@
     co_await readInto(cache, key);
   });
   ASSERT_EQ(mErrors.size(), 1U);
-  EXPECT_EQ(mErrors[0], platform::PlatformError::NotFound);
+  EXPECT_EQ(mErrors[0], backends::BackendError::NotFound);
   EXPECT_EQ(mStore.reads["3/9"], 1);
 }
 
@@ -154,7 +154,7 @@
 {
   mStore.versions["model"] = 3;
   const auto endpoint = serve(makeCache());
-  platform::WeightStoreClient client(mHttp);
+  backends::WeightStoreClient client(mHttp);
   run([&]() -> Awaitable<void> {
     const auto version =
       co_await client.newest(endpoint, "model", 0, Millis(5000));
@@ -169,7 +169,7 @@
     EXPECT_TRUE(chunk.has_value());
     EXPECT_EQ(chunk.value(), FakeWeightStore::contentOf("3", "1"));
     const auto missing = co_await client.chunk(endpoint, "model", 3, 7);
-    EXPECT_EQ(missing.error(), platform::PlatformError::NotFound);
+    EXPECT_EQ(missing.error(), backends::BackendError::NotFound);
   });
 }
 
@@ -179,7 +179,7 @@
 {
   mStore.versions["model"] = 3;
   const auto endpoint = serve(makeCache());
-  platform::WeightStoreClient client(mHttp);
+  backends::WeightStoreClient client(mHttp);
   run([&]() -> Awaitable<void> {
     const auto version =
       co_await client.newest(endpoint, "model", 2, Millis(0));
--- a/tests/dispatch/weight_updater_test.cpp
+++ b/tests/dispatch/weight_updater_test.cpp
@@ -53,7 +53,7 @@
     hooks.hold = [this](const std::string& server) { ++mHeld[server]; };
     hooks.release = [this](const std::string& server) { --mHeld[server]; };
     hooks.announced = [this](const std::string&,
-                             const platform::WeightVersion& version) {
+                             const backends::WeightVersion& version) {
       mAnnounced.push_back(version.version);
     };
     hooks.load = [this](OwnedEngine engine,
--- a/tests/entry/admin_fixture.h
+++ b/tests/entry/admin_fixture.h
@@ -51,9 +51,9 @@
     mApi.addRoutes(mRouter);
   }
 
-  static platform::KvClientOptions kvOptions(core::Endpoint endpoint)
+  static backends::KvClientOptions kvOptions(core::Endpoint endpoint)
   {
-    platform::KvClientOptions options;
+    backends::KvClientOptions options;
     options.endpoints = { std::move(endpoint) };
     // A stand-in that is down breaks connections at once. Long time-outs keep
     // a busy machine from looking like an outage.
@@ -93,7 +93,7 @@
   /// Writes the table to the service and puts it in force.
   net::Awaitable<void> install(core::Table table)
   {
-    platform::KvPut put;
+    backends::KvPut put;
     put.key = node::kTableKey;
     put.value = wire::encode(table);
     const auto written = co_await mKv.put(std::move(put));
@@ -143,7 +143,7 @@
 
   net::asio::io_context mIo;
   standins::KvStandin mKvService;
-  platform::KvClient mKv;
+  backends::KvClient mKv;
   core::TableReplica mReplica;
   core::Membership mMembers;
   net::Metrics mMetrics;
--- a/tests/node/table_editor_test.cpp
+++ b/tests/node/table_editor_test.cpp
@@ -64,10 +64,10 @@
   bool mIsGone = false;
 };
 
-platform::KvClientOptions
+backends::KvClientOptions
 kvOptions(const core::Endpoint& endpoint)
 {
-  platform::KvClientOptions options;
+  backends::KvClientOptions options;
   options.endpoints = { endpoint };
   // Long, so that a busy machine does not look like an outage.
   options.timeout = core::Millis(10'000);
@@ -85,7 +85,7 @@
 {
   net::asio::io_context io;
   VanishingKv service(io);
-  platform::KvClient kv(io, kvOptions(service.endpoint()));
+  backends::KvClient kv(io, kvOptions(service.endpoint()));
   core::TableReplica replica;
   TableEditor editor(
     io, kv, replica, net::Logger("test", net::LogLevel::Error), 1);
--- a/tests/support/fake_weight_store.h
+++ b/tests/support/fake_weight_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "backends/weight_store_client.h"
 #include "net/http_router.h"
-#include "platform/weight_store_client.h"
 #include "wire/object_reader.h"
 
 #include <map>
@@ -84,10 +84,10 @@
       response.status = 404;
     } else {
       response.body = contentOf(version, number);
-      auto checksum = platform::chunkChecksum(response.body);
+      auto checksum = backends::chunkChecksum(response.body);
       if (corrupted > 0) {
         --corrupted;
-        checksum = platform::chunkChecksum("other");
+        checksum = backends::chunkChecksum("other");
       }
       response.headers.emplace_back("X-Checksum", checksum);
     }
