--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -358,7 +358,8 @@
     std::make_shared<RunResult>(mContext.format.headers().weightVersionField);
   run->server = server;
   run->lastEvent = Clock::now();
-  auto result = co_await mContext.http.call(prepareCall(item, server, run));
+  auto call = prepareCall(item, server, run);
+  auto result = co_await mContext.http.call(std::move(call));
   mContext.registry.end(server);
   mWorkChanged.notify();
   if (mIsStopped) {
@@ -464,9 +465,9 @@
     if (mIsStopped) {
       co_return;
     }
+    const auto desired = mContext.desired;
     const auto* rewardRoute =
-      mContext.desired ? mContext.desired->match(reward->host, reward->path)
-                       : nullptr;
+      desired ? desired->match(reward->host, reward->path) : nullptr;
     if (rewardRoute == nullptr) {
       co_await net::sleepFor(kDispatchPause);
       continue;
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -218,8 +218,10 @@
     mayBeDone = mayBeDone || commit.error == StoreError::OutcomeUnknown;
     co_await net::sleepFor(kStorePause);
   }
-  co_return mayBeDone ? failure(504, "acceptance_unknown")
-                      : refusal(503, "store_unavailable", kRetryAfter);
+  if (mayBeDone) {
+    co_return failure(504, "acceptance_unknown");
+  }
+  co_return refusal(503, "store_unavailable", kRetryAfter);
 }
 
 void
@@ -425,9 +427,10 @@
   co_await batch->waitForResults(call.after, std::min(call.wait, kLongestWait));
   const bool isCut =
     batch->isStopped() && batch->results().size() < batch->spec().items.size();
-  co_return isCut
-    ? failure(404, "not_the_owner")
-    : page(batch->spec().items.size(), call.after, batch->results());
+  if (isCut) {
+    co_return failure(404, "not_the_owner");
+  }
+  co_return page(batch->spec().items.size(), call.after, batch->results());
 }
 
 net::Awaitable<net::HttpResponse>
@@ -480,7 +483,11 @@
       }
       const bool isTold = told && told->status == 200;
       source = isTold ? "owner" : "store";
-      response = isTold ? std::move(*told) : co_await readStored(call);
+      if (isTold) {
+        response = std::move(*told);
+      } else {
+        response = co_await readStored(call);
+      }
       response.headers.clear();
     }
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -250,10 +250,12 @@
   net::HttpResponse response;
   response.body = "{}";
   if (path.starts_with(peer_paths::kResults)) {
-    response = co_await mBatches.readOwn(
-      { after(peer_paths::kResults),
-        number(request.query("after")),
-        Millis(static_cast<std::int64_t>(number(request.query("wait")))) });
+    ReadBatch read;
+    read.id = after(peer_paths::kResults);
+    read.after = number(request.query("after"));
+    read.wait =
+      Millis(static_cast<std::int64_t>(number(request.query("wait"))));
+    response = co_await mBatches.readOwn(std::move(read));
   } else if (path.starts_with(peer_paths::kItemBody)) {
     response = mBatches.itemBodyOfOwn(
       { after(peer_paths::kItemBody), request.query("item") });
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -209,7 +209,8 @@
   } else {
     mWave.refused(order, now);
     mBusy.insert(id);
-    co_await checkLoad({ order, now });
+    core::WeightWave::Load load{ order, now };
+    co_await checkLoad(std::move(load));
   }
 }
 
