Give weight orders the order count of the server's report

Cause: the counter of a server's directory entry counts its writes, not its orders, so that every order was refused with 409.

--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -25,8 +25,6 @@
   /// Unix milliseconds of its start. Another value is another lifetime, of
   /// which nothing known before holds.
   std::int64_t startedAt = 0;
-  /// Orders accepted in this lifetime.
-  std::int64_t orderCount = 0;
   /// Version of the weights, by model.
   std::map<std::string, std::int64_t> versions;
 };
@@ -35,6 +33,8 @@
 struct ServerState
 {
   ServerEntry entry;
+  /// Orders that it has accepted in this lifetime, once it was asked.
+  std::optional<std::int64_t> orderCount;
   /// Requests of this process in progress.
   int running = 0;
   /// Mean time per unit of work; 0 until the first observation.
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -169,7 +169,20 @@
     mBusy.erase(id);
     co_return;
   }
+  if (!state->orderCount) {
+    mBusy.insert(id);
+    core::WeightWave::Load load{ order, Clock::now() };
+    co_await checkLoad(std::move(load));
+    state = mContext.registry.find(id, order.server.startedAt);
+    if (state == nullptr || !state->orderCount) {
+      mWave.finished(id);
+      mWave.refused(order, Clock::now());
+      co_return;
+    }
+    mBusy.insert(id);
+  }
   WeightOrder wire;
+  wire.ordersBefore = *state->orderCount;
   wire.server = state->entry;
   wire.model = order.model;
   wire.version = order.version;
@@ -191,7 +204,7 @@
       { "model", order.model },
       { "version", order.version },
       { "fence", wire.fence },
-      { "expected_orders", wire.server.orderCount },
+      { "orders_before", wire.ordersBefore },
       { "status", status },
       { "outcome", result.error ? result.error.message() : "answered" } });
   mBusy.erase(id);
@@ -237,8 +250,8 @@
   }
   auto* state = mContext.registry.find(id, order.server.startedAt);
   if (state != nullptr) {
-    state->entry.orderCount =
-      std::max(state->entry.orderCount, report.value().orderCount);
+    state->orderCount =
+      std::max(state->orderCount.value_or(0), report.value().orderCount);
   }
   const auto version = report.value().versions[order.model];
   if (version >= order.version) {
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -94,6 +94,9 @@
   bool waitForRuns = false;
   std::string holder;
   std::int64_t fence = 0;
+  /// Orders that the server has accepted before; another number refuses this
+  /// one, however late it arrives.
+  std::int64_t ordersBefore = 0;
 };
 
 /// Where the operator and the servers write in the store.
