--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -211,6 +211,13 @@
 BatchRun::dispatch()
 {
   while (!mIsStopped && !mProgress.allFinished()) {
+    // The end may have become known before this run began.
+    const auto known = mCluster.batches().find(mSpec->id);
+    if (known != mCluster.batches().end() &&
+        known->second.state == BatchState::Ended) {
+      stop("ended");
+      co_return;
+    }
     const auto* batchRoute = route();
     const auto giveUpAt =
       mRecord.submittedAt +
@@ -259,6 +266,7 @@
   auto& run = mRuns[*item];
   run.cancel = std::make_shared<net::CancelSignal>();
   run.server = server->entry;
+  run.isGenerating = true;
   run.startedAt = now;
   run.lastActivity = now;
   run.eventsOfRun = 0;
@@ -361,6 +369,7 @@
   auto call = prepareCall(item, server, run);
   auto result = co_await mContext.http.call(std::move(call));
   mContext.registry.end(server);
+  mRuns[item].isGenerating = false;
   mWorkChanged.notify();
   if (mIsStopped) {
     co_return;
@@ -461,6 +470,9 @@
     co_return;
   }
   const auto& names = mContext.format.headers();
+  // The run's own signal may have been used by its supervision just before the
+  // answer was whole.
+  state.cancel = std::make_shared<net::CancelSignal>();
   while (reward && result.score.empty()) {
     if (mIsStopped) {
       co_return;
@@ -561,9 +573,7 @@
   while (!mIsStopped && !mProgress.allFinished()) {
     const auto now = Clock::now();
     for (std::size_t i = 0; i < mRuns.size(); ++i) {
-      const bool isRunning = mRuns[i].cancel && !mProgress.isFinished(i) &&
-                             !mRuns[i].cancel->cancelled();
-      if (isRunning) {
+      if (mRuns[i].isGenerating && !mRuns[i].cancel->cancelled()) {
         checkRun(i, now);
       }
     }
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -64,6 +64,8 @@
     core::EventText text;
     std::shared_ptr<net::CancelSignal> cancel;
     core::ServerEntry server;
+    /// A server is at work on the text; afterwards it is being scored.
+    bool isGenerating = false;
     core::TimePoint startedAt{};
     core::TimePoint lastActivity{};
     core::TimePoint movedAt{};
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -352,10 +352,7 @@
       if (!error) {
         mRenewedAt = sentAt;
       } else if (error == StoreError::NoLease) {
-        mContext.log.warning("lease",
-                             { { "lease", mLease }, { "outcome", "lost" } });
-        mLease = 0;
-        mIsRegistered = false;
+        noteLeaseLost();
         continue;
       }
     }
@@ -366,6 +363,21 @@
   }
 }
 
+void
+ClusterView::noteLeaseLost()
+{
+  mContext.log.warning("lease", { { "lease", mLease }, { "outcome", "lost" } });
+  mLease = 0;
+  mIsRegistered = false;
+  // The watch may not have told yet that the keys of the lease are gone. A
+  // newer lease must not make them look held again.
+  std::erase_if(mOwners,
+                [this](const auto& item) { return isSelf(item.second); });
+  if (mLeader && isSelf(*mLeader)) {
+    mLeader.reset();
+  }
+}
+
 net::Awaitable<bool>
 ClusterView::registerSelf()
 {
@@ -388,7 +400,7 @@
                transaction.writes[0].value,
                commit.revision });
   } else if (commit.error == StoreError::NoLease) {
-    mLease = 0;
+    noteLeaseLost();
   }
   co_return !commit.error;
 }
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -127,6 +127,8 @@
   net::Awaitable<void> follow();
   net::Awaitable<void> keepRegistered();
   net::Awaitable<bool> registerSelf();
+  /// Forgets what this process held, since others may hold it now.
+  void noteLeaseLost();
   void dropMissing(const StoreListing& listing);
 
   Context& mContext;
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -56,8 +56,10 @@
 bool
 WeightLeader::mayOrder() const
 {
-  return mFence != 0 && Clock::now() >= mOrdersFrom &&
-         mCluster.leaseIsFresh(kLeaseMargin) && !mContext.isLeaving;
+  const auto* leader = mCluster.leader();
+  return mFence != 0 && leader != nullptr && leader->revision == mFence &&
+         Clock::now() >= mOrdersFrom && mCluster.leaseIsFresh(kLeaseMargin) &&
+         !mContext.isLeaving;
 }
 
 net::Awaitable<void>
@@ -194,7 +196,9 @@
   call.request = mContext.format.encodeOrder(wire);
   call.connectTimeout = kConnectTimeout;
   call.timeout = kOrderTimeout;
-  call.beforeFirstByte = [this] { return mayOrder(); };
+  call.beforeFirstByte = [this, fence = mFence] {
+    return mayOrder() && mFence == fence;
+  };
   auto result = co_await mContext.http.call(std::move(call));
   const auto now = Clock::now();
   const auto status = result.response.status;
--- /dev/null
+++ b/tests/gateway/batch_service_test.cpp
@@ -0,0 +1,361 @@
+#include "gateway_fixture.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Millis;
+
+class BatchServiceTest : public GatewayTest
+{
+protected:
+  static net::Awaitable<void> join(TestNode& node)
+  {
+    node.cluster.start();
+    node.batches.start();
+    co_await until(
+      [&] { return node.cluster.isSynced() && node.cluster.isRegistered(); });
+  }
+
+  static net::Awaitable<int> submit(TestNode& node, net::HttpRequest request)
+  {
+    TestExchange exchange(std::move(request));
+    const auto desired = node.context.desired;
+    const auto* route = desired->match(kHost, exchange.request().target);
+    co_await node.batches.submit(exchange, *route);
+    co_return exchange.response.status;
+  }
+
+  static net::Awaitable<nlohmann::json> readAll(TestNode& node,
+                                                std::string id,
+                                                std::size_t after)
+  {
+    ReadBatch call;
+    call.id = std::move(id);
+    call.after = after;
+    call.wait = Millis(50);
+    TestExchange exchange{ net::HttpRequest() };
+    co_await node.batches.read(exchange, std::move(call));
+    auto json = nlohmann::json::parse(exchange.response.body, nullptr, false);
+    json["status"] = exchange.response.status;
+    co_return json;
+  }
+
+  static net::Awaitable<void> untilTotal(TestNode& node,
+                                         std::string id,
+                                         std::size_t total)
+  {
+    for (std::size_t listed = 0; listed < total;) {
+      const auto page = co_await readAll(node, id, 0);
+      listed = page.value("next_token", std::size_t{ 0 });
+      co_await net::sleepFor(Millis(5));
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a 202 for a batch that only this process knows.
+TEST_F(BatchServiceTest, TakenBatchIsInTheStoreBeforeItsAnswer)
+{
+  auto node = makeNode("a");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    const auto status = co_await submit(*node, submission("b1", 4));
+    EXPECT_EQ(status, 202);
+    EXPECT_TRUE(mTable->entries.contains(keys::batch("b1")));
+    EXPECT_TRUE(mTable->entries.contains(keys::bodyPart("b1", 0)));
+  });
+}
+
+// Guards against a refusal of a batch whose write may still be done: the store
+// has done it without an answer.
+TEST_F(BatchServiceTest, WriteWithoutAnswerIsNoRefusal)
+{
+  auto node = makeNode("a");
+  FakeServer server(mIo, "s1");
+  node->addServer(server, "engine");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    node->store.commitsWithoutAnswer = 1;
+    const auto status = co_await submit(*node, submission("b1", 4));
+    EXPECT_EQ(status, 202);
+    co_await untilTotal(*node, "b1", 4);
+  });
+}
+
+// Guards against a batch that is refused though it will run.
+TEST_F(BatchServiceTest, RefusedBatchIsNotStored)
+{
+  auto node = makeNode("a");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    node->store.isCut = true;
+    const auto status = co_await submit(*node, submission("b1", 4));
+    EXPECT_EQ(status, 503);
+    EXPECT_FALSE(mTable->entries.contains(keys::batch("b1")));
+  });
+}
+
+// Guards against two runs of a batch that is submitted at two processes.
+TEST_F(BatchServiceTest, RepeatedSubmissionIsTakenOnce)
+{
+  auto first = makeNode("a");
+  auto second = makeNode("b");
+  FakeServer server(mIo, "s1");
+  first->addServer(server, "engine");
+  second->addServer(server, "engine");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*first);
+    co_await join(*second);
+    EXPECT_EQ(co_await submit(*first, submission("b1", 4)), 202);
+    EXPECT_EQ(co_await submit(*second, submission("b1", 4)), 202);
+    co_await untilTotal(*second, "b1", 4);
+    EXPECT_EQ(server.requests().size(), 4U);
+  });
+}
+
+// Guards against results that change their position, or are lost, when the
+// process that owned the batch is gone.
+TEST_F(BatchServiceTest, AnotherProcessGoesOnAtTheSamePositions)
+{
+  auto first = makeNode("a");
+  auto second = makeNode("b");
+  FakeServer server(mIo, "s1");
+  first->addServer(server, "engine", 1);
+  second->addServer(server, "engine", 1);
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*first);
+    co_await submit(*first, submission("b1", 6));
+    nlohmann::json before;
+    while (before.value("next_token", 0) < 2) {
+      before = co_await readAll(*first, "b1", 0);
+    }
+    // The process hangs: its lease lapses and it writes nothing any more.
+    first->store.isCut = true;
+    mTable->revokeAll();
+    co_await join(*second);
+    co_await untilTotal(*second, "b1", 6);
+    const auto after = co_await readAll(*second, "b1", 0);
+    for (std::size_t i = 0; i < before["results"].size(); ++i) {
+      EXPECT_EQ(before["results"][i], after["results"][i]);
+    }
+    std::set<std::string> ids;
+    for (const auto& result : after["results"]) {
+      ids.insert(result["id"].get<std::string>());
+    }
+    EXPECT_EQ(ids.size(), 6U);
+  });
+}
+
+// Guards against an owner that was paused and writes results at positions that
+// its successor has filled.
+TEST_F(BatchServiceTest, PausedOwnerWritesNothing)
+{
+  auto first = makeNode("a");
+  auto second = makeNode("b");
+  FakeServer slow(mIo, "s1");
+  FakeServer quick(mIo, "s2");
+  bool isReleased = false;
+  slow.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    co_await until([&] { return isReleased; });
+    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+    co_await exchange.beginStream(200, "text/event-stream", headers);
+    co_await exchange.write("id: 1\ndata: other text\n\n");
+    co_await exchange.endStream();
+  });
+  first->addServer(slow, "engine");
+  second->addServer(quick, "engine");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*first);
+    co_await submit(*first, submission("b1", 2));
+    co_await until([&] { return slow.requests().size() == 2; });
+    first->store.isCut = true;
+    mTable->revokeAll();
+    co_await join(*second);
+    co_await untilTotal(*second, "b1", 2);
+    const auto before = mTable->entries;
+    isReleased = true;
+    first->store.isCut = false;
+    co_await until([&] { return first->batches.openRuns() == 0; });
+    for (const auto& [key, entry] : before) {
+      if (key.starts_with(keys::resultsPrefix("b1"))) {
+        EXPECT_EQ(entry.value, mTable->entries[key].value);
+      }
+    }
+    const auto page = co_await readAll(*second, "b1", 0);
+    EXPECT_EQ(page["total"], 2);
+    EXPECT_EQ(page["results"].size(), 2U);
+  });
+}
+
+// Guards against items that run on after the end of their batch: the end came
+// while the batch was being taken over, so that no run existed to be stopped.
+TEST_F(BatchServiceTest, EndDuringTakeOverStopsTheRun)
+{
+  auto first = makeNode("a");
+  auto second = makeNode("b");
+  FakeServer server(mIo, "s1");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*first);
+    co_await submit(*first, submission("b1", 4));
+    first->store.isCut = true;
+    first->context.isLeaving = true;
+    second->addServer(server, "engine");
+    bool isEnded = false;
+    second->store.beforeList = [&](const std::string& prefix) {
+      if (prefix == keys::dataPrefix("b1") && !isEnded) {
+        isEnded = true;
+        const auto& entry = mTable->entries[keys::batch("b1")];
+        auto record = *BatchRecord::decode({ "", entry.value, entry.revision });
+        record.state = BatchState::Ended;
+        mTable->put(keys::batch("b1"), record.encode());
+        second->cluster.takeItem(
+          { keys::batch("b1"), record.encode(), mTable->revision });
+        second->batches.onClusterChange();
+      }
+    };
+    mTable->revokeAll();
+    co_await join(*second);
+    co_await until([&] { return isEnded; });
+    co_await net::sleepFor(Millis(200));
+    EXPECT_EQ(second->batches.openRuns(), 0U);
+    EXPECT_TRUE(server.requests().empty());
+  });
+}
+
+// Guards against "no such batch" for one that this process cannot look up.
+TEST_F(BatchServiceTest, UnknownBatchIsAbsentOnlyAfterAReadOfTheStore)
+{
+  auto node = makeNode("a");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    const auto absent = co_await readAll(*node, "nothing", 0);
+    EXPECT_EQ(absent["status"], 404);
+    node->store.isCut = true;
+    const auto unsure = co_await readAll(*node, "nothing", 0);
+    EXPECT_EQ(unsure["status"], 503);
+  });
+}
+
+// Guards against text that is put together from two runs without asking the
+// second to go on after the last whole event of the first.
+TEST_F(BatchServiceTest, BrokenRunGoesOnAfterTheLastWholeEvent)
+{
+  auto node = makeNode("a");
+  FakeServer broken(mIo, "s1");
+  FakeServer sound(mIo, "s2");
+  broken.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+    co_await exchange.beginStream(200, "text/event-stream", headers);
+    co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\ndata: pie");
+    exchange.abort();
+  });
+  node->addServer(broken, "engine", 1);
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    co_await submit(*node, submission("b1", 1));
+    co_await until([&] { return !broken.requests().empty(); });
+    node->addServer(sound, "engine", 1);
+    co_await untilTotal(*node, "b1", 1);
+    const auto page = co_await readAll(*node, "b1", 0);
+    EXPECT_EQ(page["results"][0]["output"], "piece 1\npiece 2\npiece 3");
+    EXPECT_EQ(sound.requests().at(0).header("Last-Event-Id"), "1");
+  });
+}
+
+// Guards against samples that older weights have made than the trainer allows.
+TEST_F(BatchServiceTest, AnswerFromOldWeightsIsNotUsed)
+{
+  auto node = makeNode("a");
+  FakeServer old(mIo, "s1");
+  FakeServer current(mIo, "s2");
+  old.version = 0;
+  node->addServer(old, "engine", 1);
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    co_await submit(*node, submission("b1", 1));
+    co_await until([&] { return !old.requests().empty(); });
+    node->addServer(current, "engine", 1);
+    co_await untilTotal(*node, "b1", 1);
+    const auto page = co_await readAll(*node, "b1", 0);
+    EXPECT_EQ(page["results"][0]["versions"], nlohmann::json({ 1 }));
+    EXPECT_EQ(page["results"][0]["state"], "completed");
+  });
+}
+
+// Guards against an item that is tried for ever, or given up too early.
+TEST_F(BatchServiceTest, ItemIsDeadAfterItsAttempts)
+{
+  auto node = makeNode("a");
+  FakeServer failing(mIo, "s1");
+  failing.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto answer = FakeServer::answer(exchange.request(), 500);
+    co_await exchange.respond(std::move(answer));
+  });
+  node->addServer(failing, "engine", 1);
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    co_await submit(*node, submission("b1", 1));
+    co_await untilTotal(*node, "b1", 1);
+    const auto page = co_await readAll(*node, "b1", 0);
+    EXPECT_EQ(page["results"][0]["state"], "dead");
+    EXPECT_EQ(failing.requests().size(), 2U);
+  });
+}
+
+// Guards against supervision that takes a slow reward call for a silent run,
+// cancels it and so keeps the item from ever being finished.
+TEST_F(BatchServiceTest, SlowRewardCallIsNotTakenForASilentRun)
+{
+  auto node = makeNode("a");
+  FakeServer engine(mIo, "s1");
+  FakeServer desk(mIo, "s2");
+  desk.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    co_await net::sleepFor(Millis(1'700));
+    auto answer = FakeServer::answer(exchange.request());
+    co_await exchange.respond(std::move(answer));
+  });
+  node->addServer(engine, "engine");
+  node->addServer(desk, "desk");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    auto request = submission("b1", 1);
+    request.body = R"({"model":"model","min_version":1,"items":[{"id":"i",)"
+                   R"("path":"/batch/x","scorer":{"id":"r",)"
+                   R"("host":"host.example","path":"/plain/r"}}]})";
+    co_await submit(*node, std::move(request));
+    co_await untilTotal(*node, "b1", 1);
+    const auto page = co_await readAll(*node, "b1", 0);
+    EXPECT_EQ(page["results"][0]["score"], "stamp");
+    EXPECT_EQ(desk.requests().size(), 1U);
+  });
+}
+
+// Guards against a submission without usable content that is stored.
+TEST_F(BatchServiceTest, MalformedSubmissionsAreRefusedWithoutEffect)
+{
+  auto node = makeNode("a");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    for (const char* body : { "",
+                              "{",
+                              "[]",
+                              R"({"items":{}})",
+                              R"({"items":[]})",
+                              R"({"items":[{"id":1,"path":"/x"}]})",
+                              R"({"items":[{"id":"x"}]})",
+                              R"({"items":[{"id":"x","path":"/x",)"
+                              R"("body":"***"}]})" }) {
+      auto request = submission("b1", 1);
+      request.body = body;
+      const auto status = co_await submit(*node, std::move(request));
+      EXPECT_EQ(status, 400) << body;
+    }
+    EXPECT_FALSE(mTable->entries.contains(keys::batch("b1")));
+  });
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/tests/gateway/gateway_fixture.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "fake_server.h"
+#include "fake_store.h"
+#include "gateway/batch_service.h"
+#include "gateway/weight_leader.h"
+#include "platform/format.h"
+#include "support/io_test.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lentilrack::gateway {
+
+/// The parts of one process on a fake store.
+struct TestNode
+{
+  TestNode(net::asio::io_context& io,
+           const std::string& instance,
+           std::shared_ptr<FakeStoreTable> table);
+
+  /// Adds a server that the directory would list.
+  void addServer(const FakeServer& server,
+                 const std::string& service,
+                 int slots = 4);
+
+  platform::Format format;
+  FakeStore store;
+  DecisionLog log;
+  Context context;
+  ClusterView cluster;
+  PeerClient peers;
+  StateSync state;
+  Forwarder forwarder;
+  BatchService batches;
+  WeightLeader leader;
+
+private:
+  std::vector<core::ServerEntry> mEntries;
+};
+
+/// Exchange without a connection, for calls that a test makes itself.
+class TestExchange : public net::HttpExchange
+{
+public:
+  explicit TestExchange(net::HttpRequest request)
+    : HttpExchange(std::move(request))
+  {
+  }
+
+  net::Awaitable<void> respond(net::HttpResponse answer) override
+  {
+    response = std::move(answer);
+    isAnswered = true;
+    co_return;
+  }
+  net::Awaitable<void> beginStream(int status,
+                                   std::string contentType,
+                                   net::Headers headers) override
+  {
+    response.status = status;
+    response.contentType = std::move(contentType);
+    response.headers = std::move(headers);
+    co_return;
+  }
+  net::Awaitable<bool> write(std::string data) override
+  {
+    response.body += data;
+    co_return !isGone;
+  }
+  net::Awaitable<void> endStream() override
+  {
+    isAnswered = true;
+    co_return;
+  }
+  void abort() override { isAborted = true; }
+  bool clientGone() const override { return isGone; }
+  void onClientGone(std::function<void()> hook) override
+  {
+    mGoneHook = std::move(hook);
+  }
+  void leave()
+  {
+    isGone = true;
+    if (mGoneHook) {
+      mGoneHook();
+    }
+  }
+
+  net::HttpResponse response;
+  bool isAnswered = false;
+  bool isAborted = false;
+  bool isGone = false;
+
+private:
+  std::function<void()> mGoneHook;
+};
+
+class GatewayTest : public testing::IoTest
+{
+protected:
+  static constexpr const char* kHost = "host.example";
+
+  static core::Route plainRoute(core::RouteKind kind, int attempts);
+  static std::shared_ptr<const core::DesiredState> desiredState();
+  /// A request of the plain route.
+  static net::HttpRequest request(const std::string& id);
+  /// A submission of items that need no reward call.
+  static net::HttpRequest submission(const std::string& id, int items);
+
+  std::unique_ptr<TestNode> makeNode(const std::string& instance);
+
+  std::shared_ptr<FakeStoreTable> mTable = std::make_shared<FakeStoreTable>();
+};
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/tests/gateway/weight_leader_test.cpp
@@ -0,0 +1,60 @@
+#include "gateway_fixture.h"
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Millis;
+
+class WeightLeaderTest : public GatewayTest
+{
+protected:
+  static net::Awaitable<void> join(TestNode& node)
+  {
+    node.cluster.start();
+    node.leader.start();
+    co_await until([&] { return node.cluster.isRegistered(); });
+  }
+};
+
+} // namespace
+
+// Guards against two processes that both give orders: the watch of the first
+// is silent, its lease has ended and it has a new one already.
+TEST_F(WeightLeaderTest, NewLeaseDoesNotRenewALostLeadership)
+{
+  auto first = makeNode("a");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*first);
+    co_await until([&] { return first->leader.isLeading(); });
+    const auto lease = first->cluster.lease();
+    first->store.isWatchSilent = true;
+    mTable->revokeAll();
+    // Another process takes the key before the first can.
+    const Holder other{ "b", "life", 0 };
+    mTable->put(keys::leader(), other.encode());
+    co_await until([&] {
+      return first->cluster.lease() != 0 && first->cluster.lease() != lease;
+    });
+    EXPECT_EQ(first->cluster.leader(), nullptr);
+    co_await net::sleepFor(Millis(250));
+    EXPECT_FALSE(first->leader.isLeading());
+  });
+}
+
+// Guards against a second leader while the first holds the key.
+TEST_F(WeightLeaderTest, OneProcessLeads)
+{
+  auto first = makeNode("a");
+  auto second = makeNode("b");
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*first);
+    co_await until([&] { return first->leader.isLeading(); });
+    co_await join(*second);
+    co_await net::sleepFor(Millis(500));
+    EXPECT_TRUE(first->leader.isLeading());
+    EXPECT_FALSE(second->leader.isLeading());
+  });
+}
+
+} // namespace lentilrack::gateway
