--- /dev/null
+++ b/src/core/key_mirror.cpp
@@ -0,0 +1,134 @@
+#include "core/key_mirror.h"
+
+#include <algorithm>
+#include <ranges>
+#include <set>
+
+namespace lentilrack::core {
+
+void
+KeyMirror::record(const std::string& key)
+{
+  mChanges.push_back({ ++mSequence, key });
+  if (mChanges.size() > kKeptChanges) {
+    const auto dropped = mChanges.front().key;
+    mChanges.pop_front();
+    const bool isToldLater = std::ranges::any_of(
+      mChanges, [&](const Change& change) { return change.key == dropped; });
+    if (!isToldLater) {
+      mRemoved.erase(dropped);
+    }
+  }
+}
+
+bool
+KeyMirror::put(const MirroredItem& item)
+{
+  const auto gone = mRemoved.find(item.key);
+  if (gone != mRemoved.end() && item.revision <= gone->second) {
+    return false;
+  }
+  auto& known = mItems[item.key];
+  if (item.revision <= known.revision) {
+    return false;
+  }
+  mRevision = std::max(mRevision, item.revision);
+  const bool isSame = known.revision != 0 && mIsSame && mIsSame(known, item);
+  known = item;
+  if (isSame) {
+    return true;
+  }
+  mRemoved.erase(item.key);
+  record(item.key);
+  if (mOnItem) {
+    mOnItem(item);
+  }
+  return true;
+}
+
+bool
+KeyMirror::remove(const std::string& key, std::int64_t revision)
+{
+  mRevision = std::max(mRevision, revision);
+  const auto known = mItems.find(key);
+  if (known == mItems.end() || revision < known->second.revision) {
+    return false;
+  }
+  mItems.erase(known);
+  mRemoved[key] = revision;
+  record(key);
+  if (mOnRemoved) {
+    mOnRemoved(key, revision);
+  }
+  return true;
+}
+
+void
+KeyMirror::replace(const std::vector<MirroredItem>& items,
+                   std::int64_t revision)
+{
+  std::set<std::string> listed;
+  for (const auto& item : items) {
+    listed.insert(item.key);
+    put(item);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, item] : mItems) {
+    if (!listed.contains(key) && item.revision <= revision) {
+      missing.push_back(key);
+    }
+  }
+  std::ranges::for_each(missing,
+                        [&](const auto& key) { remove(key, revision); });
+  mRevision = std::max(mRevision, revision);
+  mIsComplete = true;
+}
+
+void
+KeyMirror::take(const MirrorDelta& delta)
+{
+  if (delta.isComplete) {
+    replace(delta.items, delta.revision);
+    return;
+  }
+  std::ranges::for_each(delta.items, [this](const auto& item) { put(item); });
+  for (const auto& [key, revision] : delta.removed) {
+    remove(key, revision);
+  }
+  mRevision = std::max(mRevision, delta.revision);
+}
+
+MirrorDelta
+KeyMirror::changesSince(std::uint64_t sequence) const
+{
+  MirrorDelta delta;
+  delta.sequence = mSequence;
+  delta.revision = mRevision;
+  const bool isKept =
+    sequence <= mSequence && sequence > 0 &&
+    (sequence == mSequence ||
+     (!mChanges.empty() && mChanges.front().sequence <= sequence + 1));
+  if (!isKept) {
+    delta.isComplete = true;
+    std::ranges::copy(mItems | std::views::values,
+                      std::back_inserter(delta.items));
+    return delta;
+  }
+  std::set<std::string> keys;
+  for (const auto& change : mChanges) {
+    if (change.sequence > sequence) {
+      keys.insert(change.key);
+    }
+  }
+  for (const auto& key : keys) {
+    const auto item = mItems.find(key);
+    if (item != mItems.end()) {
+      delta.items.push_back(item->second);
+    } else if (const auto gone = mRemoved.find(key); gone != mRemoved.end()) {
+      delta.removed.emplace_back(key, gone->second);
+    }
+  }
+  return delta;
+}
+
+} // namespace lentilrack::core
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -27,6 +27,8 @@
   std::int64_t startedAt = 0;
   /// Version of the weights, by model.
   std::map<std::string, std::int64_t> versions;
+
+  bool operator==(const ServerEntry&) const = default;
 };
 
 /// A backend server and what this process has seen of it.
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -167,7 +167,7 @@
   }
   mWorkChanged.notify();
   mResultsChanged.notify();
-  std::ranges::for_each(mReaders, [](auto* reader) { reader->notify(); });
+  mReaders.notifyAll();
 }
 
 net::Awaitable<void>
@@ -190,14 +190,12 @@
 {
   const auto self = shared_from_this();
   const auto end = Clock::now() + most;
-  net::Notifier changed(mContext.io);
-  mReaders.insert(&changed);
   while (mListed.size() <= after && mListed.size() < mProgress.size() &&
          !mIsStopped && Clock::now() < end) {
-    co_await changed.wait(
+    co_await mReaders.wait(
+      mContext.io,
       std::chrono::duration_cast<Millis>(end - Clock::now()) + Millis(1));
   }
-  mReaders.erase(&changed);
 }
 
 const core::Route*
@@ -673,7 +671,7 @@
       mIsListed[result.item] = true;
       mListed.push_back(std::move(result));
     }
-    std::ranges::for_each(mReaders, [](auto* reader) { reader->notify(); });
+    mReaders.notifyAll();
     co_await net::sleepFor(kWritePause);
   }
   if (!mIsStopped) {
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -4,6 +4,7 @@
 #include "core/rollout_batch.h"
 #include "gateway/cluster_view.h"
 #include "gateway/forwarder.h"
+#include "gateway/wait_list.h"
 #include "net/notifier.h"
 
 #include <memory>
@@ -109,7 +110,7 @@
   std::vector<StoredResult> mListed;
   std::vector<bool> mIsListed;
   core::TimePoint mFirstPendingAt{};
-  std::set<net::Notifier*> mReaders;
+  WaitList mReaders;
   net::Notifier mWorkChanged;
   net::Notifier mResultsChanged;
   core::TimePoint mStoppedAt{};
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -15,7 +15,6 @@
 using core::Millis;
 using Json = nlohmann::json;
 
-constexpr Millis kWatchWait{ 1'500 };
 constexpr Millis kFailurePause{ 100 };
 
 constexpr std::string_view kPrefix = "lentilrack/";
@@ -42,7 +41,7 @@
 }
 
 std::optional<Peer>
-decodePeer(const StoreItem& item)
+decodePeer(const core::MirroredItem& item)
 {
   const auto json = Json::parse(item.value, nullptr, false);
   if (!json.is_object()) {
@@ -59,6 +58,12 @@
 
 namespace keys {
 
+std::string
+prefix()
+{
+  return std::string(kPrefix);
+}
+
 std::string
 instance(const std::string& name)
 {
@@ -168,12 +173,15 @@
 ClusterView::ClusterView(Context& context)
   : mContext(context)
 {
+  mContext.mirrors.cluster.onItem(
+    [this](const auto& item) { applyItem(item); });
+  mContext.mirrors.cluster.onRemoved(
+    [this](const auto& key, auto revision) { applyRemoval(key, revision); });
 }
 
 void
 ClusterView::start()
 {
-  net::spawn(mContext.io, follow());
   net::spawn(mContext.io, keepRegistered());
 }
 
@@ -211,71 +219,15 @@
     }));
 }
 
-net::Awaitable<void>
-ClusterView::follow()
-{
-  std::int64_t revision = 0;
-  for (;;) {
-    if (revision == 0) {
-      auto listing = co_await mContext.store.list(std::string(kPrefix));
-      if (!listing) {
-        co_await net::sleepFor(kFailurePause);
-        continue;
-      }
-      dropMissing(listing.value());
-      std::ranges::for_each(listing.value().items,
-                            [this](const auto& item) { takeItem(item); });
-      revision = listing.value().revision;
-      mIsSynced = true;
-      if (mOnChange) {
-        mOnChange();
-      }
-    }
-    auto changes =
-      co_await mContext.store.watch(std::string(kPrefix), revision, kWatchWait);
-    if (!changes) {
-      const bool isLost = changes.error() == StoreError::HistoryLost;
-      revision = 0;
-      co_await net::sleepFor(isLost ? Millis(0) : kFailurePause);
-      continue;
-    }
-    for (const auto& change : changes.value().changes) {
-      if (change.value) {
-        takeItem({ change.key, *change.value, change.revision });
-      } else {
-        noteRemoved(change.key, change.revision);
-      }
-      revision = std::max(revision, change.revision);
-    }
-    if (!changes.value().changes.empty() && mOnChange) {
-      mOnChange();
-    }
-  }
-}
-
 void
-ClusterView::dropMissing(const StoreListing& listing)
+ClusterView::takeItem(const StoreItem& item)
 {
-  std::map<std::string, std::int64_t> listed;
-  for (const auto& item : listing.items) {
-    listed[item.key] = item.revision;
-  }
-  const auto known = mRevisions;
-  for (const auto& [key, revision] : known) {
-    if (!listed.contains(key) && revision <= listing.revision) {
-      noteRemoved(key, listing.revision);
-    }
-  }
+  mContext.mirrors.cluster.put({ item.key, item.value, item.revision });
 }
 
 void
-ClusterView::takeItem(const StoreItem& item)
+ClusterView::applyItem(const core::MirroredItem& item)
 {
-  auto& known = mRevisions[item.key];
-  if (item.revision <= known) {
-    return;
-  }
-  known = item.revision;
   const std::string_view key = item.key;
   if (key.starts_with(kInstances)) {
     if (auto peer = decodePeer(item)) {
@@ -287,26 +239,25 @@
       mPeers[peer->instance] = std::move(*peer);
     }
   } else if (key.starts_with(kBatches)) {
-    if (auto record = BatchRecord::decode(item)) {
+    if (auto record =
+          BatchRecord::decode({ item.key, item.value, item.revision })) {
       mBatches[item.key.substr(kBatches.size())] = std::move(*record);
     }
   } else if (key.starts_with(kOwners)) {
-    if (auto holder = Holder::decode(item)) {
+    if (auto holder = Holder::decode({ item.key, item.value, item.revision })) {
       mOwners[item.key.substr(kOwners.size())] = std::move(*holder);
     }
   } else if (key == kLeader) {
-    mLeader = Holder::decode(item);
+    mLeader = Holder::decode({ item.key, item.value, item.revision });
+  }
+  if (mOnChange) {
+    mOnChange();
   }
 }
 
 void
-ClusterView::noteRemoved(const std::string& removed, std::int64_t revision)
+ClusterView::applyRemoval(const std::string& removed, std::int64_t revision)
 {
-  auto& known = mRevisions[removed];
-  if (revision <= known) {
-    return;
-  }
-  mRevisions.erase(removed);
   const std::string_view key = removed;
   if (key.starts_with(kInstances)) {
     const auto name = removed.substr(kInstances.size());
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -58,6 +58,9 @@
 
 /// Keys of this system in the store.
 namespace keys {
+/// Of everything that all processes follow.
+std::string
+prefix();
 std::string
 instance(const std::string& name);
 std::string
@@ -83,8 +86,8 @@
 unixNow();
 
 /// What all processes know together: members, batches, owners, the leader. It
-/// follows the store by one watch, and keeps this process registered by a
-/// lease, which also carries everything that this process holds.
+/// keeps this process registered by a lease, which also carries everything
+/// that this process holds.
 class ClusterView
 {
 public:
@@ -104,7 +107,7 @@
   /// revokes it. Counts time in which the machine was suspended.
   bool leaseIsFresh(core::Millis margin) const;
   bool isRegistered() const { return mIsRegistered; }
-  bool isSynced() const { return mIsSynced; }
+  bool isSynced() const { return mContext.mirrors.cluster.isComplete(); }
 
   const std::map<std::string, Peer>& peers() const { return mPeers; }
   const std::map<std::string, BatchRecord>& batches() const { return mBatches; }
@@ -117,19 +120,18 @@
 
   /// What this process has just read or written itself.
   void takeItem(const StoreItem& item);
-  void noteRemoved(const std::string& key, std::int64_t revision);
   /// A peer has told that it leaves, or does not answer.
   void notePeerLeaving(const std::string& instance);
   /// Tells the others that this process leaves.
   net::Awaitable<void> leave();
 
 private:
-  net::Awaitable<void> follow();
   net::Awaitable<void> keepRegistered();
   net::Awaitable<bool> registerSelf();
   /// Forgets what this process held, since others may hold it now.
   void noteLeaseLost();
-  void dropMissing(const StoreListing& listing);
+  void applyItem(const core::MirroredItem& item);
+  void applyRemoval(const std::string& key, std::int64_t revision);
 
   Context& mContext;
   std::function<void()> mOnChange;
@@ -137,12 +139,9 @@
   std::map<std::string, BatchRecord> mBatches;
   std::map<std::string, Holder> mOwners;
   std::optional<Holder> mLeader;
-  /// Last revision seen of each key, so that older news changes nothing.
-  std::map<std::string, std::int64_t> mRevisions;
   std::int64_t mLease = 0;
   core::Millis mRenewedAt{ 0 };
   bool mIsRegistered = false;
-  bool mIsSynced = false;
 };
 
 } // namespace lentilrack::gateway
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/desired_state.h"
+#include "core/key_mirror.h"
 #include "core/server_registry.h"
 #include "gateway/coordination_store.h"
 #include "gateway/decision_log.h"
@@ -15,6 +16,15 @@
 
 namespace lentilrack::gateway {
 
+/// Copies of the parts of the store that every process follows.
+struct Mirrors
+{
+  core::KeyMirror operatorKeys;
+  /// Entries of servers; a change of their counters alone is no news.
+  core::KeyMirror servers;
+  core::KeyMirror cluster;
+};
+
 /// What all parts of the process share. The parts run on one thread.
 struct Context
 {
@@ -26,6 +36,7 @@
   net::Metrics metrics;
   net::HttpClient http;
   core::ServerRegistry registry;
+  Mirrors mirrors;
   /// Null until the first desired state is known.
   std::shared_ptr<const core::DesiredState> desired;
   /// Newest version that was named, by model.
@@ -40,16 +51,7 @@
           ProcessSettings processSettings,
           const WireFormat& wireFormat,
           CoordinationStore& coordinationStore,
-          DecisionLog& decisionLog)
-    : io(context)
-    , settings(std::move(processSettings))
-    , format(wireFormat)
-    , store(coordinationStore)
-    , log(decisionLog)
-    , http(context)
-    , lifetime(std::to_string(random()))
-  {
-  }
+          DecisionLog& decisionLog);
 
   /// Uniform in [0, 1).
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,6 +46,7 @@
   , mCluster(context)
   , mPeers(context, mCluster)
   , mState(context)
+  , mFeed(context, mCluster, mPeers)
   , mForwarder(context)
   , mBatches(context, mCluster, mForwarder, mPeers)
   , mLeader(context, mCluster, mState, mPeers)
@@ -73,7 +74,8 @@
     return true;
   }
   auto server = std::make_unique<net::HttpServer>(
-    mContext.io, std::move(limits), std::move(handler));
+    mContext.io, net::HttpLimits(), std::move(handler));
+  server->setLimits(std::move(limits));
   const auto bound = server->listen(*endpoint);
   mServers.push_back(std::move(server));
   if (!bound) {
@@ -108,7 +110,7 @@
            internalLimits,
            [this](net::HttpExchange& e) { return handleAddresses(e); });
   if (isBound) {
-    mState.start();
+    mFeed.start();
     mCluster.start();
     mBatches.start();
     mLeader.start();
@@ -261,6 +263,8 @@
       { after(peer_paths::kItemBody), request.query("item") });
   } else if (path.starts_with(peer_paths::kEndBatch)) {
     mBatches.noteEnded(after(peer_paths::kEndBatch));
+  } else if (path == peer_paths::kState) {
+    response = co_await mFeed.serve(request);
   } else if (path == peer_paths::kWeights) {
     mLeader.takeNews(request.body);
   } else if (path.starts_with(peer_paths::kLeaving)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/batch_service.h"
+#include "gateway/state_feed.h"
 #include "gateway/state_sync.h"
 #include "gateway/weight_leader.h"
 #include "net/http_server.h"
@@ -40,6 +41,7 @@
   ClusterView mCluster;
   PeerClient mPeers;
   StateSync mState;
+  StateFeed mFeed;
   Forwarder mForwarder;
   BatchService mBatches;
   WeightLeader mLeader;
--- /dev/null
+++ b/src/gateway/state_feed.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/reader_choice.h"
+#include "gateway/peer_client.h"
+#include "gateway/wait_list.h"
+
+#include <string>
+
+namespace lentilrack::gateway {
+
+/// Feeds the mirrors: a few processes read the store, the others learn from
+/// them over the links between processes. A process that knows no reader that
+/// works reads the store itself; one that the store turns away is fed by the
+/// others.
+class StateFeed
+{
+public:
+  StateFeed(Context& context, ClusterView& cluster, PeerClient& peers);
+
+  void start();
+  /// Answers another process with what is new to it.
+  net::Awaitable<net::HttpResponse> serve(net::HttpRequest request);
+
+private:
+  /// One prefix of the store and how far its mirror is known to be current.
+  struct Source
+  {
+    core::KeyMirror& mirror;
+    std::string prefix;
+    core::TimePoint confirmedAt{};
+    /// Place in the sequence of the process that feeds this one.
+    std::uint64_t followed = 0;
+  };
+
+  net::Awaitable<void> follow();
+  net::Awaitable<bool> askReader(std::string reader);
+  bool takeAnswer(const std::string& reader, const std::string& body);
+  net::Awaitable<void> watchStore(Source& source);
+  net::Awaitable<void> pollStore(Source& source);
+  void noteConfirmed(Source& source, core::Millis age);
+  void noteStore(bool isReachable);
+  /// Whether other processes may rely on what this one has read.
+  bool isCurrent() const;
+  core::Millis age() const;
+
+  Context& mContext;
+  ClusterView& mCluster;
+  PeerClient& mPeers;
+  core::ReaderChoice mChoice;
+  Source mOperator;
+  Source mServers;
+  Source mClusterKeys;
+  WaitList mChanged;
+  /// The process that was followed last, and its lifetime.
+  std::string mFollowed;
+  std::string mFollowedLifetime;
+  bool mIsDirect = true;
+  bool mIsStoreReachable = true;
+};
+
+} // namespace lentilrack::gateway
--- a/src/gateway/state_sync.cpp
+++ b/src/gateway/state_sync.cpp
@@ -5,137 +5,61 @@
 
 namespace lentilrack::gateway {
 
-namespace {
-
-using core::Clock;
-using core::Millis;
-
-/// Longest wait of one watch. A connection that has gone silent is noticed
-/// after this and the time-out of a call, well inside the time after which a
-/// healed fault no longer excuses an instance.
-constexpr Millis kWatchWait{ 1'500 };
-/// A leaving server must get no request 2 s after the store took its word,
-/// which leaves time for one lost read.
-constexpr Millis kServerPollPause{ 500 };
-constexpr Millis kFailurePause{ 100 };
-
-} // namespace
-
-StateSync::StateSync(Context& context)
-  : mContext(context)
-{
-}
-
-void
-StateSync::start()
+bool
+isSameServer(const WireFormat& format,
+             const core::MirroredItem& before,
+             const core::MirroredItem& after)
 {
-  net::spawn(mContext.io, followOperator());
-  net::spawn(mContext.io, followServers());
+  const auto known = format.decodeServer(before.key, before.value);
+  const auto told = format.decodeServer(after.key, after.value);
+  return known && told && known.value() == told.value();
 }
 
-std::vector<StoreItem>
-StateSync::operatorItems() const
-{
-  std::vector<StoreItem> items;
-  std::ranges::copy(mOperatorItems | std::views::values,
-                    std::back_inserter(items));
-  return items;
-}
-
-net::Awaitable<void>
-StateSync::followOperator()
-{
-  const auto& prefix = mContext.format.storeKeys().operatorPrefix;
-  // Events that a watch has missed come again as long as the revision stays,
-  // so that an answer without events does not move it.
-  std::int64_t revision = 0;
-  for (;;) {
-    if (revision == 0) {
-      auto listing = co_await mContext.store.list(prefix);
-      noteStore(listing.has_value());
-      if (!listing) {
-        co_await net::sleepFor(kFailurePause);
-        continue;
-      }
-      std::ranges::for_each(listing.value().items, [this](const auto& item) {
-        takeOperatorItem(item);
-      });
-      revision = listing.value().revision;
-      mIsKnown = true;
-    }
-    auto changes = co_await mContext.store.watch(prefix, revision, kWatchWait);
-    if (!changes) {
-      const bool isLost = changes.error() == StoreError::HistoryLost;
-      mContext.log.warning(
-        "operator_watch_failed",
-        { { "revision", revision }, { "error", changes.error().message() } });
-      noteStore(isLost);
-      // The watch may have been cut while changes were made.
-      revision = 0;
-      co_await net::sleepFor(isLost ? Millis(0) : kFailurePause);
-      continue;
-    }
-    noteStore(true);
-    for (const auto& change : changes.value().changes) {
-      if (change.value) {
-        takeOperatorItem({ change.key, *change.value, change.revision });
-      }
-      revision = std::max(revision, change.revision);
-    }
-  }
-}
-
-net::Awaitable<void>
-StateSync::followServers()
+StateSync::StateSync(Context& context)
+  : mContext(context)
 {
-  const auto& prefix = mContext.format.storeKeys().serverPrefix;
-  for (;;) {
-    auto listing = co_await mContext.store.list(prefix);
-    if (listing) {
-      takeServers(listing.value());
-    } else {
-      mContext.registry.noteDirectoryFailure(Clock::now());
-    }
-    co_await net::sleepFor(listing ? kServerPollPause : kFailurePause);
-  }
+  mContext.mirrors.operatorKeys.onItem(
+    [this](const auto& item) { takeOperatorItem(item); });
+  mContext.mirrors.servers.onItem(
+    [this](const auto& item) { takeServer(item); });
+  mContext.mirrors.servers.onRemoved([this](const auto& key, auto) {
+    mServers.erase(key);
+    applyServers();
+  });
 }
 
 void
-StateSync::takeOperatorItem(const StoreItem& item)
+StateSync::takeOperatorItem(const core::MirroredItem& item)
 {
-  auto& known = mOperatorItems[item.key];
-  if (item.revision <= known.revision) {
-    return;
-  }
-  known = item;
   if (item.key == mContext.format.storeKeys().desiredState) {
     takeDesiredState(item);
-  } else if (const auto named =
-               mContext.format.decodeNamedVersion(item.key, item.value)) {
-    if (*named) {
-      const auto& [model, version] = named->value();
-      auto& newest = mContext.namedVersions[model];
-      mContext.log.info("version_named",
-                        { { "model", model },
-                          { "version", version },
-                          { "known", newest },
-                          { "revision", item.revision } });
-      newest = std::max(newest, version);
-    } else {
-      mContext.log.warning(
-        "malformed_version",
-        { { "key", item.key }, { "error", named->error() } });
-    }
-  } else if (const auto retired = mContext.format.retiredInstance(item.key)) {
+    return;
+  }
+  if (const auto retired = mContext.format.retiredInstance(item.key)) {
     mRetirements[*retired] = item.revision;
+    return;
   }
-  if (mOnChange) {
-    mOnChange();
+  const auto named = mContext.format.decodeNamedVersion(item.key, item.value);
+  if (!named) {
+    return;
   }
+  if (!*named) {
+    mContext.log.warning("malformed_version",
+                         { { "key", item.key }, { "error", named->error() } });
+    return;
+  }
+  const auto& [model, version] = named->value();
+  auto& newest = mContext.namedVersions[model];
+  mContext.log.info("version_named",
+                    { { "model", model },
+                      { "version", version },
+                      { "known", newest },
+                      { "revision", item.revision } });
+  newest = std::max(newest, version);
 }
 
 void
-StateSync::takeDesiredState(const StoreItem& item)
+StateSync::takeDesiredState(const core::MirroredItem& item)
 {
   auto state = mContext.format.decodeDesiredState(item.value);
   if (!state) {
@@ -158,50 +82,31 @@
 }
 
 void
-StateSync::takeServers(const StoreListing& listing)
+StateSync::takeServer(const core::MirroredItem& item)
 {
-  if (listing.revision < mServerListing.revision) {
-    return;
+  auto entry = mContext.format.decodeServer(item.key, item.value);
+  if (entry) {
+    mServers[item.key] = std::move(entry).value();
+  } else {
+    mServers.erase(item.key);
+    mContext.log.warning("malformed_server",
+                         { { "key", item.key },
+                           { "revision", item.revision },
+                           { "error", entry.error() } });
   }
-  mServerListing = listing;
-  mServersReadAt = Clock::now();
-  decodeServers(listing);
+  applyServers();
 }
 
 void
-StateSync::decodeServers(const StoreListing& listing)
+StateSync::applyServers()
 {
   std::vector<core::ServerEntry> entries;
-  for (const auto& item : listing.items) {
-    auto entry = mContext.format.decodeServer(item.key, item.value);
-    if (entry) {
-      entries.push_back(std::move(entry).value());
-      continue;
-    }
-    auto& reported = mMalformed[item.key];
-    if (reported != item.revision) {
-      reported = item.revision;
-      mContext.log.warning("malformed_server",
-                           { { "key", item.key },
-                             { "revision", item.revision },
-                             { "error", entry.error() } });
-    }
-  }
+  std::ranges::copy(mServers | std::views::values, std::back_inserter(entries));
   for (const auto& change :
-       mContext.registry.apply(std::move(entries), Clock::now())) {
-    mContext.log.info(
-      "server_list",
-      { { "change", change }, { "revision", listing.revision } });
-  }
-}
-
-void
-StateSync::noteStore(bool isReachable)
-{
-  if (isReachable != mIsStoreReachable) {
-    mIsStoreReachable = isReachable;
-    mContext.log.warning("store",
-                         { { "outcome", isReachable ? "regained" : "lost" } });
+       mContext.registry.apply(std::move(entries), core::Clock::now())) {
+    mContext.log.info("server_list",
+                      { { "change", change },
+                        { "revision", mContext.mirrors.servers.revision() } });
   }
 }
 
--- a/src/gateway/state_sync.h
+++ b/src/gateway/state_sync.h
@@ -2,20 +2,17 @@
 
 #include "gateway/context.h"
 
-#include <functional>
-
 namespace lentilrack::gateway {
 
-/// Keeps the desired state, the named versions and the list of servers in step
-/// with the store. What was in force in this process never goes back.
+/// Turns the operator's and the servers' keys into the desired state, the
+/// named versions and the list of servers. What was in force in this process
+/// never goes back.
 class StateSync
 {
 public:
+  /// Takes part in the changes of the mirrors of the context.
   explicit StateSync(Context& context);
 
-  void start();
-  /// Called after a change of the desired state or of a named version.
-  void onChange(std::function<void()> hook) { mOnChange = std::move(hook); }
   /// Storage machines that the operator wants emptied, with the revision of
   /// the request.
   const std::map<std::string, std::int64_t>& retirements() const
@@ -23,35 +20,23 @@
     return mRetirements;
   }
 
-  /// The operator's keys and the servers' entries as last seen, for peers that
-  /// the store turns away.
-  std::vector<StoreItem> operatorItems() const;
-  const StoreListing& serverListing() const { return mServerListing; }
-  core::TimePoint serversReadAt() const { return mServersReadAt; }
-  bool isOperatorStateKnown() const { return mIsKnown; }
-
-  /// Takes what a peer has seen, as far as it is newer.
-  void takeOperatorItem(const StoreItem& item);
-  void takeServers(const StoreListing& listing);
-
 private:
-  net::Awaitable<void> followOperator();
-  net::Awaitable<void> followServers();
-  void takeDesiredState(const StoreItem& item);
-  void decodeServers(const StoreListing& listing);
-  void noteStore(bool isReachable);
+  void takeOperatorItem(const core::MirroredItem& item);
+  void takeDesiredState(const core::MirroredItem& item);
+  void takeServer(const core::MirroredItem& item);
+  /// Gives the registry the whole list.
+  void applyServers();
 
   Context& mContext;
-  std::function<void()> mOnChange;
-  std::map<std::string, StoreItem> mOperatorItems;
   std::map<std::string, std::int64_t> mRetirements;
-  StoreListing mServerListing;
-  core::TimePoint mServersReadAt{};
-  /// Entries that were reported as malformed, by key and revision.
-  std::map<std::string, std::int64_t> mMalformed;
-  std::int64_t mOperatorRevision = 0;
-  bool mIsKnown = false;
-  bool mIsStoreReachable = true;
+  std::map<std::string, core::ServerEntry> mServers;
 };
 
+/// Whether two values of a server's entry say the same but for its counter of
+/// writes.
+bool
+isSameServer(const WireFormat& format,
+             const core::MirroredItem& before,
+             const core::MirroredItem& after);
+
 } // namespace lentilrack::gateway
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -390,17 +390,10 @@
 HttpServer::HttpServer(asio::io_context& io,
                        HttpLimits limits,
                        HttpHandler handler)
-  : HttpServer(
+  : mState(std::make_shared<State>(
       io,
       [limits] { return limits; },
-      std::move(handler))
-{
-}
-
-HttpServer::HttpServer(asio::io_context& io,
-                       std::function<HttpLimits()> limits,
-                       HttpHandler handler)
-  : mState(std::make_shared<State>(io, std::move(limits), std::move(handler)))
+      std::move(handler)))
 {
 }
 
@@ -425,6 +418,12 @@
   return core::Endpoint{ endpoint.address, acceptor.local_endpoint().port() };
 }
 
+void
+HttpServer::setLimits(std::function<HttpLimits()> limits)
+{
+  mState->limits = std::move(limits);
+}
+
 void
 HttpServer::stopAccepting()
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -74,10 +74,8 @@
 {
 public:
   HttpServer(asio::io_context& io, HttpLimits limits, HttpHandler handler);
-  /// Asks for the limits before each request.
-  HttpServer(asio::io_context& io,
-             std::function<HttpLimits()> limits,
-             HttpHandler handler);
+  /// Limits that may change; they are asked for before each request.
+  void setLimits(std::function<HttpLimits()> limits);
   ~HttpServer();
 
   /// Binds and starts to accept. Port 0 lets the kernel choose; the result is
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -91,7 +91,7 @@
   , http(context)
   , httpServer(
       context,
-      net::HttpLimits{},
+      {},
       [this](net::HttpExchange& exchange) { return router.handle(exchange); })
   , linkServer(context, { members.self().id, settings.linkSecret })
   , links(context, { members.self().id, settings.linkSecret })
