--- a/src/core/event_text.cpp
+++ b/src/core/event_text.cpp
@@ -1,6 +1,8 @@
 #include "core/event_text.h"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 
 namespace lentilrack::core {
 
@@ -24,17 +26,27 @@
 std::vector<StreamEvent>
 EventCutter::take(std::string_view bytes)
 {
-  constexpr std::string_view kEnd = "\n\n";
   std::vector<StreamEvent> events;
+  std::ranges::transform(takeBlocks(bytes),
+                         std::back_inserter(events),
+                         [this](const auto& block) { return parse(block); });
+  return events;
+}
+
+std::vector<std::string>
+EventCutter::takeBlocks(std::string_view bytes)
+{
+  constexpr std::string_view kEnd = "\n\n";
+  std::vector<std::string> blocks;
   mRest.append(bytes);
   std::size_t start = 0;
   for (auto end = mRest.find(kEnd); end != std::string::npos;
        end = mRest.find(kEnd, start)) {
-    events.push_back(parse(std::string_view(mRest).substr(start, end - start)));
+    blocks.push_back(mRest.substr(start, end + kEnd.size() - start));
     start = end + kEnd.size();
   }
   mRest.erase(0, start);
-  return events;
+  return blocks;
 }
 
 StreamEvent
--- a/src/core/event_text.h
+++ b/src/core/event_text.h
@@ -27,12 +27,13 @@
   explicit EventCutter(std::string versionField);
 
   std::vector<StreamEvent> take(std::string_view bytes);
+  /// The same events as they came, each with its empty line.
+  std::vector<std::string> takeBlocks(std::string_view bytes);
+  StreamEvent parse(std::string_view block) const;
   /// Whether bytes of an event that is not whole are left.
   bool hasRest() const { return !mRest.empty(); }
 
 private:
-  StreamEvent parse(std::string_view block) const;
-
   std::string mVersionField;
   std::string mRest;
 };
--- a/src/core/rollout_batch.cpp
+++ b/src/core/rollout_batch.cpp
@@ -1,11 +1,35 @@
 #include "core/rollout_batch.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <tuple>
 
 namespace lentilrack::core {
 
+namespace {
+
+/// An item this many times longer than the median decides when a step is
+/// whole, so that it must not wait for a slot.
+constexpr double kLongItemFactor = 2;
+
+double
+medianLength(const std::vector<BatchItem>& items)
+{
+  std::vector<double> lengths;
+  std::ranges::transform(
+    items, std::back_inserter(lengths), &BatchItem::expectedLength);
+  if (lengths.empty()) {
+    return 0;
+  }
+  const auto middle =
+    lengths.begin() + static_cast<std::ptrdiff_t>(lengths.size() / 2);
+  std::ranges::nth_element(lengths, middle);
+  return *middle;
+}
+
+} // namespace
+
 BatchProgress::BatchProgress(std::shared_ptr<const BatchSpec> spec)
   : mSpec(std::move(spec))
   , mItems(mSpec->items.size())
@@ -23,8 +47,13 @@
     mIndex[item.id] = i;
   }
   std::iota(mOrder.begin(), mOrder.end(), 0);
-  std::ranges::stable_sort(mOrder, {}, [this](std::size_t i) {
-    return std::tuple(mItems[i].group, -mSpec->items[i].expectedLength);
+  const double longFrom = kLongItemFactor * medianLength(mSpec->items);
+  std::ranges::stable_sort(mOrder, {}, [&](std::size_t i) {
+    const double length = mSpec->items[i].expectedLength;
+    const bool isLong = longFrom > 0 && length > longFrom;
+    // Long items first, the longest of them first; then group by group.
+    return isLong ? std::tuple(std::size_t{ 0 }, -length)
+                  : std::tuple(mItems[i].group + 1, -length);
   });
 }
 
--- a/src/core/rollout_batch.h
+++ b/src/core/rollout_batch.h
@@ -73,8 +73,8 @@
 public:
   explicit BatchProgress(std::shared_ptr<const BatchSpec> spec);
 
-  /// The waiting item that should run next: groups that the trainer listed
-  /// first come first, and long items of a group before short ones.
+  /// The waiting item that should run next: long items first, then the groups
+  /// in the order of the trainer.
   std::optional<std::size_t> next(TimePoint now) const;
   /// When next() can give an item that is held back now.
   std::optional<TimePoint> nextRelease() const;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "gateway/forwarder.h"
 
+#include "gateway/stream_forward.h"
 #include "net/error.h"
 #include "net/notifier.h"
 
@@ -356,15 +357,47 @@
   return passed;
 }
 
+net::Headers
+Forwarder::endToEnd(net::Headers headers)
+{
+  static const std::array<std::string, 5> kOfOneConnection{ "Connection",
+                                                            "Keep-Alive",
+                                                            "Transfer-Encoding",
+                                                            "Content-Length",
+                                                            "Content-Type" };
+  std::erase_if(headers, [](const auto& header) {
+    return std::ranges::any_of(kOfOneConnection, [&](const auto& name) {
+      return !net::headerValue({ { header.first, "x" } }, name).empty();
+    });
+  });
+  return headers;
+}
+
+Millis
+Forwarder::allowedTime(const Context& context,
+                       const net::HttpExchange& exchange,
+                       const core::Route& route)
+{
+  const auto callersTime =
+    parseMillis(exchange.request().header(context.format.headers().timeLeft));
+  return std::min(callersTime.value_or(route.timeout), route.timeout);
+}
+
+net::Awaitable<void>
+Forwarder::stream(net::HttpExchange& exchange, const core::Route& route)
+{
+  const auto run = std::make_shared<StreamForward>(
+    mContext, exchange, passedOn(exchange.request()), route);
+  co_await run->run();
+}
+
 net::Awaitable<void>
 Forwarder::forward(net::HttpExchange& exchange, const core::Route& route)
 {
   const auto& names = mContext.format.headers();
   const auto start = Clock::now();
   const auto& request = exchange.request();
-  const auto callersTime = parseMillis(request.header(names.timeLeft));
-  const auto allowed =
-    std::min(callersTime.value_or(route.timeout), route.timeout);
+  const auto allowed = allowedTime(mContext, exchange, route);
   ServiceCall call;
   call.id = request.header(names.requestId);
   call.service = route.pickService(mContext.draw());
@@ -412,16 +445,7 @@
                       { "took_ms", took },
                       { "status", response.status },
                       { "outcome", outcome.reason } });
-  std::erase_if(response.headers, [](const auto& header) {
-    static const std::array<std::string, 5> kOwn{ "Connection",
-                                                  "Keep-Alive",
-                                                  "Transfer-Encoding",
-                                                  "Content-Length",
-                                                  "Content-Type" };
-    return std::ranges::any_of(kOwn, [&](const auto& name) {
-      return !net::headerValue({ header }, name).empty();
-    });
-  });
+  response.headers = endToEnd(std::move(response.headers));
   if (outcome.end != CallEnd::Cancelled) {
     co_await exchange.respond(std::move(response));
   }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -62,10 +62,19 @@
   net::Awaitable<void> forward(net::HttpExchange& exchange,
                                const core::Route& route);
   net::Awaitable<CallOutcome> call(ServiceCall call);
+  /// Passes a stream of events on.
+  net::Awaitable<void> stream(net::HttpExchange& exchange,
+                              const core::Route& route);
 
   /// The request without the headers that concern one connection, and without
   /// those that this system sets.
   net::HttpRequest passedOn(const net::HttpRequest& request) const;
+  /// Headers of a server's answer that concern more than one connection.
+  static net::Headers endToEnd(net::Headers headers);
+  /// The caller's own time, at most that of the route.
+  static core::Millis allowedTime(const Context& context,
+                                  const net::HttpExchange& exchange,
+                                  const core::Route& route);
 
 private:
   friend class ServiceCallRun;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -184,6 +184,10 @@
     co_await mBatches.submit(exchange, *route);
     co_return;
   }
+  if (route->kind == core::RouteKind::Stream) {
+    co_await mForwarder.stream(exchange, *route);
+    co_return;
+  }
   co_await mForwarder.forward(exchange, *route);
 }
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -24,7 +24,8 @@
 /// Store calls of one process a second: a share of the 2,000 reads and 400
 /// writes of all processes that leaves room for bursts.
 constexpr double kStoreCallsPerSecond = 150;
-constexpr core::Millis kStoreTimeout{ 1'000 };
+/// A store that is slowed 60 times answers within 0.3 s.
+constexpr core::Millis kStoreTimeout{ 700 };
 constexpr core::Millis kFirstStorePause{ 40 };
 constexpr core::Millis kLongestStorePause{ 400 };
 
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -14,26 +14,25 @@
 using core::Millis;
 using Json = nlohmann::json;
 
-/// Longest wait of one watch. A connection that has gone silent is noticed
-/// after this and the time-out of a call, well inside the 3 s after which a
-/// healed fault no longer excuses an instance.
-constexpr Millis kWatchWait{ 1'500 };
+/// Longest wait of one watch. What a watch does not confirm in time is not
+/// passed on, so that this bounds how late a reader in trouble is noticed.
+constexpr Millis kWatchWait{ 500 };
 /// A leaving server must get no request 2 s after the store took its word,
-/// which leaves time for one lost read.
-constexpr Millis kServerPollPause{ 500 };
+/// which leaves time for one lost read and the loss of a reader.
+constexpr Millis kServerPollPause{ 350 };
 constexpr Millis kFailurePause{ 100 };
 constexpr Millis kIdlePause{ 100 };
 /// Longest wait of a process that follows a reader, and how much longer the
 /// answer may take.
-constexpr Millis kFollowWait{ 500 };
-constexpr Millis kFollowMargin{ 300 };
+constexpr Millis kFollowWait{ 300 };
+constexpr Millis kFollowMargin{ 250 };
 /// Answers to followers are at least this far apart, so that quick changes
 /// share one.
 constexpr Millis kFollowPause{ 15 };
-/// A reader whose list of servers is older than this is not followed.
-constexpr Millis kOldestServers{ 1'200 };
-/// A watch confirms its prefix only when it ends.
-constexpr Millis kOldestKeys{ 3'000 };
+/// A reader whose copies are older than this is not followed. A state must be
+/// in force everywhere 2 s after the store took it; a slow store answers within
+/// 0.3 s.
+constexpr Millis kOldestCopy{ 1'100 };
 
 std::uint64_t
 number(const std::string& text)
@@ -109,16 +108,9 @@
 Millis
 StateFeed::age() const
 {
-  return std::chrono::duration_cast<Millis>(Clock::now() -
-                                            mServers.confirmedAt);
-}
-
-bool
-StateFeed::isCurrent() const
-{
-  const auto now = Clock::now();
-  return age() < kOldestServers && now - mOperator.confirmedAt < kOldestKeys &&
-         now - mClusterKeys.confirmedAt < kOldestKeys;
+  const auto oldest = std::min(
+    { mOperator.confirmedAt, mServers.confirmedAt, mClusterKeys.confirmedAt });
+  return std::chrono::duration_cast<Millis>(Clock::now() - oldest);
 }
 
 net::Awaitable<void>
@@ -149,6 +141,7 @@
                              { "age_ms", age() },
                              { "outcome", "failed" } });
       mChoice.noteFailure(*reader, Clock::now());
+      mContext.registry.noteDirectoryFailure(Clock::now());
     }
   }
 }
@@ -192,10 +185,7 @@
       noteConfirmed(*source, told);
     }
     mFollowedLifetime = json.at("lifetime").get<std::string>();
-    if (told > kOldestServers) {
-      mContext.registry.noteDirectoryFailure(Clock::now());
-    }
-    return true;
+    return told <= kOldestCopy;
   } catch (const Json::exception& error) {
     mContext.log.warning("malformed_state",
                          { { "instance", reader }, { "error", error.what() } });
@@ -207,7 +197,7 @@
 StateFeed::serve(net::HttpRequest request)
 {
   net::HttpResponse response;
-  if (!mIsDirect || !isCurrent()) {
+  if (!mIsDirect || age() > kOldestCopy) {
     response.status = 503;
     co_return response;
   }
--- a/src/gateway/state_feed.h
+++ b/src/gateway/state_feed.h
@@ -39,8 +39,7 @@
   net::Awaitable<void> pollStore(Source& source);
   void noteConfirmed(Source& source, core::Millis age);
   void noteStore(bool isReachable);
-  /// Whether other processes may rely on what this one has read.
-  bool isCurrent() const;
+  /// Time since the last confirmation of the oldest copy.
   core::Millis age() const;
 
   Context& mContext;
--- /dev/null
+++ b/src/gateway/stream_forward.cpp
@@ -0,0 +1,314 @@
+#include "gateway/stream_forward.h"
+
+#include "net/error.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Clock;
+using core::Millis;
+
+constexpr Millis kConnectTimeout{ 250 };
+/// A stream that may be resumed is moved after this silence, below the two
+/// seconds after which callers abandon one.
+constexpr Millis kLongestSilence{ 1'200 };
+constexpr Millis kCheckPause{ 200 };
+constexpr Millis kRefusedPause{ 15 };
+constexpr Millis kRetryAfter{ 200 };
+constexpr int kMostRefusals = 12;
+constexpr int kMisdirected = 421;
+constexpr int kOk = 200;
+
+} // namespace
+
+StreamForward::StreamForward(Context& context,
+                             net::HttpExchange& exchange,
+                             net::HttpRequest request,
+                             const core::Route& route)
+  : mContext(context)
+  , mExchange(exchange)
+  , mRequest(std::move(request))
+  , mId(mRequest.header(context.format.headers().requestId))
+  , mRouteName(route.name)
+  , mService(route.pickService(context.draw()))
+  , mIsResumable(route.resumable)
+  , mMaxAttempts(std::max(1, route.maxAttempts))
+  , mDeadline(Clock::now() + Forwarder::allowedTime(context, exchange, route))
+  , mChanged(context.io)
+{
+  const auto after = mRequest.header(context.format.headers().lastEvent);
+  std::from_chars(after.data(), after.data() + after.size(), mLastEvent);
+}
+
+Millis
+StreamForward::timeLeft() const
+{
+  return std::chrono::duration_cast<Millis>(mDeadline - Clock::now());
+}
+
+bool
+StreamForward::mayTryAgain() const
+{
+  const bool isAllowed = mIsResumable || !mMayHaveRun;
+  return isAllowed && mAttempts < mMaxAttempts && mRefusals < kMostRefusals;
+}
+
+bool
+StreamForward::isNotRun(const Attempt& attempt) const
+{
+  const auto& result = attempt.result;
+  if (result.error) {
+    return !result.sent;
+  }
+  return result.response.status == kMisdirected ||
+         !net::headerValue(result.response.headers,
+                           mContext.format.headers().notRun)
+            .empty();
+}
+
+net::Awaitable<void>
+StreamForward::run()
+{
+  const auto start = Clock::now();
+  mExchange.onClientGone([this] {
+    mIsCallerGone = true;
+    mChanged.notify();
+  });
+  while (!mIsDone && !mIsCallerGone && timeLeft() > Millis(0) &&
+         mayTryAgain()) {
+    const auto attempt = startAttempt();
+    if (!attempt) {
+      break;
+    }
+    co_await passOn(attempt);
+    attempt->cancel->cancel();
+    if (mIsDone || mIsCallerGone) {
+      break;
+    }
+    noteAttempt(*attempt);
+    co_await net::sleepFor(kRefusedPause);
+  }
+  mExchange.onClientGone({});
+  if (!mIsDone) {
+    co_await giveUp();
+  }
+  mContext.log.info(
+    "stream",
+    { { "request", mId },
+      { "route", mRouteName },
+      { "service", mService },
+      { "attempts", mAttempts },
+      { "last_event", mLastEvent },
+      { "took_ms",
+        std::chrono::duration<double, std::milli>(Clock::now() - start)
+          .count() },
+      { "outcome", mIsCallerGone ? "caller_gone" : mReason } });
+  mContext.metrics.increment("streams_total");
+}
+
+std::shared_ptr<StreamForward::Attempt>
+StreamForward::startAttempt()
+{
+  const auto now = Clock::now();
+  core::ServerNeed need;
+  need.service = mService;
+  need.exclude = mUsed;
+  need.preferredDomain = mContext.settings.failureDomain;
+  auto* server = mContext.registry.choose(need, now, mContext.draw());
+  if (server == nullptr && !mUsed.empty()) {
+    need.exclude.clear();
+    server = mContext.registry.choose(need, now, mContext.draw());
+  }
+  if (server == nullptr) {
+    mReason = "no_server";
+    return nullptr;
+  }
+  mUsed.insert(server->entry.id);
+  ++mAttempts;
+  auto attempt =
+    std::make_shared<Attempt>(mContext.format.headers().weightVersionField);
+  attempt->server = server->entry;
+  attempt->startedAt = now;
+  attempt->lastActivity = now;
+  mContext.registry.begin(server->entry);
+  net::spawn(mContext.io, request(attempt), shared_from_this());
+  return attempt;
+}
+
+net::Awaitable<void>
+StreamForward::request(std::shared_ptr<Attempt> attempt)
+{
+  const auto& names = mContext.format.headers();
+  net::HttpCall call;
+  call.endpoint = attempt->server.endpoint;
+  call.request = mRequest;
+  call.connectTimeout = kConnectTimeout;
+  call.timeout = timeLeft();
+  call.freshConnection = !mIsResumable;
+  call.cancel = attempt->cancel;
+  std::erase_if(call.request.headers, [&](const auto& header) {
+    return !net::headerValue({ header }, names.lastEvent).empty();
+  });
+  auto& headers = call.request.headers;
+  headers.emplace_back(names.timeLeft, std::to_string(timeLeft().count()));
+  headers.emplace_back(names.expectedServer, attempt->server.id);
+  if (mLastEvent > 0) {
+    headers.emplace_back(names.lastEvent, std::to_string(mLastEvent));
+  }
+  call.acceptHeader = [this, attempt](const net::HttpResponse& response) {
+    const auto& header = mContext.format.headers();
+    const auto echoed = net::headerValue(response.headers, header.requestId);
+    if (!echoed.empty() && echoed != mId) {
+      return false;
+    }
+    attempt->isStream =
+      response.status == kOk &&
+      !net::headerValue(response.headers, header.stamp).empty();
+    attempt->head = response;
+    return true;
+  };
+  call.onData = [this, attempt](std::string_view bytes) {
+    attempt->lastActivity = Clock::now();
+    if (!attempt->isStream) {
+      attempt->head.body.append(bytes);
+      return;
+    }
+    std::ranges::move(attempt->cutter.takeBlocks(bytes),
+                      std::back_inserter(attempt->events));
+    mChanged.notify();
+  };
+  attempt->result = co_await mContext.http.call(std::move(call));
+  mContext.registry.end(attempt->server);
+  attempt->isEnded = true;
+  mChanged.notify();
+}
+
+net::Awaitable<void>
+StreamForward::passOn(std::shared_ptr<Attempt> attempt)
+{
+  while (!mIsCallerGone) {
+    while (!attempt->events.empty()) {
+      auto block = std::move(attempt->events.front());
+      attempt->events.pop_front();
+      const auto event = attempt->cutter.parse(block);
+      if (event.number != mLastEvent + 1) {
+        mReason = "events_out_of_order";
+        co_return;
+      }
+      if (!mHasBegun) {
+        // The stamp of the first server stays, whoever goes on later.
+        mHasBegun = true;
+        mMayHaveRun = true;
+        auto headers = Forwarder::endToEnd(attempt->head.headers);
+        auto type = attempt->head.contentType;
+        co_await mExchange.beginStream(
+          kOk, std::move(type), std::move(headers));
+      }
+      mLastEvent = event.number;
+      const bool isTaken = co_await mExchange.write(std::move(block));
+      if (!isTaken) {
+        mIsCallerGone = true;
+        co_return;
+      }
+    }
+    if (attempt->isEnded && attempt->events.empty()) {
+      break;
+    }
+    const auto now = Clock::now();
+    const bool isSilent =
+      mIsResumable && now - attempt->lastActivity > kLongestSilence;
+    if (isSilent || timeLeft() <= Millis(0)) {
+      mReason = isSilent ? "silent" : "out_of_time";
+      mMayHaveRun = true;
+      co_return;
+    }
+    co_await mChanged.wait(std::min(kCheckPause, timeLeft()));
+  }
+  if (mIsCallerGone) {
+    co_return;
+  }
+  const auto& result = attempt->result;
+  if (result.error || isNotRun(*attempt)) {
+    mMayHaveRun = mMayHaveRun || !isNotRun(*attempt);
+    mReason = result.error
+                ? result.error.message()
+                : fmt::format("server_refused_{}", result.response.status);
+    co_return;
+  }
+  mMayHaveRun = true;
+  if (!attempt->isStream) {
+    const bool isSuccess = attempt->head.status / 100 == 2;
+    mReason = isSuccess ? "answer_without_stamp" : "answered";
+    constexpr int kServerErrors = 5;
+    const bool isFailure = attempt->head.status / 100 == kServerErrors;
+    const bool triesElsewhere = isFailure && mIsResumable && mayTryAgain();
+    if (!isSuccess && !mHasBegun && !triesElsewhere) {
+      mIsDone = true;
+      auto answer = attempt->head;
+      answer.headers = Forwarder::endToEnd(answer.headers);
+      co_await mExchange.respond(std::move(answer));
+    }
+    co_return;
+  }
+  if (attempt->cutter.hasRest()) {
+    mReason = "not_whole";
+    co_return;
+  }
+  mIsDone = true;
+  mReason = "answered";
+  if (!mHasBegun) {
+    auto headers = Forwarder::endToEnd(attempt->head.headers);
+    auto type = attempt->head.contentType;
+    co_await mExchange.beginStream(kOk, std::move(type), std::move(headers));
+  }
+  co_await mExchange.endStream();
+}
+
+void
+StreamForward::noteAttempt(const Attempt& attempt)
+{
+  const auto now = Clock::now();
+  if (!attempt.isEnded) {
+    mContext.registry.failed(attempt.server, now);
+    return;
+  }
+  if (!isNotRun(attempt)) {
+    const bool isStale = attempt.result.onKeptConnection &&
+                         attempt.result.error == net::NetError::ConnectionLost;
+    if (!isStale) {
+      mContext.registry.failed(attempt.server, now);
+    }
+    return;
+  }
+  --mAttempts;
+  ++mRefusals;
+  if (attempt.result.response.status == kMisdirected) {
+    mContext.registry.noteLeaving(attempt.server);
+  } else if (attempt.result.error) {
+    mContext.registry.failed(attempt.server, now);
+  } else {
+    mContext.registry.refused(attempt.server, now);
+  }
+}
+
+net::Awaitable<void>
+StreamForward::giveUp()
+{
+  if (mIsCallerGone || mHasBegun) {
+    // A stream that ends early must not look complete.
+    mExchange.abort();
+    co_return;
+  }
+  auto response = mMayHaveRun
+                    ? failure(timeLeft() <= Millis(0) ? 504 : 502, mReason)
+                    : refusal(503, mReason, kRetryAfter);
+  co_await mExchange.respond(std::move(response));
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/tests/core/desired_state_test.cpp
@@ -0,0 +1,44 @@
+#include "core/desired_state.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+Route
+route(const std::string& name, const std::string& prefix)
+{
+  Route result;
+  result.name = name;
+  result.host = "Host.example";
+  result.pathPrefix = prefix;
+  result.targets = { { "a", 90 }, { "b", 10 } };
+  return result;
+}
+
+} // namespace
+
+// Guards against a request that goes to the route of a shorter prefix.
+TEST(DesiredStateTest, LongestPrefixOfTheHostWins)
+{
+  const DesiredState state(
+    1, { route("short", "/x/"), route("long", "/x/y/") }, {}, {});
+  EXPECT_EQ(state.match("host.example:80", "/x/y/z?q=/x/")->name, "long");
+  EXPECT_EQ(state.match("HOST.example", "/x/yz")->name, "short");
+  EXPECT_EQ(state.match("host.example", "/x"), nullptr);
+  EXPECT_EQ(state.match("other.example", "/x/y/"), nullptr);
+}
+
+// Guards against shares that the operator did not ask for.
+TEST(RouteTest, ServicesAreTakenByWeight)
+{
+  const auto split = route("r", "/");
+  EXPECT_EQ(split.pickService(0), "a");
+  EXPECT_EQ(split.pickService(0.89), "a");
+  EXPECT_EQ(split.pickService(0.91), "b");
+  EXPECT_EQ(split.pickService(0.999), "b");
+  EXPECT_EQ(Route{}.pickService(0.5), "");
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/event_text_test.cpp
@@ -0,0 +1,68 @@
+#include "core/event_text.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+constexpr const char* kStream = "id: 1\ndata: a\n\n"
+                                "weights: 3\nid: 2\ndata: b\n\n"
+                                "id: 3\ndata: c\n\n";
+
+} // namespace
+
+// Guards against events that depend on where the network has cut the stream.
+RC_GTEST_PROP(EventCutterTest, PiecesOfAnySizeGiveTheSameEvents, ())
+{
+  EventCutter cutter("weights");
+  const std::string stream(kStream);
+  std::vector<StreamEvent> events;
+  std::size_t start = 0;
+  while (start < stream.size()) {
+    const auto size = static_cast<std::size_t>(*rc::gen::inRange(1, 12));
+    const auto taken =
+      cutter.take(std::string_view(stream).substr(start, size));
+    events.insert(events.end(), taken.begin(), taken.end());
+    start += size;
+  }
+  RC_ASSERT(events.size() == 3U);
+  RC_ASSERT(events[1].version == 3);
+  RC_ASSERT(events[2].data == "c");
+  RC_ASSERT(!cutter.hasRest());
+}
+
+// Guards against half an event that is taken for a whole one.
+TEST(EventCutterTest, HalfAnEventIsKeptBack)
+{
+  EventCutter cutter("weights");
+  EXPECT_EQ(cutter.take("id: 1\ndata: a\n\nid: 2\ndata: b").size(), 1U);
+  EXPECT_TRUE(cutter.hasRest());
+}
+
+// Guards against a text with a gap or with an event twice.
+TEST(EventTextTest, OnlyTheNextEventContinuesTheText)
+{
+  EventText text;
+  text.beginRun(1);
+  EXPECT_TRUE(text.append({ 1, "a", 0 }));
+  EXPECT_FALSE(text.append({ 1, "a", 0 }));
+  EXPECT_FALSE(text.append({ 3, "c", 0 }));
+  EXPECT_TRUE(text.append({ 2, "b", 0 }));
+  EXPECT_EQ(text.text(), "a\nb");
+}
+
+// Guards against versions that made no event, and against a missing one.
+TEST(EventTextTest, VersionsAreThoseThatMadeAnEvent)
+{
+  EventText text;
+  text.beginRun(1);
+  text.beginRun(2);
+  text.append({ 1, "a", 0 });
+  text.append({ 2, "b", 4 });
+  EXPECT_EQ(text.versions(), (std::set<std::int64_t>{ 2, 4 }));
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/key_mirror_test.cpp
@@ -0,0 +1,105 @@
+#include "core/key_mirror.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+MirroredItem
+item(const std::string& key, const std::string& value, std::int64_t revision)
+{
+  return { key, value, revision };
+}
+
+} // namespace
+
+// Guards against a state that goes back because an older copy arrives late.
+TEST(KeyMirrorTest, OlderItemsAndRemovalsChangeNothing)
+{
+  KeyMirror mirror;
+  EXPECT_TRUE(mirror.put(item("a", "new", 5)));
+  EXPECT_FALSE(mirror.put(item("a", "old", 4)));
+  EXPECT_FALSE(mirror.remove("a", 4));
+  EXPECT_EQ(mirror.items().at("a").value, "new");
+  EXPECT_TRUE(mirror.remove("a", 6));
+  EXPECT_FALSE(mirror.put(item("a", "new", 5)));
+  EXPECT_TRUE(mirror.items().empty());
+}
+
+// Guards against a key that stays although a full listing does not have it.
+TEST(KeyMirrorTest, ListingRemovesWhatItDoesNotHave)
+{
+  KeyMirror mirror;
+  mirror.put(item("a", "x", 3));
+  mirror.put(item("b", "x", 9));
+  mirror.replace({ item("c", "x", 4) }, 7);
+  EXPECT_FALSE(mirror.items().contains("a"));
+  // Written after the listing was made.
+  EXPECT_TRUE(mirror.items().contains("b"));
+  EXPECT_TRUE(mirror.items().contains("c"));
+}
+
+// Guards against followers that are woken by counters alone.
+TEST(KeyMirrorTest, SameValuesAreNoNews)
+{
+  KeyMirror mirror(
+    [](const auto& a, const auto& b) { return a.value == b.value; });
+  mirror.put(item("a", "x", 1));
+  const auto before = mirror.sequence();
+  EXPECT_TRUE(mirror.put(item("a", "x", 2)));
+  EXPECT_EQ(mirror.sequence(), before);
+  EXPECT_TRUE(mirror.put(item("a", "y", 3)));
+  EXPECT_GT(mirror.sequence(), before);
+}
+
+// Guards against a follower that misses a change: after any changes, its copy
+// is the same as that of the process that it follows.
+RC_GTEST_PROP(KeyMirrorTest, FollowersEndWithTheSameItems, ())
+{
+  KeyMirror source;
+  KeyMirror follower;
+  std::uint64_t place = 0;
+  std::int64_t revision = 0;
+  const auto steps = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < steps; ++i) {
+    const auto key = std::string(1, *rc::gen::inRange('a', 'f'));
+    const bool isRemoval = *rc::gen::arbitrary<bool>();
+    ++revision;
+    if (isRemoval) {
+      source.remove(key, revision);
+    } else {
+      source.put(item(key, std::to_string(revision), revision));
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+      const auto delta = source.changesSince(place);
+      follower.take(delta);
+      place = delta.sequence;
+    }
+  }
+  follower.take(source.changesSince(place));
+  RC_ASSERT(source.items().size() == follower.items().size());
+  for (const auto& [key, known] : source.items()) {
+    RC_ASSERT(follower.items().contains(key));
+    RC_ASSERT(follower.items().at(key).value == known.value);
+  }
+}
+
+// Guards against a follower that was away for more changes than are kept and
+// gets only the last of them.
+TEST(KeyMirrorTest, FollowerThatMissedTooMuchGetsEverything)
+{
+  KeyMirror source;
+  source.put(item("first", "x", 1));
+  const auto place = source.sequence();
+  for (std::size_t i = 0; i <= KeyMirror::kKeptChanges; ++i) {
+    source.put(item("k", "x", static_cast<std::int64_t>(i) + 2));
+  }
+  EXPECT_TRUE(source.changesSince(place).isComplete);
+  EXPECT_EQ(source.changesSince(place).items.size(), 2U);
+  EXPECT_FALSE(source.changesSince(source.sequence()).isComplete);
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/reader_choice_test.cpp
@@ -0,0 +1,61 @@
+#include "core/reader_choice.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace lentilrack::core {
+
+namespace {
+
+const TimePoint kNow = TimePoint() + std::chrono::hours(1);
+
+std::vector<std::string>
+names(int count)
+{
+  std::vector<std::string> result;
+  for (int i = 0; i < count; ++i) {
+    result.push_back(fmt::format("instance-{}", i));
+  }
+  return result;
+}
+
+} // namespace
+
+// Guards against reads of the store that grow with the fleet.
+TEST(ReaderChoiceTest, FewProcessesReadAndTheOthersAgreeOnThem)
+{
+  for (const int size : { 1, 2, 7, 60, 630 }) {
+    std::set<std::string> readers;
+    for (const auto& name : names(size)) {
+      ReaderChoice choice(name);
+      choice.setMembers(names(size));
+      readers.insert(choice.readers().begin(), choice.readers().end());
+      EXPECT_EQ(choice.isReader(), !choice.source(kNow).has_value());
+    }
+    EXPECT_LE(readers.size(), std::max<std::size_t>(2, size / 25 + 1));
+  }
+}
+
+// Guards against a process that goes on asking a reader that does not answer,
+// or that asks nobody when all readers have failed.
+TEST(ReaderChoiceTest, FailedReadersAreAvoidedForAWhile)
+{
+  const auto members = names(10);
+  ReaderChoice probe("x");
+  probe.setMembers(members);
+  const auto readers = probe.readers();
+  ASSERT_EQ(readers.size(), 2U);
+  const auto first = probe.source(kNow);
+  ASSERT_TRUE(first);
+  probe.noteFailure(*first, kNow);
+  const auto second = probe.source(kNow);
+  ASSERT_TRUE(second);
+  EXPECT_NE(*first, *second);
+  probe.noteFailure(*second, kNow);
+  EXPECT_FALSE(probe.source(kNow));
+  EXPECT_EQ(probe.source(kNow + ReaderChoice::kAvoidance), first);
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/rollout_batch_test.cpp
@@ -0,0 +1,69 @@
+#include "core/rollout_batch.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+const TimePoint kNow = TimePoint() + std::chrono::hours(1);
+
+std::shared_ptr<BatchSpec>
+spec(int groups, int size)
+{
+  auto result = std::make_shared<BatchSpec>();
+  for (int i = 0; i < groups * size; ++i) {
+    BatchItem item;
+    item.id = fmt::format("i{}", i);
+    item.group = fmt::format("g{}", i / size);
+    result->items.push_back(std::move(item));
+  }
+  return result;
+}
+
+} // namespace
+
+// Guards against an item that gets two results.
+TEST(BatchProgressTest, ItemIsFinishedOnce)
+{
+  BatchProgress progress(spec(1, 2));
+  progress.begin(0);
+  EXPECT_TRUE(progress.finish(0));
+  EXPECT_FALSE(progress.finish(0));
+  progress.putBack(0, kNow);
+  EXPECT_EQ(progress.next(kNow), 1U);
+  EXPECT_FALSE(progress.groupIsWhole(0));
+  EXPECT_TRUE(progress.finish(1));
+  EXPECT_TRUE(progress.groupIsWhole(0));
+  EXPECT_TRUE(progress.allFinished());
+}
+
+// Guards against an item that is tried again without a pause.
+TEST(BatchProgressTest, ItemThatWasPutBackWaits)
+{
+  BatchProgress progress(spec(1, 1));
+  progress.begin(0);
+  EXPECT_FALSE(progress.next(kNow));
+  progress.putBack(0, kNow + Millis(50));
+  EXPECT_FALSE(progress.next(kNow));
+  EXPECT_EQ(progress.nextRelease(), kNow + Millis(50));
+  EXPECT_EQ(progress.next(kNow + Millis(50)), 0U);
+}
+
+// Pattern: some items run many times longer than others. Guards against a long
+// item that starts last and holds up the step.
+TEST(BatchProgressTest, LongItemsStartFirst)
+{
+  auto batch = spec(4, 2);
+  for (auto& item : batch->items) {
+    item.expectedLength = 100;
+  }
+  batch->items[5].expectedLength = 2'000;
+  BatchProgress progress(batch);
+  EXPECT_EQ(progress.next(kNow), 5U);
+  progress.begin(5);
+  EXPECT_EQ(progress.next(kNow), 0U);
+}
+
+} // namespace lentilrack::core
--- /dev/null
+++ b/tests/core/server_registry_test.cpp
@@ -0,0 +1,147 @@
+#include "core/server_registry.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilrack::core {
+
+namespace {
+
+const TimePoint kNow = TimePoint() + std::chrono::hours(1);
+
+ServerEntry
+entry(const std::string& id, std::int64_t startedAt = 1)
+{
+  ServerEntry server;
+  server.id = id;
+  server.service = "engine";
+  server.endpoint = { "10.0.0.1", 8080 };
+  server.failureDomain = "north";
+  server.slots = 2;
+  server.startedAt = startedAt;
+  server.versions["m"] = 1;
+  return server;
+}
+
+ServerNeed
+need(std::int64_t minVersion = 0)
+{
+  ServerNeed result;
+  result.service = "engine";
+  result.model = minVersion > 0 ? "m" : "";
+  result.minVersion = minVersion;
+  return result;
+}
+
+} // namespace
+
+// Guards against new work for a server that has said that it leaves.
+TEST(ServerRegistryTest, DrainingServersGetNoWork)
+{
+  ServerRegistry registry;
+  auto leaving = entry("a");
+  leaving.draining = true;
+  registry.apply({ leaving, entry("b") }, kNow);
+  for (double draw = 0; draw < 1; draw += 0.1) {
+    EXPECT_EQ(registry.choose(need(), kNow, draw)->entry.id, "b");
+  }
+  registry.noteLeaving(entry("b"));
+  EXPECT_EQ(registry.choose(need(), kNow, 0), nullptr);
+}
+
+// Guards against knowledge of a server that outlives its lifetime.
+TEST(ServerRegistryTest, NewLifetimeStartsWithoutHistory)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a", 1) }, kNow);
+  registry.begin(entry("a", 1));
+  registry.noteVersion(entry("a", 1), "m", 7);
+  registry.find("a", 1)->orderCount = 3;
+  registry.apply({ entry("a", 2) }, kNow);
+  const auto* server = registry.find("a", 2);
+  ASSERT_NE(server, nullptr);
+  EXPECT_EQ(server->running, 0);
+  EXPECT_EQ(server->entry.versions.at("m"), 1);
+  EXPECT_FALSE(server->orderCount);
+  EXPECT_EQ(registry.find("a", 1), nullptr);
+  // The end of a request of the earlier life changes nothing.
+  registry.end(entry("a", 1));
+  EXPECT_EQ(registry.find("a", 2)->running, 0);
+}
+
+// Guards against a list that lags and takes back what a server has told.
+TEST(ServerRegistryTest, VersionsOnlyGrow)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a") }, kNow);
+  registry.noteVersion(entry("a"), "m", 2);
+  registry.apply({ entry("a") }, kNow);
+  EXPECT_NE(registry.choose(need(2), kNow, 0), nullptr);
+  EXPECT_EQ(registry.choose(need(3), kNow, 0), nullptr);
+}
+
+// Guards against servers that are dropped because their entries lapsed while
+// the directory was away, and against ghosts that stay after its return.
+TEST(ServerRegistryTest, EntriesMayBeMissingForAMomentAfterAnOutage)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a") }, kNow);
+  registry.noteDirectoryFailure(kNow + Millis(100));
+  registry.apply({}, kNow + Millis(200));
+  EXPECT_NE(registry.choose(need(), kNow, 0), nullptr);
+  registry.apply({}, kNow + Millis(200) + ServerRegistry::kReturnGrace);
+  EXPECT_EQ(registry.choose(need(), kNow, 0), nullptr);
+}
+
+// Guards against an entry that is kept although the directory worked.
+TEST(ServerRegistryTest, MissingEntryIsGoneWhenTheDirectoryWorks)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a") }, kNow);
+  registry.apply({}, kNow + Millis(500));
+  EXPECT_TRUE(registry.empty());
+}
+
+// Pattern: some servers turn slow. Guards against an equal share for them.
+TEST(ServerRegistryTest, SlowServersGetASmallerShare)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("slow"), entry("x"), entry("y") }, kNow);
+  registry.succeeded(entry("slow"), 100);
+  registry.succeeded(entry("x"), 20);
+  registry.succeeded(entry("y"), 20);
+  for (int i = 0; i < 4; ++i) {
+    const auto* server = registry.choose(need(), kNow, 0);
+    EXPECT_NE(server->entry.id, "slow");
+    registry.begin(server->entry);
+  }
+}
+
+// Pattern: a server goes dark. Guards against work that is sent there while
+// others answer, and against a service that stops because all have failed.
+TEST(ServerRegistryTest, FailingServersAreAvoidedUnlessThereIsNoOther)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a"), entry("b") }, kNow);
+  registry.failed(entry("a"), kNow);
+  EXPECT_EQ(registry.choose(need(), kNow, 0)->entry.id, "b");
+  registry.failed(entry("b"), kNow);
+  EXPECT_NE(registry.choose(need(), kNow, 0), nullptr);
+}
+
+// Pattern: items of a group share their prompt. Guards against prompts that
+// are read at several servers while the first has free slots.
+TEST(ServerRegistryTest, GroupStaysWhereItsPromptIsUntilTheSlotsAreTaken)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a"), entry("b") }, kNow);
+  auto wanted = need(1);
+  wanted.freeSlotOnly = true;
+  wanted.preferredServer = "b";
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(registry.choose(wanted, kNow, 0)->entry.id, "b");
+    registry.begin(entry("b"));
+  }
+  EXPECT_EQ(registry.choose(wanted, kNow, 0)->entry.id, "a");
+}
+
+} // namespace lentilrack::core
--- a/tests/gateway/batch_service_test.cpp
+++ b/tests/gateway/batch_service_test.cpp
@@ -13,6 +13,7 @@
 protected:
   static net::Awaitable<void> join(TestNode& node)
   {
+    node.feed.start();
     node.cluster.start();
     node.batches.start();
     co_await until(
@@ -129,7 +130,7 @@
   run([&]() -> net::Awaitable<void> {
     co_await join(*first);
     co_await submit(*first, submission("b1", 6));
-    nlohmann::json before;
+    auto before = nlohmann::json::object();
     while (before.value("next_token", 0) < 2) {
       before = co_await readAll(*first, "b1", 0);
     }
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -28,6 +28,7 @@
   , cluster(context)
   , peers(context, cluster)
   , state(context)
+  , feed(context, cluster, peers)
   , forwarder(context)
   , batches(context, cluster, forwarder, peers)
   , leader(context, cluster, state, peers)
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -3,6 +3,8 @@
 #include "fake_server.h"
 #include "fake_store.h"
 #include "gateway/batch_service.h"
+#include "gateway/state_feed.h"
+#include "gateway/state_sync.h"
 #include "gateway/weight_leader.h"
 #include "platform/format.h"
 #include "support/io_test.h"
@@ -32,6 +34,7 @@
   ClusterView cluster;
   PeerClient peers;
   StateSync state;
+  StateFeed feed;
   Forwarder forwarder;
   BatchService batches;
   WeightLeader leader;
