--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -42,7 +42,7 @@
                                     entry.id,
                                     entry.endpoint.text(),
                                     entry.service));
-      server = ServerState{};
+      server = RegisteredServer{};
       server.entry = std::move(entry);
       continue;
     }
@@ -73,7 +73,7 @@
 }
 
 bool
-ServerRegistry::fits(const ServerState& server,
+ServerRegistry::fits(const RegisteredServer& server,
                      const ServerNeed& need,
                      TimePoint now) const
 {
@@ -95,7 +95,7 @@
 }
 
 double
-ServerRegistry::cost(const ServerState& server,
+ServerRegistry::cost(const RegisteredServer& server,
                      const ServerNeed& need,
                      double median) const
 {
@@ -110,10 +110,10 @@
   return load * relative + (isElsewhere ? kDomainCost : 0);
 }
 
-ServerState*
+RegisteredServer*
 ServerRegistry::choose(const ServerNeed& need, TimePoint now, double draw)
 {
-  std::vector<ServerState*> candidates;
+  std::vector<RegisteredServer*> candidates;
   for (auto& [id, server] : mServers) {
     if (fits(server, need, now)) {
       candidates.push_back(&server);
@@ -123,30 +123,34 @@
     return nullptr;
   }
   const auto preferred =
-    std::ranges::find_if(candidates, [&](const ServerState* server) {
+    std::ranges::find_if(candidates, [&](const RegisteredServer* server) {
       return server->entry.id == need.preferredServer;
     });
   if (preferred != candidates.end() && now >= (*preferred)->avoidUntil) {
     return *preferred;
   }
   // Servers in trouble are used only if there is no other.
-  const bool hasSound = std::ranges::any_of(
-    candidates, [&](const ServerState* s) { return now >= s->avoidUntil; });
+  const bool hasSound =
+    std::ranges::any_of(candidates, [&](const RegisteredServer* s) {
+      return now >= s->avoidUntil;
+    });
   if (hasSound) {
-    std::erase_if(candidates,
-                  [&](const ServerState* s) { return now < s->avoidUntil; });
+    std::erase_if(candidates, [&](const RegisteredServer* s) {
+      return now < s->avoidUntil;
+    });
   }
   // Starting anywhere in the list spreads equal choices of many processes.
   const auto first =
     static_cast<std::ptrdiff_t>(draw * static_cast<double>(candidates.size()));
   std::ranges::rotate(candidates, candidates.begin() + first);
   const double median = medianPace(need.service);
-  return *std::ranges::min_element(candidates, {}, [&](const ServerState* s) {
-    return cost(*s, need, median);
-  });
+  return *std::ranges::min_element(
+    candidates, {}, [&](const RegisteredServer* s) {
+      return cost(*s, need, median);
+    });
 }
 
-ServerState*
+RegisteredServer*
 ServerRegistry::find(const std::string& id, std::int64_t startedAt)
 {
   const auto found = mServers.find(id);
@@ -155,10 +159,10 @@
   return isSame ? &found->second : nullptr;
 }
 
-std::vector<const ServerState*>
+std::vector<const RegisteredServer*>
 ServerRegistry::serving(const std::string& service) const
 {
-  std::vector<const ServerState*> result;
+  std::vector<const RegisteredServer*> result;
   for (const auto& [id, server] : mServers) {
     if (server.entry.service == service && !server.entry.draining &&
         !server.leaving) {
@@ -168,10 +172,10 @@
   return result;
 }
 
-std::vector<const ServerState*>
+std::vector<const RegisteredServer*>
 ServerRegistry::all() const
 {
-  std::vector<const ServerState*> result;
+  std::vector<const RegisteredServer*> result;
   for (const auto& [id, server] : mServers) {
     result.push_back(&server);
   }
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -32,7 +32,7 @@
 };
 
 /// A backend server and what this process has seen of it.
-struct ServerState
+struct RegisteredServer
 {
   ServerEntry entry;
   /// Orders that it has accepted in this lifetime, once it was asked.
@@ -80,11 +80,12 @@
   void noteDirectoryFailure(TimePoint now) { mLastFailure = now; }
 
   /// The best server, or nullptr.
-  ServerState* choose(const ServerNeed& need, TimePoint now, double draw);
-  ServerState* find(const std::string& id, std::int64_t startedAt);
+  RegisteredServer* choose(const ServerNeed& need, TimePoint now, double draw);
+  RegisteredServer* find(const std::string& id, std::int64_t startedAt);
   /// Every server of the service that takes requests.
-  std::vector<const ServerState*> serving(const std::string& service) const;
-  std::vector<const ServerState*> all() const;
+  std::vector<const RegisteredServer*> serving(
+    const std::string& service) const;
+  std::vector<const RegisteredServer*> all() const;
   bool empty() const { return mServers.empty(); }
 
   void begin(const ServerEntry& server);
@@ -107,14 +108,14 @@
   double medianPace(const std::string& service) const;
 
 private:
-  bool fits(const ServerState& server,
+  bool fits(const RegisteredServer& server,
             const ServerNeed& need,
             TimePoint now) const;
-  double cost(const ServerState& server,
+  double cost(const RegisteredServer& server,
               const ServerNeed& need,
               double medianPace) const;
 
-  std::map<std::string, ServerState> mServers;
+  std::map<std::string, RegisteredServer> mServers;
   std::map<std::string, TimePoint> mMissingSince;
   std::optional<TimePoint> mLastFailure;
 };
--- a/src/core/weight_wave.cpp
+++ b/src/core/weight_wave.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 std::int64_t
-versionOf(const ServerState& server, const std::string& model)
+versionOf(const RegisteredServer& server, const std::string& model)
 {
   const auto found = server.entry.versions.find(model);
   return found == server.entry.versions.end() ? 0 : found->second;
@@ -25,14 +25,14 @@
 }
 
 void
-WeightWave::assign(const std::vector<const ServerState*>& servers,
+WeightWave::assign(const std::vector<const RegisteredServer*>& servers,
                    const std::vector<std::string>& models)
 {
   std::map<std::string, std::size_t> counts;
   for (const auto& model : models) {
     counts[model] = 0;
   }
-  std::vector<const ServerState*> open;
+  std::vector<const RegisteredServer*> open;
   for (const auto* server : servers) {
     const auto known = mAssigned.find(server->entry.id);
     if (known != mAssigned.end() && counts.contains(known->second)) {
@@ -52,7 +52,7 @@
     }
   }
   // Failure domain by failure domain, so that each model is served in each.
-  std::ranges::stable_sort(open, {}, [](const ServerState* server) {
+  std::ranges::stable_sort(open, {}, [](const RegisteredServer* server) {
     return std::pair(server->entry.failureDomain, server->entry.id);
   });
   for (const auto* server : open) {
@@ -65,7 +65,7 @@
 
 std::vector<LoadOrder>
 WeightWave::plan(
-  const std::vector<const ServerState*>& servers,
+  const std::vector<const RegisteredServer*>& servers,
   const std::map<std::string, std::vector<std::string>>& modelsOfService,
   TimePoint now)
 {
@@ -74,12 +74,13 @@
   });
   std::vector<LoadOrder> orders;
   for (const auto& [service, models] : modelsOfService) {
-    std::vector<const ServerState*> ofService;
-    std::ranges::copy_if(
-      servers, std::back_inserter(ofService), [&](const ServerState* server) {
-        return server->entry.service == service && !server->entry.draining &&
-               !server->leaving;
-      });
+    std::vector<const RegisteredServer*> ofService;
+    std::ranges::copy_if(servers,
+                         std::back_inserter(ofService),
+                         [&](const RegisteredServer* server) {
+                           return server->entry.service == service &&
+                                  !server->entry.draining && !server->leaving;
+                         });
     if (models.empty() || ofService.empty()) {
       continue;
     }
@@ -88,11 +89,11 @@
       std::floor(mLimits.shareAtOnce * static_cast<double>(ofService.size())));
     const auto most = std::max(mLimits.fewest, share);
     auto loading = static_cast<std::size_t>(
-      std::ranges::count_if(ofService, [&](const ServerState* server) {
+      std::ranges::count_if(ofService, [&](const RegisteredServer* server) {
         return mLoads.contains(server->entry.id);
       }));
     // Servers that are furthest behind block work first.
-    const auto behind = [&](const ServerState* server) {
+    const auto behind = [&](const RegisteredServer* server) {
       const auto& model = mAssigned[server->entry.id];
       return mTargets[model] - versionOf(*server, model);
     };
--- a/src/core/weight_wave.h
+++ b/src/core/weight_wave.h
@@ -50,7 +50,7 @@
   /// Orders that may be given now. Each must be followed by begun() or
   /// refused().
   std::vector<LoadOrder> plan(
-    const std::vector<const ServerState*>& servers,
+    const std::vector<const RegisteredServer*>& servers,
     const std::map<std::string, std::vector<std::string>>& modelsOfService,
     TimePoint now);
   void begun(const LoadOrder& order, TimePoint now);
@@ -67,7 +67,7 @@
   std::string modelOf(const std::string& serverId) const;
 
 private:
-  void assign(const std::vector<const ServerState*>& servers,
+  void assign(const std::vector<const RegisteredServer*>& servers,
               const std::vector<std::string>& models);
 
   Limits mLimits;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -41,11 +41,11 @@
   std::shared_ptr<const core::DesiredState> desired;
   /// Newest version that was named, by model.
   std::map<std::string, std::int64_t> namedVersions;
+  pcg64 random{ std::random_device{}() };
   /// Tells this process from earlier ones of the same instance.
   std::string lifetime;
   /// SIGTERM came.
   bool isLeaving = false;
-  pcg64 random{ std::random_device{}() };
 
   Context(net::asio::io_context& context,
           ProcessSettings processSettings,
--- /dev/null
+++ b/tests/adapter/format_test.cpp
@@ -0,0 +1,175 @@
+#include "platform/format.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace lentilrack::platform {
+
+namespace {
+
+const Format kFormat;
+
+constexpr const char* kServer =
+  R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":16,)"
+  R"("state":"ready","born":17,"seq":4,)"
+  R"("models":[{"name":"m","version":3,"adapters":[]}]})";
+
+net::HttpRequest
+call(const std::string& method, const std::string& target)
+{
+  net::HttpRequest request;
+  request.method = method;
+  request.target = target;
+  return request;
+}
+
+} // namespace
+
+// Guards against a server that is taken for another kind of entry, and against
+// the counter of its writes that is taken for the count of its orders.
+TEST(FormatTest, ServerEntryIsReadWhole)
+{
+  const auto server = kFormat.decodeServer("servers/i-1", kServer);
+  ASSERT_TRUE(server);
+  EXPECT_EQ(server.value().id, "i-1");
+  EXPECT_EQ(server.value().endpoint.text(), "10.0.0.9:80");
+  EXPECT_EQ(server.value().startedAt, 17);
+  EXPECT_EQ(server.value().versions.at("m"), 3);
+  EXPECT_FALSE(server.value().draining);
+}
+
+// Guards against an entry of another writer that stops the process or names a
+// server.
+TEST(FormatTest, MalformedServerEntriesNameNoServer)
+{
+  const std::string whole(kServer);
+  const auto with = [&](const std::string& from, const std::string& to) {
+    auto text = whole;
+    return text.replace(text.find(from), from.size(), to);
+  };
+  for (const auto& text : { std::string(),
+                            std::string("\xff\xfe"),
+                            std::string("[]"),
+                            std::string("{}"),
+                            with("\"ready\"", "\"resting\""),
+                            with("\"slots\":16", "\"slots\":\"16\""),
+                            with("\"slots\":16", "\"slots\":0"),
+                            with("10.0.0.9:80", "nowhere"),
+                            with("\"born\":17,", ""),
+                            with("\"version\":3", "\"version\":null") }) {
+    EXPECT_FALSE(kFormat.decodeServer("servers/i-1", text)) << text;
+  }
+}
+
+// Guards against bytes of any kind that end the process.
+RC_GTEST_PROP(FormatTest, AnyBytesAreAnErrorAndNothingElse, ())
+{
+  const auto text = *rc::gen::string<std::string>();
+  RC_ASSERT(!kFormat.decodeServer("servers/x", text));
+  RC_ASSERT(!kFormat.decodeSettings(text));
+  RC_ASSERT(!kFormat.decodeBatch("id", "h", "/p", text));
+  RC_ASSERT(!kFormat.decodeReport(text));
+}
+
+// Guards against routes that lose what decides over their requests.
+TEST(FormatTest, DesiredStateIsReadWhole)
+{
+  const auto state = kFormat.decodeDesiredState(
+    R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/",)"
+    R"("kind":"stream","resumable":true,"timeout_ms":2000,"max_attempts":3,)"
+    R"("priority":1,"queue_ttl_s":20,)"
+    R"("traffic_split":[{"service":"x","weight":90},)"
+    R"({"service":"y","weight":10}]},)"
+    R"({"name":"b","host":"h","path_prefix":"/b/","kind":"rollout",)"
+    R"("single_version":true,"service":"x"}],)"
+    R"("services":[{"name":"x","engine":{"models":[{"name":"m"}]}},)"
+    R"({"name":"y"}],"limits":{"idle_timeout_ms":9000}})");
+  ASSERT_TRUE(state);
+  const auto* route = state.value().match("h", "/a/1");
+  ASSERT_NE(route, nullptr);
+  EXPECT_EQ(route->kind, core::RouteKind::Stream);
+  EXPECT_TRUE(route->resumable);
+  EXPECT_EQ(route->timeout, core::Millis(2'000));
+  EXPECT_EQ(route->itemLifetime, core::Millis(20'000));
+  EXPECT_EQ(route->maxAttempts, 3);
+  EXPECT_EQ(route->targets.size(), 2U);
+  EXPECT_EQ(state.value().match("h", "/b/1")->kind, core::RouteKind::Batch);
+  EXPECT_TRUE(state.value().wantsSingleVersion());
+  EXPECT_EQ(state.value().services().at(0).models.at(0), "m");
+  EXPECT_EQ(state.value().limits().idleTime, core::Millis(9'000));
+}
+
+// Guards against a kind that is not known and then runs more than once.
+TEST(FormatTest, UnknownKindsMayRunOnce)
+{
+  const auto state = kFormat.decodeDesiredState(
+    R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/",)"
+    R"("kind":"something"}],"services":[]})");
+  ASSERT_TRUE(state);
+  EXPECT_EQ(state.value().match("h", "/")->kind, core::RouteKind::Single);
+}
+
+// Guards against calls of the system's own interface that are forwarded.
+TEST(FormatTest, CallsOfCallersAreToldApart)
+{
+  auto request = call("GET", "/api/lots/b1?after=12");
+  request.headers = { { "X-Wait-Ms", "1000" } };
+  const auto read = kFormat.classify(request);
+  ASSERT_TRUE(std::holds_alternative<gateway::ReadBatch>(read));
+  EXPECT_EQ(std::get<gateway::ReadBatch>(read).after, 12U);
+  EXPECT_EQ(std::get<gateway::ReadBatch>(read).wait, core::Millis(1'000));
+  const auto end = kFormat.classify(call("DELETE", "/api/lots/b1"));
+  EXPECT_TRUE(std::holds_alternative<gateway::EndBatch>(end));
+  const auto body = kFormat.classify(call("GET", "/api/items/b1?id=i%2F1"));
+  ASSERT_TRUE(std::holds_alternative<gateway::ReadItemBody>(body));
+  EXPECT_EQ(std::get<gateway::ReadItemBody>(body).item, "i/1");
+  const auto bad = kFormat.classify(call("GET", "/api/lots/b1?after=x"));
+  EXPECT_TRUE(std::holds_alternative<gateway::BadCall>(bad));
+  const auto other = kFormat.classify(call("POST", "/x/api/lots/b1"));
+  EXPECT_TRUE(std::holds_alternative<gateway::ForwardRequest>(other));
+}
+
+// Guards against an order without the words that make a late one harmless.
+TEST(FormatTest, OrderCarriesHolderFenceAndCount)
+{
+  gateway::WeightOrder order;
+  order.server.id = "i-1";
+  order.model = "m";
+  order.version = 4;
+  order.holder = "edge-1";
+  order.fence = 41;
+  order.ordersBefore = 2;
+  const auto request = kFormat.encodeOrder(order);
+  EXPECT_EQ(request.header("X-Expect-Instance"), "i-1");
+  for (const auto* part : { "\"holder\":\"edge-1\"",
+                            "\"fence\":41",
+                            "\"expect\":2",
+                            "\"version\":4",
+                            "\"mode\":\"keep\"" }) {
+    EXPECT_NE(request.body.find(part), std::string::npos) << part;
+  }
+}
+
+// Guards against settings that are half read.
+TEST(FormatTest, SettingsErrorsNameTheField)
+{
+  const auto missing = kFormat.decodeSettings(R"({"zone":"z"})");
+  ASSERT_FALSE(missing);
+  EXPECT_NE(missing.error().find("node"), std::string::npos);
+  const auto wrong = kFormat.decodeSettings(
+    R"({"node":"n","zone":"z","platform":{"address":5}})");
+  ASSERT_FALSE(wrong);
+  EXPECT_NE(wrong.error().find("address"), std::string::npos);
+  const auto whole = kFormat.decodeSettings(
+    R"({"node":"n","zone":"z","new":1,"listen":{"front":"10.0.0.1:80"},)"
+    R"("data_dir":null,"bounds":{"grace_s":4,"lease_ms":2500},)"
+    R"("platform":{"address":"10.0.0.2:90","writes_per_s":100}})");
+  ASSERT_TRUE(whole);
+  EXPECT_EQ(whole.value().bounds.grace, core::Millis(4'000));
+  EXPECT_EQ(whole.value().bounds.holderPause, core::Millis(2'500));
+  EXPECT_EQ(whole.value().store.text(), "10.0.0.2:90");
+  EXPECT_FALSE(whole.value().peerAddress);
+}
+
+} // namespace lentilrack::platform
--- a/tests/core/weight_wave_test.cpp
+++ b/tests/core/weight_wave_test.cpp
@@ -17,7 +17,7 @@
     : models{ { "engine", names } }
   {
     for (int i = 0; i < count; ++i) {
-      ServerState server;
+      RegisteredServer server;
       server.entry.id = fmt::format("s{}", i);
       server.entry.service = "engine";
       server.entry.failureDomain = i % 2 == 0 ? "north" : "south";
@@ -28,9 +28,9 @@
     }
   }
 
-  std::vector<const ServerState*> view() const
+  std::vector<const RegisteredServer*> view() const
   {
-    std::vector<const ServerState*> result;
+    std::vector<const RegisteredServer*> result;
     for (const auto& server : servers) {
       result.push_back(&server);
     }
@@ -46,7 +46,7 @@
     }
   }
 
-  std::vector<ServerState> servers;
+  std::vector<RegisteredServer> servers;
   std::map<std::string, std::vector<std::string>> models;
 };
 
--- /dev/null
+++ b/tests/gateway/forwarder_test.cpp
@@ -0,0 +1,254 @@
+#include "gateway_fixture.h"
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Millis;
+using core::RouteKind;
+
+class ForwarderTest : public GatewayTest
+{
+protected:
+  static FakeServer::Handler answering(int status, net::Headers extra = {})
+  {
+    return
+      [status, extra](net::HttpExchange& exchange) -> net::Awaitable<void> {
+        auto answer = FakeServer::answer(exchange.request(), status);
+        answer.headers.insert(answer.headers.end(), extra.begin(), extra.end());
+        co_await exchange.respond(std::move(answer));
+      };
+  }
+
+  static FakeServer::Handler breaking()
+  {
+    return [](net::HttpExchange& exchange) -> net::Awaitable<void> {
+      exchange.abort();
+      co_return;
+    };
+  }
+};
+
+} // namespace
+
+// Guards against a request that may run once and runs again after its answer
+// was lost, and against a refusal that claims that it did not run.
+TEST_F(ForwarderTest, RequestThatMayHaveRunIsNotSentAgain)
+{
+  auto node = makeNode("a");
+  FakeServer first(mIo, "s1");
+  FakeServer second(mIo, "s2");
+  first.onRequest(breaking());
+  second.onRequest(breaking());
+  node->addServer(first, "desk");
+  node->addServer(second, "desk");
+  TestExchange exchange(request("r1"));
+  const auto route = plainRoute(RouteKind::Single, 2);
+  run([&]() { return node->forwarder.forward(exchange, route); });
+  EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
+  EXPECT_EQ(exchange.response.status, 502);
+}
+
+// Guards against a failure that is shown to the caller though another server
+// could answer.
+TEST_F(ForwarderTest, RepeatableRequestIsTriedElsewhere)
+{
+  auto node = makeNode("a");
+  FakeServer broken(mIo, "s1");
+  FakeServer sound(mIo, "s2");
+  broken.onRequest(breaking());
+  sound.onRequest(answering(200));
+  node->addServer(broken, "desk");
+  node->addServer(sound, "desk", 1);
+  TestExchange exchange(request("r1"));
+  const auto route = plainRoute(RouteKind::Repeatable, 2);
+  run([&]() { return node->forwarder.forward(exchange, route); });
+  EXPECT_EQ(exchange.response.status, 200);
+  EXPECT_EQ(exchange.response.body, "done");
+}
+
+// Guards against more servers than the route allows.
+TEST_F(ForwarderTest, AttemptsAreBounded)
+{
+  auto node = makeNode("a");
+  std::vector<std::unique_ptr<FakeServer>> servers;
+  for (const auto* id : { "s1", "s2", "s3", "s4" }) {
+    servers.push_back(std::make_unique<FakeServer>(mIo, id));
+    servers.back()->onRequest(answering(500));
+    node->addServer(*servers.back(), "desk");
+  }
+  TestExchange exchange(request("r1"));
+  const auto route = plainRoute(RouteKind::Repeatable, 2);
+  run([&]() { return node->forwarder.forward(exchange, route); });
+  std::size_t runs = 0;
+  for (const auto& server : servers) {
+    runs += server->requests().size();
+  }
+  EXPECT_EQ(runs, 2U);
+  // The server's own failure is the answer.
+  EXPECT_EQ(exchange.response.status, 500);
+  EXPECT_EQ(net::headerValue(exchange.response.headers, "X-Server-Stamp"),
+            "stamp");
+}
+
+// Pattern: one server of a service hangs. Guards against a caller that waits
+// for it though another server has time.
+TEST_F(ForwarderTest, CopyGoesToAnotherServerWhenTheFirstHangs)
+{
+  auto node = makeNode("a");
+  FakeServer hanging(mIo, "s1");
+  FakeServer sound(mIo, "s2");
+  bool isReleased = false;
+  hanging.onRequest([&](net::HttpExchange&) -> net::Awaitable<void> {
+    co_await until([&] { return isReleased; });
+  });
+  sound.onRequest(answering(200));
+  node->addServer(hanging, "desk", 8);
+  node->addServer(sound, "desk", 1);
+  TestExchange exchange(request("r1"));
+  const auto route = plainRoute(RouteKind::Repeatable, 2);
+  run([&]() -> net::Awaitable<void> {
+    co_await node->forwarder.forward(exchange, route);
+    isReleased = true;
+  });
+  EXPECT_EQ(exchange.response.status, 200);
+}
+
+// Guards against a "not run" for a request that no server would take, but which
+// takes until the caller's time is up, and against one that is not true.
+TEST_F(ForwarderTest, RefusalsOfServersAreToldAsNotRun)
+{
+  auto node = makeNode("a");
+  FakeServer full(mIo, "s1");
+  full.onRequest(answering(503, { { "X-Not-Executed", "1" } }));
+  node->addServer(full, "desk");
+  TestExchange exchange(request("r1"));
+  const auto route = plainRoute(RouteKind::Single, 2);
+  run([&]() { return node->forwarder.forward(exchange, route); });
+  EXPECT_EQ(exchange.response.status, 503);
+  EXPECT_FALSE(
+    net::headerValue(exchange.response.headers, "Retry-After").empty());
+}
+
+// Guards against an answer of another request, and against a success that the
+// server has not stamped.
+TEST_F(ForwarderTest, AnswersThatCannotBeTrustedAreNotPassedOn)
+{
+  auto node = makeNode("a");
+  FakeServer crossed(mIo, "s1");
+  crossed.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto answer = FakeServer::answer(exchange.request());
+    answer.headers = { { "X-Request-Id", "another" },
+                       { "X-Server-Stamp", "stamp" } };
+    co_await exchange.respond(std::move(answer));
+  });
+  FakeServer unstamped(mIo, "s2");
+  unstamped.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    net::HttpResponse answer;
+    answer.body = "who knows";
+    co_await exchange.respond(std::move(answer));
+  });
+  node->addServer(crossed, "desk");
+  node->addServer(unstamped, "desk");
+  TestExchange exchange(request("r1"));
+  const auto route = plainRoute(RouteKind::Repeatable, 2);
+  run([&]() { return node->forwarder.forward(exchange, route); });
+  EXPECT_EQ(exchange.response.status, 502);
+}
+
+// Guards against work for a caller that has gone.
+TEST_F(ForwarderTest, CallersCloseEndsTheWork)
+{
+  auto node = makeNode("a");
+  FakeServer server(mIo, "s1");
+  bool isServerToldOfEnd = false;
+  server.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    co_await until([&] { return exchange.clientGone(); });
+    isServerToldOfEnd = true;
+  });
+  node->addServer(server, "desk");
+  TestExchange exchange(request("r1"));
+  const auto route = plainRoute(RouteKind::Repeatable, 1);
+  run([&]() -> net::Awaitable<void> {
+    net::spawn(mIo, node->forwarder.forward(exchange, route));
+    co_await until([&] { return !server.requests().empty(); });
+    exchange.leave();
+    co_await until([&] { return isServerToldOfEnd; });
+  });
+  EXPECT_TRUE(exchange.isAborted);
+}
+
+// Guards against headers of one connection, or a caller's own claims, that
+// reach a server.
+TEST_F(ForwarderTest, OnlyEndToEndHeadersAreForwarded)
+{
+  auto node = makeNode("a");
+  FakeServer server(mIo, "s1");
+  server.onRequest(answering(200));
+  node->addServer(server, "desk");
+  auto sent = request("r1");
+  sent.headers.emplace_back("Connection", "X-Hop");
+  sent.headers.emplace_back("X-Hop", "1");
+  sent.headers.emplace_back("X-Expect-Instance", "other");
+  sent.headers.emplace_back("X-Deadline-Ms", "900");
+  sent.headers.emplace_back("X-Twice", "1");
+  sent.headers.emplace_back("X-Twice", "2");
+  TestExchange exchange(std::move(sent));
+  const auto route = plainRoute(RouteKind::Repeatable, 1);
+  run([&]() { return node->forwarder.forward(exchange, route); });
+  ASSERT_EQ(server.requests().size(), 1U);
+  const auto& got = server.requests()[0];
+  EXPECT_EQ(got.header("X-Hop"), "");
+  EXPECT_EQ(got.header("X-Expect-Instance"), "s1");
+  EXPECT_EQ(got.header("Host"), kHost);
+  EXPECT_LE(std::stoi(got.header("X-Deadline-Ms")), 900);
+  EXPECT_EQ(std::ranges::count(
+              got.headers, "X-Twice", [](const auto& h) { return h.first; }),
+            2);
+}
+
+// Guards against a stream that joins pieces of two runs, or that breaks though
+// its route allows it to go on elsewhere.
+TEST_F(ForwarderTest, ResumableStreamGoesOnAtAnotherServer)
+{
+  auto node = makeNode("a");
+  FakeServer broken(mIo, "s1");
+  FakeServer sound(mIo, "s2");
+  broken.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+    co_await exchange.beginStream(200, "text/event-stream", headers);
+    co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\nda");
+    exchange.abort();
+  });
+  node->addServer(broken, "desk", 8);
+  node->addServer(sound, "desk", 1);
+  TestExchange exchange(request("r1"));
+  auto route = plainRoute(RouteKind::Stream, 2);
+  route.resumable = true;
+  run([&]() { return node->forwarder.stream(exchange, route); });
+  EXPECT_TRUE(exchange.isAnswered);
+  EXPECT_EQ(exchange.response.body,
+            FakeServer::eventsOf(net::HttpRequest(), 3));
+}
+
+// Guards against a broken stream that looks complete.
+TEST_F(ForwarderTest, StreamThatMayNotGoOnIsBrokenOff)
+{
+  auto node = makeNode("a");
+  FakeServer broken(mIo, "s1");
+  broken.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+    co_await exchange.beginStream(200, "text/event-stream", headers);
+    co_await exchange.write("id: 1\ndata: piece 1\n\n");
+    exchange.abort();
+  });
+  node->addServer(broken, "desk");
+  TestExchange exchange(request("r1"));
+  const auto route = plainRoute(RouteKind::Stream, 2);
+  run([&]() { return node->forwarder.stream(exchange, route); });
+  EXPECT_FALSE(exchange.isAnswered);
+  EXPECT_TRUE(exchange.isAborted);
+  EXPECT_EQ(broken.requests().size(), 1U);
+}
+
+} // namespace lentilrack::gateway
