--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy-16 git curl jq
   libboost-dev nlohmann-json3-dev libfmt-dev libpopt-dev libsodium-dev
   libxxhash-dev libpcg-cpp-dev librapidcheck-dev libgtest-dev libgmock-dev
-  libbenchmark-dev bsdextrautils
+  libbenchmark-dev libspdlog-dev bsdextrautils
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -106,6 +106,9 @@
         return limits;
       },
       [this](net::HttpExchange& e) { return handlePeer(e); }) &&
+    listen(metricsAddress(),
+           internalLimits,
+           [this](net::HttpExchange& e) { return handleMetrics(e); }) &&
     listen(settings.addressServiceAddress,
            internalLimits,
            [this](net::HttpExchange& e) { return handleAddresses(e); });
@@ -194,19 +197,35 @@
 net::Awaitable<void>
 Gateway::handleReadiness(net::HttpExchange& exchange)
 {
-  if (exchange.request().path() == "/metrics") {
-    net::HttpResponse response;
-    response.contentType = "text/plain; version=0.0.4";
-    response.body = mContext.metrics.text();
-    co_await exchange.respond(std::move(response));
-    co_return;
-  }
   net::HttpResponse response;
   const bool isCall = mContext.format.isReadinessCall(exchange.request());
   response.status = !isCall ? 404 : isReady() ? 200 : 503;
   co_await exchange.respond(std::move(response));
 }
 
+std::optional<core::Endpoint>
+Gateway::metricsAddress() const
+{
+  const auto& settings = mContext.settings;
+  if (settings.metricsPort == 0 || settings.address.empty()) {
+    return std::nullopt;
+  }
+  return core::Endpoint{ settings.address, settings.metricsPort };
+}
+
+net::Awaitable<void>
+Gateway::handleMetrics(net::HttpExchange& exchange)
+{
+  net::HttpResponse response;
+  if (exchange.request().path() != "/metrics") {
+    response = failure(404, "no_such_call");
+  } else {
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = mContext.metrics.text();
+  }
+  co_await exchange.respond(std::move(response));
+}
+
 std::vector<core::Endpoint>
 Gateway::callerAddresses() const
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,8 @@
   net::Awaitable<void> handleCaller(net::HttpExchange& exchange);
   net::Awaitable<void> handlePeer(net::HttpExchange& exchange);
   net::Awaitable<void> handleReadiness(net::HttpExchange& exchange);
+  net::Awaitable<void> handleMetrics(net::HttpExchange& exchange);
+  std::optional<core::Endpoint> metricsAddress() const;
   net::Awaitable<void> handleAddresses(net::HttpExchange& exchange);
   net::Awaitable<void> handleForward(net::HttpExchange& exchange);
   net::Awaitable<void> runDown(std::function<void()> done);
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <optional>
 
 namespace lentilrack::gateway {
@@ -29,11 +30,25 @@
 constexpr core::Millis kFirstStorePause{ 40 };
 constexpr core::Millis kLongestStorePause{ 400 };
 
-std::optional<std::string>
-settingsPath(int argc, const char** argv)
+struct CommandLine
+{
+  std::string settings;
+  std::uint16_t metricsPort = 0;
+};
+
+std::optional<CommandLine>
+readCommandLine(int argc, const char** argv)
 {
   char* path = nullptr;
-  const std::array<poptOption, 3> options{
+  int metricsPort = 0;
+  const std::array<poptOption, 4> options{
+    poptOption{ "metrics-port",
+                'm',
+                POPT_ARG_INT,
+                &metricsPort,
+                0,
+                "Port for GET /metrics (default: 0, not served)",
+                "PORT" },
     poptOption{ "settings",
                 's',
                 POPT_ARG_STRING,
@@ -47,20 +62,26 @@
     poptGetContext("lentilrack-gateway", argc, argv, options.data(), 0);
   const int parsed = poptGetNextOpt(context);
   const char* extra = poptGetArg(context);
-  const bool isBad = parsed < -1 || extra != nullptr;
+  const bool isPort = metricsPort >= 0 &&
+                      metricsPort <= std::numeric_limits<std::uint16_t>::max();
+  const bool isBad = parsed < -1 || extra != nullptr || !isPort;
   if (isBad) {
     fmt::print(stderr,
                "lentilrack-gateway: {}\n",
-               parsed < -1 ? poptStrerror(parsed) : "unexpected argument");
+               parsed < -1 ? poptStrerror(parsed)
+               : isPort    ? "unexpected argument"
+                           : "--metrics-port is not a port");
   }
   poptFreeContext(context);
   if (isBad) {
     return std::nullopt;
   }
+  CommandLine line;
+  line.metricsPort = static_cast<std::uint16_t>(metricsPort);
   if (path != nullptr) {
-    std::string text(path);
+    line.settings = path;
     std::free(path);
-    return text;
+    return line;
   }
   const char* variable = std::getenv(kSettingsVariable);
   if (variable == nullptr) {
@@ -68,7 +89,8 @@
       stderr, "lentilrack-gateway: {} is not set\n", kSettingsVariable);
     return std::nullopt;
   }
-  return std::string(variable);
+  line.settings = variable;
+  return line;
 }
 
 std::optional<ProcessSettings>
@@ -100,13 +122,14 @@
 int
 run(int argc, const char** argv)
 {
-  const auto path = settingsPath(argc, argv);
+  const auto line = readCommandLine(argc, argv);
   const platform::Format format;
-  const auto settings =
-    path ? readSettings(*path, format) : std::optional<ProcessSettings>();
+  auto settings = line ? readSettings(line->settings, format)
+                       : std::optional<ProcessSettings>();
   if (!settings || sodium_init() < 0) {
     return EXIT_FAILURE;
   }
+  settings->metricsPort = line->metricsPort;
   std::signal(SIGPIPE, SIG_IGN);
   DecisionLog log;
   log.info("started",
@@ -142,7 +165,7 @@
       if (error) {
         return;
       }
-      const auto read = readSettings(*path, format);
+      const auto read = readSettings(line->settings, format);
       if (read) {
         context.settings.seeds = read->seeds;
         context.settings.bounds = read->bounds;
--- a/src/gateway/process_settings.h
+++ b/src/gateway/process_settings.h
@@ -32,6 +32,10 @@
   std::string instance;
   std::string failureDomain;
   std::string region;
+  /// Address of the machine, without a port.
+  std::string address;
+  /// Where the process shows its metrics; 0: nowhere.
+  std::uint16_t metricsPort = 0;
   /// Absent addresses are not served by this process.
   std::optional<core::Endpoint> callerAddress;
   std::optional<core::Endpoint> readinessAddress;
--- /dev/null
+++ b/tests/gateway/state_feed_test.cpp
@@ -0,0 +1,122 @@
+#include "gateway_fixture.h"
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Millis;
+
+class StateFeedTest : public GatewayTest
+{
+protected:
+  static net::Awaitable<net::HttpResponse> ask(TestNode& node,
+                                               std::string lifetime,
+                                               int place)
+  {
+    net::HttpRequest request;
+    request.target = fmt::format(
+      "/peer/state?lifetime={}&operator={}&servers={}&cluster={}&wait=0",
+      lifetime,
+      place,
+      place,
+      place);
+    co_return co_await node.feed.serve(std::move(request));
+  }
+
+  static net::Awaitable<void> untilFed(TestNode& node)
+  {
+    node.feed.start();
+    co_await until([&] {
+      const auto& mirrors = node.context.mirrors;
+      return mirrors.operatorKeys.isComplete() &&
+             mirrors.servers.isComplete() && mirrors.cluster.isComplete();
+    });
+  }
+};
+
+} // namespace
+
+// Guards against processes that take each other, or an earlier life of their
+// own machine, for themselves.
+TEST_F(StateFeedTest, EveryProcessHasALifetimeOfItsOwn)
+{
+  std::set<std::string> lifetimes;
+  for (int i = 0; i < 4; ++i) {
+    lifetimes.insert(makeNode("a")->context.lifetime);
+  }
+  EXPECT_EQ(lifetimes.size(), 4U);
+}
+
+// Guards against a follower that misses a state because its reader has started
+// again and its place belongs to the life before.
+TEST_F(StateFeedTest, PlaceInAnEarlierLifeGetsEverything)
+{
+  auto node = makeNode("a");
+  mTable->put("op/config", R"({"version":3,"routes":[],"services":[]})");
+  run([&]() -> net::Awaitable<void> {
+    co_await untilFed(*node);
+    const auto fresh = co_await ask(*node, "another life", 1);
+    EXPECT_EQ(fresh.status, 200);
+    EXPECT_NE(fresh.body.find("op/config"), std::string::npos);
+    const auto known =
+      static_cast<int>(node->context.mirrors.operatorKeys.sequence());
+    const auto same = co_await ask(*node, node->context.lifetime, known);
+    EXPECT_EQ(same.body.find("op/config"), std::string::npos);
+  });
+}
+
+// Guards against a reader that hands on what it cannot confirm any more.
+TEST_F(StateFeedTest, OldCopiesAreNotPassedOn)
+{
+  auto node = makeNode("a");
+  run([&]() -> net::Awaitable<void> {
+    co_await untilFed(*node);
+    auto answer = co_await ask(*node, "", 0);
+    EXPECT_EQ(answer.status, 200);
+    node->store.isCut = true;
+    while (answer.status == 200) {
+      co_await net::sleepFor(Millis(50));
+      answer = co_await ask(*node, "", 0);
+    }
+    EXPECT_EQ(answer.status, 503);
+    node->store.isCut = false;
+    while (answer.status != 200) {
+      co_await net::sleepFor(Millis(50));
+      answer = co_await ask(*node, "", 0);
+    }
+  });
+}
+
+// Guards against a change that is lost because the store forgets its history
+// while the watch is silent.
+TEST_F(StateFeedTest, ForgottenHistoryIsReadAgain)
+{
+  auto node = makeNode("a");
+  run([&]() -> net::Awaitable<void> {
+    co_await untilFed(*node);
+    node->store.isWatchSilent = true;
+    mTable->put("op/config", R"({"version":8,"routes":[],"services":[]})");
+    co_await net::sleepFor(Millis(700));
+    mTable->forgetHistory();
+    node->store.isWatchSilent = false;
+    co_await until([&] {
+      return node->context.desired && node->context.desired->version() == 8;
+    });
+  });
+}
+
+// Guards against a desired state that goes back.
+TEST_F(StateFeedTest, OlderStateIsNotTaken)
+{
+  auto node = makeNode("a");
+  node->context.mirrors.operatorKeys.put(
+    { "op/config", R"({"version":5,"routes":[],"services":[]})", 10 });
+  EXPECT_EQ(node->context.desired->version(), 5);
+  node->context.mirrors.operatorKeys.put(
+    { "op/config", R"({"version":4,"routes":[],"services":[]})", 11 });
+  EXPECT_EQ(node->context.desired->version(), 5);
+  node->context.mirrors.operatorKeys.put({ "op/config", "{", 12 });
+  EXPECT_EQ(node->context.desired->version(), 5);
+}
+
+} // namespace lentilrack::gateway
