Answer 504 for a request that is at work when its time is up

Cause: an attempt without an answer did not count as possibly run, so that a request was answered 503, which promises that it has not run and never will.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -117,6 +117,8 @@
   {
     while (!mIsDone && !mIsCancelled) {
       if (timeUntil(mCall.deadline) < kLeastTime) {
+        // An attempt that has no answer yet may be running.
+        mMayHaveRun = mMayHaveRun || mRunning > 0;
         noteNoAnswer("out_of_time");
         co_return;
       }
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -49,6 +49,29 @@
   EXPECT_EQ(exchange.response.status, 502);
 }
 
+// Guards against "not run" for a request that a server is still running when
+// its time is up.
+TEST_F(ForwarderTest, RequestAtWorkWhenItsTimeIsUpIsNotCalledNotRun)
+{
+  auto node = makeNode("a");
+  FakeServer hanging(mIo, "s1");
+  bool isReleased = false;
+  hanging.onRequest([&](net::HttpExchange&) -> net::Awaitable<void> {
+    co_await until([&] { return isReleased; });
+  });
+  node->addServer(hanging, "desk");
+  auto sent = request("r1");
+  sent.headers.emplace_back("X-Deadline-Ms", "100");
+  TestExchange exchange(std::move(sent));
+  const auto route = plainRoute(RouteKind::Single, 2);
+  run([&]() -> net::Awaitable<void> {
+    co_await node->forwarder.forward(exchange, route);
+    isReleased = true;
+  });
+  EXPECT_EQ(hanging.requests().size(), 1U);
+  EXPECT_EQ(exchange.response.status, 504);
+}
+
 // Guards against a failure that is shown to the caller though another server
 // could answer.
 TEST_F(ForwarderTest, RepeatableRequestIsTriedElsewhere)
