--- a/tests/gateway/batch_service_test.cpp
+++ b/tests/gateway/batch_service_test.cpp
@@ -341,15 +341,17 @@
   auto node = makeNode("a");
   run([&]() -> net::Awaitable<void> {
     co_await join(*node);
-    for (const char* body : { "",
-                              "{",
-                              "[]",
-                              R"({"items":{}})",
-                              R"({"items":[]})",
-                              R"({"items":[{"id":1,"path":"/x"}]})",
-                              R"({"items":[{"id":"x"}]})",
-                              R"({"items":[{"id":"x","path":"/x",)"
-                              R"("body":"***"}]})" }) {
+    const std::vector<std::string> bodies{
+      "",
+      "{",
+      "[]",
+      R"({"items":{}})",
+      R"({"items":[]})",
+      R"({"items":[{"id":1,"path":"/x"}]})",
+      R"({"items":[{"id":"x"}]})",
+      R"({"items":[{"id":"x","path":"/x","body":"***"}]})"
+    };
+    for (const auto& body : bodies) {
       auto request = submission("b1", 1);
       request.body = body;
       const auto status = co_await submit(*node, std::move(request));
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -58,10 +58,8 @@
   }
 }
 
-FakeStore::FakeStore(net::asio::io_context& io,
-                     std::shared_ptr<FakeStoreTable> table)
-  : mIo(io)
-  , mTable(std::move(table))
+FakeStore::FakeStore(std::shared_ptr<FakeStoreTable> table)
+  : mTable(std::move(table))
 {
 }
 
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -41,7 +41,7 @@
 class FakeStore : public CoordinationStore
 {
 public:
-  FakeStore(net::asio::io_context& io, std::shared_ptr<FakeStoreTable> table);
+  explicit FakeStore(std::shared_ptr<FakeStoreTable> table);
 
   /// Calls are turned away.
   bool isCut = false;
@@ -68,7 +68,6 @@
 private:
   StoreCommit apply(const StoreTransaction& transaction);
 
-  net::asio::io_context& mIo;
   std::shared_ptr<FakeStoreTable> mTable;
   std::map<std::int64_t, core::Millis> mTimeToLive;
 };
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -22,7 +22,7 @@
 TestNode::TestNode(net::asio::io_context& io,
                    const std::string& instance,
                    std::shared_ptr<FakeStoreTable> table)
-  : store(io, std::move(table))
+  : store(std::move(table))
   , log(std::make_shared<spdlog::sinks::null_sink_st>())
   , context(io, settingsOf(instance), format, store, log)
   , cluster(context)
