Take a failed reader for what it is, and end the grace of missing servers

Cause: a follower whose reader was cut from the store noted an outage of the store, so that a server that left was kept for the grace of 2 s, and after that until the next change of the list. Ruled out: a slow reader, since the others had learned of it after 0.3 s. Change: only a failed read of the store counts as an outage; a missing server is not chosen after its grace, whether or not the list changes. Both tests failed before.

--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -78,6 +78,10 @@
                      TimePoint now) const
 {
   const auto& entry = server.entry;
+  const auto missing = mMissingSince.find(entry.id);
+  if (missing != mMissingSince.end() && now - missing->second >= kReturnGrace) {
+    return false;
+  }
   if (entry.service != need.service || entry.draining || server.leaving ||
       need.exclude.contains(entry.id)) {
     return false;
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -141,7 +141,6 @@
                              { "age_ms", age() },
                              { "outcome", "failed" } });
       mChoice.noteFailure(*reader, Clock::now());
-      mContext.registry.noteDirectoryFailure(Clock::now());
     }
   }
 }
--- a/tests/core/server_registry_test.cpp
+++ b/tests/core/server_registry_test.cpp
@@ -92,6 +92,19 @@
   EXPECT_EQ(registry.choose(need(), kNow, 0), nullptr);
 }
 
+// Guards against a server that stays because nothing else changes in the list
+// after its grace.
+TEST(ServerRegistryTest, GraceEndsWithoutAnotherList)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a") }, kNow);
+  registry.noteDirectoryFailure(kNow);
+  registry.apply({}, kNow + Millis(100));
+  const auto end = kNow + Millis(100) + ServerRegistry::kReturnGrace;
+  EXPECT_NE(registry.choose(need(), end - Millis(1), 0), nullptr);
+  EXPECT_EQ(registry.choose(need(), end, 0), nullptr);
+}
+
 // Guards against an entry that is kept although the directory worked.
 TEST(ServerRegistryTest, MissingEntryIsGoneWhenTheDirectoryWorks)
 {
--- a/tests/gateway/state_feed_test.cpp
+++ b/tests/gateway/state_feed_test.cpp
@@ -105,6 +105,33 @@
   });
 }
 
+// Guards against a reader in trouble that is taken for an outage of the store,
+// after which servers that have gone are kept for a while.
+TEST_F(StateFeedTest, FailedReaderIsNoOutageOfTheStore)
+{
+  for (const auto* name : { "b", "c", "d" }) {
+    mTable->put(keys::instance(name), R"({"peers":"127.0.0.1:1"})");
+  }
+  mTable->put("servers/s1",
+              R"({"service":"engine","address":"127.0.0.1:2","zone":"north",)"
+              R"("slots":4,"state":"ready","born":1})");
+  auto node = makeNode("a");
+  core::ReaderChoice choice("a");
+  choice.setMembers({ "a", "b", "c", "d" });
+  ASSERT_FALSE(choice.isReader());
+  mTable->put(keys::instance("a"), R"({"peers":"127.0.0.1:1"})");
+  run([&]() -> net::Awaitable<void> {
+    co_await untilFed(*node);
+    EXPECT_FALSE(node->context.registry.empty());
+    // Long enough to ask both readers.
+    co_await net::sleepFor(Millis(400));
+    mTable->remove("servers/s1");
+    co_await until(
+      [&] { return node->context.mirrors.servers.items().empty(); });
+    EXPECT_TRUE(node->context.registry.empty());
+  });
+}
+
 // Guards against a desired state that goes back.
 TEST_F(StateFeedTest, OlderStateIsNotTaken)
 {
