Hold a stand-in's stream until the new weights are loaded

Cause: EngineClientTest.SwapInMidStreamIsToldPerSegment let a generation of 0.2 s race a load of weights in real time, and failed once beside load with one segment instead of two. The engine stand-in now has the control hold_after_tokens; the test holds the stream after 100 tokens until the load is done. BoundVersionIsKeptOrRefused had the same race and holds too.

--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -265,6 +265,12 @@
   if (isCut) {
     count = std::max<std::int64_t>(mCutAfter - stream.run.tokens, 0);
   }
+  const bool isHeld = mHoldAfter > 0 && stream.run.tokens + count > mHoldAfter;
+  if (isHeld) {
+    count = std::max<std::int64_t>(mHoldAfter - stream.run.tokens, 0);
+    // Nothing is produced meanwhile that would be sent at once afterwards.
+    stream.due = static_cast<double>(count);
+  }
   if (count == 0) {
     co_return !isCut;
   }
@@ -426,6 +432,8 @@
     reader.integerOr("fail_loads", 0, kMostLoads, mFailLoads);
   const auto cutAfter =
     reader.integerOr("cut_after_tokens", 0, kMostTokens, mCutAfter);
+  const auto holdAfter =
+    reader.integerOr("hold_after_tokens", 0, kMostTokens, mHoldAfter);
   const bool checksFencing =
     reader.optional("check_fencing", mOptions.checksFencing);
   const bool refuses = reader.optional("refuse", mRefuses);
@@ -435,6 +443,7 @@
   return [=, this] {
     mFailLoads = failLoads;
     mCutAfter = cutAfter;
+    mHoldAfter = holdAfter;
     mOptions.checksFencing = checksFencing;
     mRefuses = refuses;
     if (dropEvents > 0) {
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -93,6 +93,8 @@
   std::int64_t mFailLoads = 0;
   /// 0: streams are not cut.
   std::int64_t mCutAfter = 0;
+  /// 0: streams are not held.
+  std::int64_t mHoldAfter = 0;
   bool mRefuses = false;
   LaggedValue<wire::Json> mReport;
 };
--- a/tests/backends/engine_client_test.cpp
+++ b/tests/backends/engine_client_test.cpp
@@ -149,6 +149,8 @@
 {
   run([&]() -> Awaitable<void> {
     const auto prompt = std::string("len=400");
+    // The run waits in its middle until the new weights are loaded.
+    co_await control(mEngine.server(), R"({"hold_after_tokens":100})");
     const auto swapper = [&]() -> Awaitable<void> {
       while (mChunks.empty()) {
         co_await net::sleepFor(Millis(1));
@@ -160,6 +162,7 @@
                                                mStore.server().endpoint(),
                                                Millis(5000));
       EXPECT_FALSE(error);
+      co_await control(mEngine.server(), R"({"hold_after_tokens":0})");
     };
     net::spawn(mIo, swapper());
     const auto outcome = co_await generate(call("r#1", prompt));
@@ -187,13 +190,15 @@
     EXPECT_EQ(refused.verdict, Verdict::NotRun);
     EXPECT_EQ(refused.reason, "refused");
 
+    co_await control(mEngine.server(), R"({"hold_after_tokens":100})");
     auto bound = call("r#2", "len=1000");
     bound.request.version = 1;
     const auto swapper = [&]() -> Awaitable<void> {
       while (mChunks.empty()) {
         co_await net::sleepFor(Millis(1));
       }
-      co_await control(mEngine.server(), R"({"version":2})");
+      co_await control(mEngine.server(),
+                       R"({"version":2,"hold_after_tokens":0})");
     };
     net::spawn(mIo, swapper());
     const auto cut = co_await generate(std::move(bound));
