--- a/src/backends/call_outcome.cpp
+++ b/src/backends/call_outcome.cpp
@@ -1,9 +1,8 @@
 #include "backends/call_outcome.h"
 
+#include "core/decimal.h"
 #include "net/error.h"
 
-#include <charconv>
-
 namespace lentilrack::backends {
 
 namespace {
@@ -48,13 +47,8 @@
 retryAfter(const net::HttpResponse& response)
 {
   const auto text = net::headerValue(response.headers, "Retry-After");
-  std::uint32_t seconds = 0;
-  const auto [end, error] =
-    std::from_chars(text.data(), text.data() + text.size(), seconds);
-  const bool isNumber =
-    error == std::errc{} && end == text.data() + text.size();
-  return isNumber ? core::Millis(std::int64_t{ seconds } * 1000)
-                  : core::Millis(0);
+  const auto seconds = core::parseDecimal<std::uint32_t>(text).value_or(0);
+  return std::chrono::seconds(seconds);
 }
 
 } // namespace lentilrack::backends
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -1,7 +1,8 @@
 #include "core/endpoint.h"
 
+#include "core/decimal.h"
+
 #include <algorithm>
-#include <charconv>
 
 namespace lentilrack::core {
 
@@ -36,14 +37,12 @@
     address = address.substr(1, address.size() - 2);
   }
   Endpoint endpoint;
-  const auto [end, error] = std::from_chars(
-    digits.data(), digits.data() + digits.size(), endpoint.port);
-  const bool isNumber =
-    error == std::errc{} && end == digits.data() + digits.size();
-  if (!isNumber || address.empty() ||
+  const auto port = parseDecimal<std::uint16_t>(digits);
+  if (!port || address.empty() ||
       !std::ranges::all_of(address, isAddressCharacter)) {
     return std::nullopt;
   }
+  endpoint.port = *port;
   endpoint.address = address;
   return endpoint;
 }
--- a/src/core/event_text.cpp
+++ b/src/core/event_text.cpp
@@ -1,23 +1,12 @@
 #include "core/event_text.h"
 
+#include "core/decimal.h"
+
 #include <algorithm>
-#include <charconv>
 #include <iterator>
 
 namespace lentilrack::core {
 
-namespace {
-
-std::int64_t
-parseNumber(std::string_view text)
-{
-  std::int64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
-} // namespace
-
 EventCutter::EventCutter(std::string versionField)
   : mVersionField(std::move(versionField))
 {
@@ -66,13 +55,13 @@
       value.remove_prefix(1);
     }
     if (name == "id") {
-      event.number = parseNumber(value);
+      event.number = parseDecimal<std::int64_t>(value).value_or(0);
     } else if (name == "data") {
       event.data += hasData ? "\n" : "";
       event.data += value;
       hasData = true;
     } else if (name == mVersionField) {
-      event.version = parseNumber(value);
+      event.version = parseDecimal<std::int64_t>(value).value_or(0);
     }
   }
   return event;
--- a/src/core/rollout_batch.cpp
+++ b/src/core/rollout_batch.cpp
@@ -82,7 +82,6 @@
 BatchProgress::begin(std::size_t item)
 {
   mItems[item].state = State::Running;
-  ++mRunning;
 }
 
 void
@@ -91,7 +90,6 @@
   if (mItems[item].state == State::Running) {
     mItems[item].state = State::Waiting;
     mItems[item].notBefore = notBefore;
-    --mRunning;
   }
 }
 
@@ -102,7 +100,6 @@
   if (state == State::Finished) {
     return false;
   }
-  mRunning -= state == State::Running ? 1 : 0;
   state = State::Finished;
   ++mFinished;
   --mOpenOfGroup[mItems[item].group];
--- a/src/core/rollout_batch.h
+++ b/src/core/rollout_batch.h
@@ -93,8 +93,6 @@
 
   bool isFinished(std::size_t item) const;
   bool allFinished() const { return mFinished == mItems.size(); }
-  std::size_t finishedCount() const { return mFinished; }
-  std::size_t runningCount() const { return mRunning; }
   std::size_t size() const { return mItems.size(); }
   bool groupIsWhole(std::size_t item) const;
   std::optional<std::size_t> indexOf(const std::string& itemId) const;
@@ -123,7 +121,6 @@
   std::vector<std::size_t> mOpenOfGroup;
   std::map<std::string, std::size_t> mIndex;
   std::size_t mFinished = 0;
-  std::size_t mRunning = 0;
 };
 
 } // namespace lentilrack::core
--- a/src/core/row_fields.cpp
+++ b/src/core/row_fields.cpp
@@ -1,10 +1,11 @@
 #include "core/row_fields.h"
 
+#include "core/decimal.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace lentilrack::core {
 
@@ -20,13 +21,10 @@
 std::optional<T>
 parseNumber(std::string_view text, T low, T high)
 {
-  T value{};
-  const auto* end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, value);
+  const auto value = parseDecimal<T>(text);
   // A comparison that is false for NaN.
-  const bool isInRange = value >= low && value <= high;
-  return error == std::errc{} && rest == end && isInRange ? std::optional(value)
-                                                          : std::nullopt;
+  const bool isInRange = value && *value >= low && *value <= high;
+  return isInRange ? value : std::nullopt;
 }
 
 RowField
--- a/src/core/ticket.cpp
+++ b/src/core/ticket.cpp
@@ -1,10 +1,11 @@
 #include "core/ticket.h"
 
+#include "core/decimal.h"
+
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
 #include <array>
-#include <charconv>
 
 namespace lentilrack::core {
 
@@ -153,15 +154,12 @@
     return std::nullopt;
   }
   const auto digits = text.substr(dot + 1);
-  RequestId id{ std::string(text.substr(0, dot)), 0 };
-  const auto [end, error] =
-    std::from_chars(digits.data(), digits.data() + digits.size(), id.sequence);
+  const auto sequence = parseDecimal<decltype(RequestId::sequence)>(digits);
   // Leading zeros would give one request several texts.
-  if (error != std::errc{} || end != digits.data() + digits.size() ||
-      (digits.size() > 1 && digits.front() == '0')) {
+  if (!sequence || (digits.size() > 1 && digits.front() == '0')) {
     return std::nullopt;
   }
-  return id;
+  return RequestId{ std::string(text.substr(0, dot)), *sequence };
 }
 
 } // namespace lentilrack::core
--- a/src/core/weight_wave.cpp
+++ b/src/core/weight_wave.cpp
@@ -143,11 +143,4 @@
   return result;
 }
 
-std::string
-WeightWave::modelOf(const std::string& serverId) const
-{
-  const auto found = mAssigned.find(serverId);
-  return found == mAssigned.end() ? "" : found->second;
-}
-
 } // namespace lentilrack::core
--- a/src/core/weight_wave.h
+++ b/src/core/weight_wave.h
@@ -63,8 +63,6 @@
     TimePoint since;
   };
   std::vector<Load> loads() const;
-  /// The model that a server serves; empty if it is not decided.
-  std::string modelOf(const std::string& serverId) const;
 
 private:
   void assign(const std::vector<const RegisteredServer*>& servers,
--- a/src/dispatch/chunk_store.cpp
+++ b/src/dispatch/chunk_store.cpp
@@ -1,9 +1,9 @@
 #include "dispatch/chunk_store.h"
 
 #include "backends/weight_store_client.h"
+#include "core/decimal.h"
 
 #include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <sstream>
 #include <vector>
@@ -96,11 +96,8 @@
 std::optional<std::int64_t>
 parseCount(const std::string& text)
 {
-  std::int64_t value = 0;
-  const auto* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, value);
-  const bool whole = result.ec == std::errc() && result.ptr == end;
-  return whole && value >= 0 ? std::optional(value) : std::nullopt;
+  const auto value = core::parseDecimal<std::int64_t>(text);
+  return value && *value >= 0 ? value : std::nullopt;
 }
 
 bool
--- a/src/entry/admin_api.cpp
+++ b/src/entry/admin_api.cpp
@@ -1,12 +1,12 @@
 #include "entry/admin_api.h"
 
 #include "backends/error.h"
+#include "core/decimal.h"
 #include "core/table_csv.h"
 #include "entry/admin_answer.h"
 #include "entry/admin_views.h"
 #include "wire/table_codec.h"
 
-#include <charconv>
 #include <optional>
 
 namespace lentilrack::entry {
@@ -23,12 +23,8 @@
 std::optional<std::int64_t>
 parseRevision(const std::string& text)
 {
-  std::int64_t revision = 0;
-  const auto* end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, revision);
-  return error == std::errc{} && rest == end && revision >= 1
-           ? std::optional(revision)
-           : std::nullopt;
+  const auto revision = core::parseDecimal<std::int64_t>(text);
+  return revision && *revision >= 1 ? revision : std::nullopt;
 }
 
 net::HttpResponse
--- a/src/entry/call_api.cpp
+++ b/src/entry/call_api.cpp
@@ -1,9 +1,8 @@
 #include "entry/call_api.h"
 
+#include "core/decimal.h"
 #include "entry/request_guard.h"
 
-#include <charconv>
-
 namespace lentilrack::entry {
 
 using core::Verdict;
@@ -44,13 +43,11 @@
   headers.idempotent = idempotent == "true";
   const auto deadline = request.header("X-Deadline-Ms");
   if (!deadline.empty()) {
-    std::int64_t value = 0;
-    const auto* const end = deadline.data() + deadline.size();
-    const auto [parsed, error] = std::from_chars(deadline.data(), end, value);
-    if (error != std::errc{} || parsed != end || value < 1) {
+    const auto value = core::parseDecimal<std::int64_t>(deadline);
+    if (!value || *value < 1) {
       return badHeader("the header X-Deadline-Ms must be a positive integer");
     }
-    headers.deadlineMs = value;
+    headers.deadlineMs = *value;
   }
   return headers;
 }
--- /dev/null
+++ b/src/gateway/batch_reader.cpp
@@ -0,0 +1,280 @@
+#include "gateway/batch_reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Millis;
+
+/// What the owner may take longer than the trainer wants to wait.
+constexpr Millis kPeerMargin{ 500 };
+constexpr Millis kPeerTimeout{ 700 };
+constexpr Millis kLongestWait{ 2'000 };
+/// Callers read at most 1 MB at once.
+constexpr std::size_t kPageBytes = 900'000;
+constexpr std::size_t kLongestId = 100;
+/// Callers come back after this time when the store does not answer.
+constexpr Millis kRetryAfter{ 200 };
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+
+net::HttpResponse
+bodyOf(const core::BatchItem& item)
+{
+  net::HttpResponse response;
+  response.contentType = "application/octet-stream";
+  response.body = item.body;
+  return response;
+}
+
+} // namespace
+
+bool
+isValidBatchId(const std::string& id)
+{
+  return !id.empty() && id.size() <= kLongestId &&
+         std::ranges::all_of(id, [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+BatchReader::BatchReader(
+  Context& context,
+  ClusterView& cluster,
+  PeerClient& peers,
+  std::function<std::shared_ptr<BatchRun>(const std::string&)> ownRun)
+  : mContext(context)
+  , mCluster(cluster)
+  , mPeers(peers)
+  , mOwnRun(std::move(ownRun))
+{
+}
+
+net::Awaitable<BatchPresence>
+BatchReader::lookUp(std::string id)
+{
+  if (mCluster.batches().contains(id) || mOwnRun(id)) {
+    co_return BatchPresence::Known;
+  }
+  if (!isValidBatchId(id)) {
+    co_return BatchPresence::Absent;
+  }
+  const auto item = co_await mContext.store.read(keys::batch(id));
+  if (!item) {
+    co_return BatchPresence::Unsure;
+  }
+  if (!item.value()) {
+    co_return BatchPresence::Absent;
+  }
+  mCluster.takeItem(*item.value());
+  co_return BatchPresence::Known;
+}
+
+net::Awaitable<core::Result<StoredBatch>>
+BatchReader::load(std::string id, BatchRecord record)
+{
+  auto listing = co_await mContext.store.list(keys::dataPrefix(id));
+  if (!listing) {
+    co_return listing.error();
+  }
+  auto items = std::move(listing.value().items);
+  const auto resultsPrefix = keys::resultsPrefix(id);
+  const auto chunks = std::ranges::partition(items, [&](const StoreItem& item) {
+    return !item.key.starts_with(resultsPrefix);
+  });
+  StoredBatch stored;
+  stored.results = joinChunks({ chunks.begin(), chunks.end() });
+  items.erase(chunks.begin(), chunks.end());
+  std::ranges::sort(items, {}, &StoreItem::key);
+  std::string body;
+  std::ranges::for_each(items, [&](const auto& part) { body += part.value; });
+  auto spec = mContext.format.decodeBatch(id, record.host, record.path, body);
+  if (!spec) {
+    co_return make_error_code(StoreError::BadAnswer);
+  }
+  stored.spec =
+    std::make_shared<const core::BatchSpec>(std::move(spec).value());
+  co_return stored;
+}
+
+net::Awaitable<std::optional<net::HttpResponse>>
+BatchReader::askOwner(std::string id, net::HttpRequest request, Millis timeout)
+{
+  const auto* owner = mCluster.ownerOf(id);
+  if (owner == nullptr || mCluster.isSelf(*owner)) {
+    co_return std::nullopt;
+  }
+  const auto instance = owner->instance;
+  auto answer = co_await mPeers.ask(instance, std::move(request), timeout);
+  if (answer) {
+    // Headers of the call between the processes.
+    answer->headers.clear();
+  }
+  co_return answer;
+}
+
+net::HttpResponse
+BatchReader::page(std::size_t total,
+                  std::size_t after,
+                  const std::vector<StoredResult>& results) const
+{
+  std::vector<std::string> texts;
+  std::size_t size = 0;
+  auto next = after;
+  while (next < results.size() &&
+         (texts.empty() || size + results[next].text.size() < kPageBytes)) {
+    size += results[next].text.size();
+    texts.push_back(results[next].text);
+    ++next;
+  }
+  net::HttpResponse response;
+  response.body = mContext.format.encodeResults(total, next, texts);
+  return response;
+}
+
+net::Awaitable<net::HttpResponse>
+BatchReader::readOwn(ReadBatch call)
+{
+  const auto batch = mOwnRun(call.id);
+  // A run that another process has taken over knows only a part.
+  const auto isCut = [&batch] {
+    return batch->isStopped() && !batch->results().isWhole();
+  };
+  if (!batch || isCut()) {
+    co_return failure(kNotFound, "not_the_owner");
+  }
+  co_await batch->waitForResults(call.after, std::min(call.wait, kLongestWait));
+  if (isCut()) {
+    co_return failure(kNotFound, "not_the_owner");
+  }
+  const auto& results = batch->results();
+  co_return page(results.total(), call.after, results.listed());
+}
+
+net::Awaitable<net::HttpResponse>
+BatchReader::readStored(ReadBatch call)
+{
+  const auto known = mCluster.batches().find(call.id);
+  const auto total =
+    known != mCluster.batches().end() ? known->second.total : 0;
+  auto listing = co_await mContext.store.list(keys::resultsPrefix(call.id));
+  if (!listing || total == 0) {
+    co_return refusal(503, "store_unavailable", kRetryAfter);
+  }
+  const auto results = joinChunks(std::move(listing.value().items));
+  co_return page(total, call.after, results);
+}
+
+net::Awaitable<net::HttpResponse>
+BatchReader::readElsewhere(ReadBatch call)
+{
+  const auto presence = co_await lookUp(call.id);
+  if (presence == BatchPresence::Absent) {
+    co_return failure(kNotFound, "no_such_batch");
+  }
+  if (presence == BatchPresence::Unsure) {
+    co_return refusal(503, "store_unavailable", kRetryAfter);
+  }
+  net::HttpRequest request;
+  request.target = fmt::format("{}{}?after={}&wait={}",
+                               peer_paths::kResults,
+                               call.id,
+                               call.after,
+                               call.wait.count());
+  auto told =
+    co_await askOwner(call.id, std::move(request), call.wait + kPeerMargin);
+  if (told && told->status == kOk) {
+    co_return std::move(*told);
+  }
+  co_return co_await readStored(call);
+}
+
+net::Awaitable<void>
+BatchReader::read(net::HttpExchange& exchange, ReadBatch call)
+{
+  auto response = co_await readOwn(call);
+  if (response.status == kNotFound) {
+    response = co_await readElsewhere(call);
+  }
+  if (response.status != kOk) {
+    mContext.log.info("batch_read",
+                      { { "batch", call.id },
+                        { "after", call.after },
+                        { "status", response.status },
+                        { "outcome", response.body } });
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+net::HttpResponse
+BatchReader::itemBodyOfOwn(const ReadItemBody& call) const
+{
+  const auto batch = mOwnRun(call.id);
+  if (!batch || batch->isStopped()) {
+    return failure(kNotFound, "not_the_owner");
+  }
+  const auto item = batch->progress().indexOf(call.item);
+  if (!item || batch->results().isListed(*item)) {
+    return failure(kGone, "no_such_item");
+  }
+  return bodyOf(batch->spec().items[*item]);
+}
+
+net::Awaitable<net::HttpResponse>
+BatchReader::itemBodyElsewhere(ReadItemBody call)
+{
+  const auto presence = co_await lookUp(call.id);
+  if (presence == BatchPresence::Absent) {
+    co_return failure(kNotFound, "no_such_batch");
+  }
+  if (presence == BatchPresence::Unsure) {
+    co_return refusal(503, "store_unavailable", kRetryAfter);
+  }
+  net::HttpRequest request;
+  request.target =
+    fmt::format("{}{}?item={}", peer_paths::kItemBody, call.id, call.item);
+  auto told = co_await askOwner(call.id, std::move(request), kPeerTimeout);
+  if (told && told->status != kNotFound) {
+    co_return std::move(*told);
+  }
+  const auto record = mCluster.batches().at(call.id);
+  const auto stored = co_await load(call.id, record);
+  if (!stored) {
+    co_return refusal(503, "store_unavailable", kRetryAfter);
+  }
+  const auto& items = stored.value().spec->items;
+  const auto found = std::ranges::find(items, call.item, &core::BatchItem::id);
+  if (found == items.end()) {
+    co_return failure(kNotFound, "no_such_item");
+  }
+  co_return bodyOf(*found);
+}
+
+net::Awaitable<void>
+BatchReader::readItemBody(net::HttpExchange& exchange, ReadItemBody call)
+{
+  auto response = itemBodyOfOwn(call);
+  if (response.status == kNotFound) {
+    response = co_await itemBodyElsewhere(call);
+  }
+  if (response.status == kGone) {
+    response.status = kNotFound;
+  }
+  if (response.status != kOk) {
+    mContext.log.info("item_body",
+                      { { "batch", call.id },
+                        { "item", call.item },
+                        { "status", response.status },
+                        { "outcome", response.body } });
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+} // namespace lentilrack::gateway
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -1,12 +1,10 @@
 #include "gateway/batch_run.h"
 
-#include "net/error.h"
-
-#include <fmt/format.h>
+#include "core/decimal.h"
+#include "gateway/item_score.h"
+#include "gateway/server_answer.h"
 
 #include <algorithm>
-#include <charconv>
-#include <numeric>
 
 namespace lentilrack::gateway {
 
@@ -35,26 +33,11 @@
 /// Pauses before an item is tried again.
 constexpr Millis kAfterRefusal{ 25 };
 constexpr Millis kAfterFailure{ 10 };
-constexpr Millis kRewardPause{ 20 };
-/// Results are gathered until a group is whole, but not longer than this.
-constexpr Millis kLongestGathering{ 250 };
-/// Shortest time between two writes, which keeps a batch under 10 a second.
-constexpr Millis kWritePause{ 100 };
-constexpr Millis kStorePause{ 50 };
 
 constexpr int kOk = 200;
-constexpr int kMisdirected = 421;
 constexpr int kUnprocessable = 422;
 constexpr int kServerError = 500;
 
-std::int64_t
-parseNumber(const std::string& text)
-{
-  std::int64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
 } // namespace
 
 /// One run of an item at one server.
@@ -73,41 +56,6 @@
   bool hasOldWeights = false;
 };
 
-std::string
-encodeChunk(const std::vector<StoredResult>& results)
-{
-  return std::accumulate(results.begin(),
-                         results.end(),
-                         std::string(),
-                         [](std::string chunk, const StoredResult& result) {
-                           chunk += std::to_string(result.item);
-                           chunk += ' ';
-                           chunk += result.text;
-                           chunk += '\n';
-                           return chunk;
-                         });
-}
-
-std::vector<StoredResult>
-decodeChunk(const std::string& chunk)
-{
-  std::vector<StoredResult> results;
-  std::size_t start = 0;
-  for (auto end = chunk.find('\n'); end != std::string::npos;
-       end = chunk.find('\n', start)) {
-    StoredResult result;
-    const auto* last = chunk.data() + end;
-    const auto parsed =
-      std::from_chars(chunk.data() + start, last, result.item);
-    if (parsed.ec == std::errc{} && parsed.ptr != last) {
-      result.text.assign(parsed.ptr + 1, last);
-      results.push_back(std::move(result));
-    }
-    start = end + 1;
-  }
-  return results;
-}
-
 BatchRun::BatchRun(Context& context,
                    ClusterView& cluster,
                    Forwarder& forwarder,
@@ -118,25 +66,21 @@
   , mCluster(cluster)
   , mForwarder(forwarder)
   , mSpec(std::move(spec))
-  , mRecord(std::move(record))
-  , mOwnerRevision(ownerRevision)
+  , mSubmittedAt(record.submittedAt)
   , mProgress(mSpec)
   , mRuns(mSpec->items.size())
-  , mIsListed(mSpec->items.size(), false)
+  , mResults(context, cluster, mSpec->id, std::move(record), ownerRevision)
   , mWorkChanged(context.io)
-  , mResultsChanged(context.io)
 {
 }
 
 void
 BatchRun::restore(std::vector<StoredResult> results)
 {
-  for (auto& result : results) {
-    if (result.item < mProgress.size() && mProgress.finish(result.item)) {
-      mIsListed[result.item] = true;
-      mListed.push_back(std::move(result));
-    }
-  }
+  std::erase_if(results, [this](const StoredResult& result) {
+    return result.item >= mProgress.size() || !mProgress.finish(result.item);
+  });
+  mResults.restore(std::move(results));
 }
 
 void
@@ -158,7 +102,7 @@
   mContext.log.info("batch_stopped",
                     { { "batch", mSpec->id },
                       { "reason", reason },
-                      { "listed", mListed.size() },
+                      { "listed", mResults.listed().size() },
                       { "total", mProgress.size() } });
   for (auto& run : mRuns) {
     if (run.cancel) {
@@ -166,8 +110,7 @@
     }
   }
   mWorkChanged.notify();
-  mResultsChanged.notify();
-  mReaders.notifyAll();
+  mResults.stop();
 }
 
 net::Awaitable<void>
@@ -175,27 +118,17 @@
 {
   const auto self = shared_from_this();
   stop("handed_over");
-  StoreTransaction transaction;
-  transaction.expectations = { { keys::owner(mSpec->id), mOwnerRevision } };
-  transaction.deletes = { keys::owner(mSpec->id) };
-  const auto commit = co_await mContext.store.commit(std::move(transaction));
-  mContext.log.info(
-    "batch_handed_over",
-    { { "batch", mSpec->id },
-      { "outcome", commit.error ? commit.error.message() : "done" } });
+  const auto error = co_await mResults.release();
+  mContext.log.info("batch_handed_over",
+                    { { "batch", mSpec->id },
+                      { "outcome", error ? error.message() : "done" } });
 }
 
 net::Awaitable<void>
 BatchRun::waitForResults(std::size_t after, Millis most)
 {
   const auto self = shared_from_this();
-  const auto end = Clock::now() + most;
-  while (mListed.size() <= after && mListed.size() < mProgress.size() &&
-         !mIsStopped && Clock::now() < end) {
-    co_await mReaders.wait(
-      mContext.io,
-      std::chrono::duration_cast<Millis>(end - Clock::now()) + Millis(1));
-  }
+  co_await mResults.waitForMore(after, most);
 }
 
 const core::Route*
@@ -218,7 +151,7 @@
     }
     const auto* batchRoute = route();
     const auto giveUpAt =
-      mRecord.submittedAt +
+      mSubmittedAt +
       (batchRoute != nullptr ? batchRoute->itemLifetime : kLongestRun);
     const bool isTooOld = unixNow() >= giveUpAt;
     while (!mIsStopped && startNext()) {
@@ -303,15 +236,16 @@
   call.request.body = spec.body;
   call.acceptHeader = [this, item, run](const net::HttpResponse& response) {
     const auto& header = mContext.format.headers();
-    const auto echoed = net::headerValue(response.headers, header.requestId);
-    if (!echoed.empty() && echoed != mSpec->items[item].id) {
+    if (!answersRequest(response, header, mSpec->items[item].id)) {
       return false;
     }
     if (response.status != kOk) {
       return true;
     }
     const auto version =
-      parseNumber(net::headerValue(response.headers, header.weightVersion));
+      core::parseDecimal<std::int64_t>(
+        net::headerValue(response.headers, header.weightVersion))
+        .value_or(0);
     run->hasOldWeights = version < mSpec->minVersion;
     run->isAccepted = !run->hasOldWeights &&
                       !net::headerValue(response.headers, header.stamp).empty();
@@ -380,7 +314,7 @@
                              std::chrono::duration<double, std::milli>(
                                Clock::now() - mRuns[item].startedAt)
                                .count());
-    co_await scoreItem(item);
+    co_await scoreText(item);
   }
 }
 
@@ -390,8 +324,8 @@
                    RunResult& run)
 {
   const auto now = Clock::now();
-  const auto& names = mContext.format.headers();
   const auto& server = run.server;
+  const auto answer = classifyAnswer(result, mContext.format.headers());
   std::string reason = "answered";
   if (run.hasOldWeights) {
     reason = "old_weights";
@@ -402,26 +336,14 @@
     reason = "events_out_of_order";
     mContext.registry.failed(server, now);
     putBack(item, kAfterFailure);
-  } else if (result.error) {
-    reason = result.error.message();
-    const bool isStale = result.onKeptConnection && run.isAccepted == false &&
-                         result.error == net::NetError::ConnectionLost;
-    const bool isOwnChoice = result.error == net::NetError::Cancelled;
-    if (!isStale && !isOwnChoice) {
-      mContext.registry.failed(server, now);
+  } else if (answer != ServerAnswer::Answered) {
+    reason = result.error ? result.error.message() : "refused";
+    noteTrouble(mContext.registry, server, answer, now);
+    if (answer != ServerAnswer::Cancelled &&
+        answer != ServerAnswer::ClosedWhenIdle) {
       mServerOfGroup.erase(mSpec->items[item].group);
     }
-    putBack(item, kAfterFailure);
-  } else if (!net::headerValue(result.response.headers, names.notRun).empty() ||
-             result.response.status == kMisdirected) {
-    reason = "refused";
-    if (result.response.status == kMisdirected) {
-      mContext.registry.noteLeaving(server);
-    } else {
-      mContext.registry.refused(server, now);
-    }
-    mServerOfGroup.erase(mSpec->items[item].group);
-    putBack(item, kAfterRefusal);
+    putBack(item, result.error ? kAfterFailure : kAfterRefusal);
   } else if (result.response.status == kUnprocessable) {
     reason = "cannot_be_done";
     finish({ item, core::ItemOutcome::Dead, "", {}, "" });
@@ -452,9 +374,9 @@
 }
 
 net::Awaitable<void>
-BatchRun::scoreItem(std::size_t item)
+BatchRun::scoreText(std::size_t item)
 {
-  const auto& reward = mSpec->items[item].reward;
+  const auto& spec = mSpec->items[item];
   auto& state = mRuns[item];
   core::ItemResult result{ item,
                            core::ItemOutcome::Completed,
@@ -467,56 +389,27 @@
     putBack(item, kAfterFailure);
     co_return;
   }
-  const auto& names = mContext.format.headers();
-  // The run's own signal may have been used by its supervision just before the
-  // answer was whole.
-  state.cancel = std::make_shared<net::CancelSignal>();
-  while (reward && result.score.empty()) {
-    if (mIsStopped) {
-      co_return;
-    }
-    const auto desired = mContext.desired;
-    const auto* rewardRoute =
-      desired ? desired->match(reward->host, reward->path) : nullptr;
-    if (rewardRoute == nullptr) {
-      co_await net::sleepFor(kDispatchPause);
-      continue;
-    }
-    ServiceCall call;
-    call.id = reward->id;
-    call.service = rewardRoute->pickService(mContext.draw());
-    call.request.method = "POST";
-    call.request.target = reward->path;
-    call.request.headers = { { "Host", reward->host },
-                             { names.requestId, reward->id } };
-    call.request.body = reward->body;
-    call.maxAttempts = 2;
-    call.isRepeatable = true;
-    call.retriesFailures = false;
-    call.mayHedge = true;
-    call.deadline = Clock::now() + rewardRoute->timeout;
-    call.cancel = state.cancel;
-    const auto outcome = co_await mForwarder.call(std::move(call));
-    const auto status = outcome.response.status;
-    if (outcome.end == CallEnd::Answered && status / 100 == 2) {
-      result.score = net::headerValue(outcome.response.headers, names.stamp);
-      break;
-    }
-    mContext.log.info("reward_call",
-                      { { "batch", mSpec->id },
-                        { "item", mSpec->items[item].id },
-                        { "request", reward->id },
-                        { "server", outcome.server },
-                        { "status", status },
-                        { "outcome", outcome.reason } });
-    const bool isFailure =
-      outcome.end == CallEnd::Answered && status == kServerError;
-    if (isFailure &&
-        mProgress.noteRewardFailure(item) >= rewardRoute->maxAttempts) {
+  if (spec.reward) {
+    // The run's own signal may have been used by its supervision just before
+    // the answer was whole.
+    state.cancel = std::make_shared<net::CancelSignal>();
+    ScoreRequest request;
+    request.batch = mSpec->id;
+    request.item = spec.id;
+    request.reward = *spec.reward;
+    request.cancel = state.cancel;
+    request.noteFailure = [this, item] {
+      return mProgress.noteRewardFailure(item);
+    };
+    const auto outcome =
+      co_await scoreItem(mContext, mForwarder, std::move(request));
+    if (outcome.end == ScoreEnd::Failed) {
       result = { item, core::ItemOutcome::Dead, "", {}, "" };
-      break;
     }
-    co_await net::sleepFor(kRewardPause);
+    if (outcome.end == ScoreEnd::Cancelled) {
+      co_return;
+    }
+    result.score = outcome.score;
   }
   if (!mIsStopped) {
     finish(std::move(result));
@@ -537,15 +430,12 @@
   if (!mProgress.finish(item)) {
     return;
   }
-  if (mPending.empty()) {
-    mFirstPendingAt = Clock::now();
-  }
-  mPending.push_back({ item, mContext.format.encodeResult(*mSpec, result) });
+  StoredResult stored{ item, mContext.format.encodeResult(*mSpec, result) };
+  mResults.add(std::move(stored), mProgress.groupIsWhole(item));
   mRuns[item].text.clear();
   mContext.metrics.increment(result.outcome == core::ItemOutcome::Completed
                                ? "items_completed_total"
                                : "items_dead_total");
-  mResultsChanged.notify();
   mWorkChanged.notify();
 }
 
@@ -630,150 +520,13 @@
   }
 }
 
-bool
-BatchRun::hasWholeGroupPending() const
-{
-  return std::ranges::any_of(mPending, [this](const StoredResult& result) {
-    return mProgress.groupIsWhole(result.item);
-  });
-}
-
 net::Awaitable<void>
 BatchRun::writeResults()
 {
-  while (!mIsStopped && mListed.size() < mProgress.size()) {
-    const bool isDue = !mPending.empty() &&
-                       (hasWholeGroupPending() || mProgress.allFinished() ||
-                        Clock::now() - mFirstPendingAt >= kLongestGathering);
-    if (!isDue) {
-      co_await mResultsChanged.wait(kLongestGathering);
-      continue;
-    }
-    // A chunk stays well below the largest value of the store.
-    const auto limit = mContext.settings.storeValueBytes / 2;
-    std::vector<StoredResult> chunk;
-    std::size_t size = 0;
-    while (!mPending.empty() &&
-           (chunk.empty() || size + mPending.front().text.size() < limit)) {
-      size += mPending.front().text.size();
-      chunk.push_back(std::move(mPending.front()));
-      mPending.erase(mPending.begin());
-    }
-    const bool isWritten = co_await commitResults(chunk);
-    if (mIsStopped) {
-      co_return;
-    }
-    if (!isWritten) {
-      stop("owned_elsewhere");
-      co_return;
-    }
-    for (auto& result : chunk) {
-      mIsListed[result.item] = true;
-      mListed.push_back(std::move(result));
-    }
-    mReaders.notifyAll();
-    co_await net::sleepFor(kWritePause);
-  }
+  const auto ending = co_await mResults.write();
   if (!mIsStopped) {
-    stop("finished");
-  }
-}
-
-net::Awaitable<bool>
-BatchRun::commitResults(const std::vector<StoredResult>& chunk)
-{
-  const auto key = keys::results(mSpec->id, mListed.size());
-  const auto value = encodeChunk(chunk);
-  const bool isLast = mListed.size() + chunk.size() == mProgress.size();
-  while (!mIsStopped) {
-    StoreTransaction transaction;
-    transaction.expectations = { { keys::owner(mSpec->id), mOwnerRevision },
-                                 { key, 0 } };
-    transaction.writes = { { key, value, 0 } };
-    if (isLast) {
-      auto finished = mRecord;
-      finished.state = BatchState::Finished;
-      transaction.expectations.push_back(
-        { keys::batch(mSpec->id), mRecord.revision });
-      transaction.writes.push_back(
-        { keys::batch(mSpec->id), finished.encode(), 0 });
-      transaction.deletes = { keys::owner(mSpec->id) };
-    }
-    const auto commit = co_await mContext.store.commit(std::move(transaction));
-    if (!commit.error) {
-      mContext.log.info("results_written",
-                        { { "batch", mSpec->id },
-                          { "position", mListed.size() },
-                          { "count", chunk.size() },
-                          { "bytes", value.size() },
-                          { "revision", commit.revision } });
-      co_return true;
-    }
-    if (commit.error != StoreError::Conflict) {
-      mContext.log.warning("results_not_written",
-                           { { "batch", mSpec->id },
-                             { "position", mListed.size() },
-                             { "error", commit.error.message() } });
-      co_await net::sleepFor(kStorePause);
-      continue;
-    }
-    // An earlier try without an answer may have been done.
-    const auto written = co_await mContext.store.read(key);
-    if (!written) {
-      co_await net::sleepFor(kStorePause);
-      continue;
-    }
-    if (written.value()) {
-      co_return written.value()->value == value;
-    }
-    const bool isOwner = co_await reclaim();
-    if (!isOwner) {
-      co_return false;
-    }
-  }
-  co_return false;
-}
-
-net::Awaitable<bool>
-BatchRun::reclaim()
-{
-  const auto self = Holder{ mContext.settings.instance, mContext.lifetime, 0 };
-  while (!mIsStopped) {
-    const auto owner = co_await mContext.store.read(keys::owner(mSpec->id));
-    const auto record = co_await mContext.store.read(keys::batch(mSpec->id));
-    if (!owner || !record) {
-      co_await net::sleepFor(kStorePause);
-      continue;
-    }
-    const auto known =
-      record.value() ? BatchRecord::decode(*record.value()) : std::nullopt;
-    if (!known || known->state != BatchState::Open) {
-      co_return false;
-    }
-    mRecord.revision = known->revision;
-    if (owner.value()) {
-      const auto holder = Holder::decode(*owner.value());
-      const bool isOwn = holder && mCluster.isSelf(*holder);
-      mOwnerRevision = isOwn ? holder->revision : mOwnerRevision;
-      co_return isOwn;
-    }
-    if (mCluster.lease() == 0) {
-      co_await net::sleepFor(kStorePause);
-      continue;
-    }
-    StoreTransaction transaction;
-    transaction.expectations = { { keys::owner(mSpec->id), 0 } };
-    transaction.writes = {
-      { keys::owner(mSpec->id), self.encode(), mCluster.lease() }
-    };
-    const auto commit = co_await mContext.store.commit(std::move(transaction));
-    if (!commit.error) {
-      mOwnerRevision = commit.revision;
-      co_return true;
-    }
-    co_await net::sleepFor(kStorePause);
+    stop(ending == ResultLog::Ending::Whole ? "finished" : "owned_elsewhere");
   }
-  co_return false;
 }
 
 } // namespace lentilrack::gateway
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -4,7 +4,7 @@
 #include "core/rollout_batch.h"
 #include "gateway/cluster_view.h"
 #include "gateway/forwarder.h"
-#include "gateway/wait_list.h"
+#include "gateway/result_log.h"
 #include "net/notifier.h"
 
 #include <memory>
@@ -14,22 +14,8 @@
 
 namespace lentilrack::gateway {
 
-/// One result as it is stored and shown: its item and the text that callers
-/// read.
-struct StoredResult
-{
-  std::size_t item = 0;
-  std::string text;
-};
-
-/// Lines of a stored chunk of results, and back.
-std::string
-encodeChunk(const std::vector<StoredResult>& results);
-std::vector<StoredResult>
-decodeChunk(const std::string& chunk);
-
 /// The work of the owner on one batch: runs the items, has them scored, and
-/// writes each result to its position before anybody reads it.
+/// hands each result to the log of the batch.
 class BatchRun : public std::enable_shared_from_this<BatchRun>
 {
 public:
@@ -51,8 +37,7 @@
   bool isStopped() const { return mIsStopped; }
   core::TimePoint stoppedAt() const { return mStoppedAt; }
   const core::BatchSpec& spec() const { return *mSpec; }
-  const std::vector<StoredResult>& results() const { return mListed; }
-  bool isListed(std::size_t item) const { return mIsListed[item]; }
+  const ResultLog& results() const { return mResults; }
   const core::BatchProgress& progress() const { return mProgress; }
 
   /// Returns when there are more results than `after`, or after `most`.
@@ -87,32 +72,22 @@
   void judgeRun(std::size_t item,
                 const net::HttpResult& result,
                 RunResult& run);
-  net::Awaitable<void> scoreItem(std::size_t item);
+  net::Awaitable<void> scoreText(std::size_t item);
   void putBack(std::size_t item, core::Millis pause);
   void finish(core::ItemResult result);
   void giveUpItem(std::size_t item, const std::string& reason);
   void checkRun(std::size_t item, core::TimePoint now);
-  /// False if another process owns the batch.
-  net::Awaitable<bool> commitResults(const std::vector<StoredResult>& chunk);
-  net::Awaitable<bool> reclaim();
-  bool hasWholeGroupPending() const;
 
   Context& mContext;
   ClusterView& mCluster;
   Forwarder& mForwarder;
   std::shared_ptr<const core::BatchSpec> mSpec;
-  BatchRecord mRecord;
-  std::int64_t mOwnerRevision;
+  core::Millis mSubmittedAt;
   core::BatchProgress mProgress;
   std::vector<ItemRun> mRuns;
   std::map<std::string, std::string> mServerOfGroup;
-  std::vector<StoredResult> mPending;
-  std::vector<StoredResult> mListed;
-  std::vector<bool> mIsListed;
-  core::TimePoint mFirstPendingAt{};
-  WaitList mReaders;
+  ResultLog mResults;
   net::Notifier mWorkChanged;
-  net::Notifier mResultsChanged;
   core::TimePoint mStoppedAt{};
   bool mIsStopped = false;
 };
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -1,10 +1,6 @@
 #include "gateway/batch_service.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <cctype>
-#include <charconv>
 
 namespace lentilrack::gateway {
 
@@ -25,29 +21,15 @@
 /// whether the batch was taken.
 constexpr Millis kLongestAcceptance{ 4'000 };
 constexpr Millis kRetryAfter{ 200 };
-constexpr Millis kPeerMargin{ 500 };
 constexpr Millis kPeerTimeout{ 700 };
-constexpr Millis kLongestWait{ 2'000 };
-/// Callers read at most 1 MB at once.
-constexpr std::size_t kPageBytes = 900'000;
 /// Body parts are stored below the largest value of a key.
 constexpr std::size_t kPartShare = 2;
 /// Open batches may take this part of the memory.
 constexpr std::size_t kMemoryShare = 4;
-constexpr std::size_t kLongestId = 100;
 /// What is stored of a batch is deleted this long after its retention.
 constexpr Millis kSweepMargin{ 60'000 };
 constexpr std::size_t kDeletesAtOnce = 32;
 
-bool
-isValidId(const std::string& id)
-{
-  return !id.empty() && id.size() <= kLongestId &&
-         std::ranges::all_of(id, [](unsigned char c) {
-           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
-         });
-}
-
 std::size_t
 memoryOf(const core::BatchSpec& spec)
 {
@@ -59,15 +41,6 @@
   return bytes;
 }
 
-std::size_t
-positionOf(const std::string& key)
-{
-  std::size_t position = 0;
-  const auto start = key.rfind('/') + 1;
-  std::from_chars(key.data() + start, key.data() + key.size(), position);
-  return position;
-}
-
 } // namespace
 
 BatchService::BatchService(Context& context,
@@ -77,7 +50,9 @@
   : mContext(context)
   , mCluster(cluster)
   , mForwarder(forwarder)
-  , mPeers(peers)
+  , mReader(context, cluster, peers, [this](const std::string& id) {
+    return ownRun(id);
+  })
 {
 }
 
@@ -87,11 +62,11 @@
   net::spawn(mContext.io, watchOrphans());
 }
 
-BatchRun*
+std::shared_ptr<BatchRun>
 BatchService::ownRun(const std::string& id) const
 {
   const auto found = mRuns.find(id);
-  return found == mRuns.end() ? nullptr : found->second.get();
+  return found == mRuns.end() ? nullptr : found->second;
 }
 
 std::size_t
@@ -108,7 +83,7 @@
   const auto& request = exchange.request();
   const auto id = request.header(mContext.format.headers().requestId);
   net::HttpResponse response;
-  auto spec = isValidId(id)
+  auto spec = isValidBatchId(id)
                 ? mContext.format.decodeBatch(
                     id, request.header("Host"), request.target, request.body)
                 : std::string("the id of the batch is missing or not valid");
@@ -248,8 +223,8 @@
 BatchService::onClusterChange()
 {
   for (const auto& [id, record] : mCluster.batches()) {
-    auto* own = ownRun(id);
-    if (own != nullptr && record.state == BatchState::Ended) {
+    const auto own = ownRun(id);
+    if (own && record.state == BatchState::Ended) {
       own->stop("ended");
     }
   }
@@ -273,8 +248,8 @@
     }
     for (const auto& [id, record] : mCluster.batches()) {
       const auto* owner = mCluster.ownerOf(id);
-      const auto* own = ownRun(id);
-      const bool runsHere = own != nullptr && !own->isStopped();
+      const auto own = ownRun(id);
+      const bool runsHere = own && !own->isStopped();
       // An earlier life of this instance cannot hold anything any more.
       const bool isOwnInstance =
         owner != nullptr && owner->instance == mContext.settings.instance;
@@ -331,7 +306,7 @@
     revision = commit.revision;
     mCluster.takeItem({ keys::owner(id), self.encode(), revision });
   }
-  auto stored = co_await load(id, record);
+  auto stored = co_await mReader.load(id, record);
   if (stored) {
     run(
       stored.value().spec, record, revision, std::move(stored.value().results));
@@ -344,235 +319,10 @@
   mClaims.erase(id);
 }
 
-net::Awaitable<core::Result<BatchService::Stored>>
-BatchService::load(std::string id, BatchRecord record)
-{
-  auto listing = co_await mContext.store.list(keys::dataPrefix(id));
-  if (!listing) {
-    co_return listing.error();
-  }
-  auto items = std::move(listing.value().items);
-  std::ranges::sort(items, {}, &StoreItem::key);
-  std::string body;
-  Stored stored;
-  for (const auto& item : items) {
-    if (!item.key.starts_with(keys::resultsPrefix(id))) {
-      body += item.value;
-    } else if (positionOf(item.key) == stored.results.size()) {
-      std::ranges::move(decodeChunk(item.value),
-                        std::back_inserter(stored.results));
-    }
-  }
-  auto spec = mContext.format.decodeBatch(id, record.host, record.path, body);
-  if (!spec) {
-    co_return make_error_code(StoreError::BadAnswer);
-  }
-  stored.spec =
-    std::make_shared<const core::BatchSpec>(std::move(spec).value());
-  co_return stored;
-}
-
-net::Awaitable<BatchService::Presence>
-BatchService::lookUp(std::string id)
-{
-  if (mCluster.batches().contains(id) || mRuns.contains(id)) {
-    co_return Presence::Known;
-  }
-  if (!isValidId(id)) {
-    co_return Presence::Absent;
-  }
-  const auto item = co_await mContext.store.read(keys::batch(id));
-  if (!item) {
-    co_return Presence::Unsure;
-  }
-  if (!item.value()) {
-    co_return Presence::Absent;
-  }
-  mCluster.takeItem(*item.value());
-  co_return Presence::Known;
-}
-
-net::HttpResponse
-BatchService::page(std::size_t total,
-                   std::size_t after,
-                   const std::vector<StoredResult>& results) const
-{
-  std::vector<std::string> texts;
-  std::size_t size = 0;
-  auto next = after;
-  while (next < results.size() &&
-         (texts.empty() || size + results[next].text.size() < kPageBytes)) {
-    size += results[next].text.size();
-    texts.push_back(results[next].text);
-    ++next;
-  }
-  net::HttpResponse response;
-  response.body = mContext.format.encodeResults(total, next, texts);
-  return response;
-}
-
-net::Awaitable<net::HttpResponse>
-BatchService::readOwn(ReadBatch call)
-{
-  const auto found = mRuns.find(call.id);
-  // A run that another process has taken over knows only a part.
-  const bool isOwn =
-    found != mRuns.end() &&
-    (!found->second->isStopped() ||
-     found->second->results().size() == found->second->spec().items.size());
-  if (!isOwn) {
-    co_return failure(404, "not_the_owner");
-  }
-  const auto batch = found->second;
-  co_await batch->waitForResults(call.after, std::min(call.wait, kLongestWait));
-  const bool isCut =
-    batch->isStopped() && batch->results().size() < batch->spec().items.size();
-  if (isCut) {
-    co_return failure(404, "not_the_owner");
-  }
-  co_return page(batch->spec().items.size(), call.after, batch->results());
-}
-
-net::Awaitable<net::HttpResponse>
-BatchService::readStored(ReadBatch call)
-{
-  const auto known = mCluster.batches().find(call.id);
-  const auto total =
-    known != mCluster.batches().end() ? known->second.total : 0;
-  auto listing = co_await mContext.store.list(keys::resultsPrefix(call.id));
-  if (!listing || total == 0) {
-    co_return refusal(503, "store_unavailable", kRetryAfter);
-  }
-  auto items = std::move(listing.value().items);
-  std::ranges::sort(items, {}, &StoreItem::key);
-  std::vector<StoredResult> results;
-  for (const auto& item : items) {
-    if (positionOf(item.key) == results.size()) {
-      std::ranges::move(decodeChunk(item.value), std::back_inserter(results));
-    }
-  }
-  co_return page(total, call.after, results);
-}
-
-net::Awaitable<void>
-BatchService::read(net::HttpExchange& exchange, ReadBatch call)
-{
-  auto response = co_await readOwn(call);
-  const char* source = "own";
-  if (response.status == 404) {
-    const auto presence = co_await lookUp(call.id);
-    if (presence == Presence::Absent) {
-      source = "store";
-      response = failure(404, "no_such_batch");
-    } else if (presence == Presence::Unsure) {
-      source = "none";
-      response = refusal(503, "store_unavailable", kRetryAfter);
-    } else {
-      const auto* owner = mCluster.ownerOf(call.id);
-      std::optional<net::HttpResponse> told;
-      if (owner != nullptr && !mCluster.isSelf(*owner)) {
-        net::HttpRequest request;
-        request.target = fmt::format("{}{}?after={}&wait={}",
-                                     peer_paths::kResults,
-                                     call.id,
-                                     call.after,
-                                     call.wait.count());
-        const auto instance = owner->instance;
-        told = co_await mPeers.ask(
-          instance, std::move(request), call.wait + kPeerMargin);
-      }
-      const bool isTold = told && told->status == 200;
-      source = isTold ? "owner" : "store";
-      if (isTold) {
-        response = std::move(*told);
-      } else {
-        response = co_await readStored(call);
-      }
-      response.headers.clear();
-    }
-  }
-  if (response.status != 200) {
-    mContext.log.info("batch_read",
-                      { { "batch", call.id },
-                        { "after", call.after },
-                        { "source", source },
-                        { "status", response.status } });
-  }
-  co_await exchange.respond(std::move(response));
-}
-
-net::HttpResponse
-BatchService::itemBodyOfOwn(const ReadItemBody& call) const
-{
-  const auto* batch = ownRun(call.id);
-  if (batch == nullptr || batch->isStopped()) {
-    return failure(404, "not_the_owner");
-  }
-  const auto item = batch->progress().indexOf(call.item);
-  if (!item || batch->isListed(*item)) {
-    return failure(410, "no_such_item");
-  }
-  net::HttpResponse response;
-  response.contentType = "application/octet-stream";
-  response.body = batch->spec().items[*item].body;
-  return response;
-}
-
-net::Awaitable<void>
-BatchService::readItemBody(net::HttpExchange& exchange, ReadItemBody call)
-{
-  auto response = itemBodyOfOwn(call);
-  if (response.status == 404) {
-    const auto presence = co_await lookUp(call.id);
-    if (presence == Presence::Unsure) {
-      response = refusal(503, "store_unavailable", kRetryAfter);
-    } else if (presence == Presence::Known) {
-      const auto* owner = mCluster.ownerOf(call.id);
-      std::optional<net::HttpResponse> told;
-      if (owner != nullptr && !mCluster.isSelf(*owner)) {
-        net::HttpRequest request;
-        request.target = fmt::format(
-          "{}{}?item={}", peer_paths::kItemBody, call.id, call.item);
-        const auto instance = owner->instance;
-        told = co_await mPeers.ask(instance, std::move(request), kPeerTimeout);
-      }
-      if (told && told->status != 404) {
-        response = std::move(*told);
-        response.headers.clear();
-      } else {
-        const auto record = mCluster.batches().at(call.id);
-        auto stored = co_await load(call.id, record);
-        if (!stored) {
-          response = refusal(503, "store_unavailable", kRetryAfter);
-        } else {
-          const auto& items = stored.value().spec->items;
-          const auto found =
-            std::ranges::find(items, call.item, &core::BatchItem::id);
-          if (found != items.end()) {
-            response.status = 200;
-            response.contentType = "application/octet-stream";
-            response.body = found->body;
-          }
-        }
-      }
-    }
-  }
-  if (response.status == 410) {
-    response.status = 404;
-  }
-  if (response.status != 200) {
-    mContext.log.info("item_body",
-                      { { "batch", call.id },
-                        { "item", call.item },
-                        { "status", response.status } });
-  }
-  co_await exchange.respond(std::move(response));
-}
-
 void
 BatchService::noteEnded(const std::string& id)
 {
-  if (auto* batch = ownRun(id)) {
+  if (const auto batch = ownRun(id)) {
     batch->stop("ended");
   }
 }
@@ -584,12 +334,12 @@
   net::HttpResponse response;
   response.body = "{}";
   std::string outcome = "ended";
-  const auto presence = co_await lookUp(call.id);
-  if (presence == Presence::Absent) {
+  const auto presence = co_await mReader.lookUp(call.id);
+  if (presence == BatchPresence::Absent) {
     response = failure(404, "no_such_batch");
     outcome = "absent";
   }
-  bool isDone = presence == Presence::Absent;
+  bool isDone = presence == BatchPresence::Absent;
   while (!isDone) {
     const auto known = mCluster.batches().find(call.id);
     if (known == mCluster.batches().end() || Clock::now() >= deadline) {
@@ -611,14 +361,10 @@
         { keys::batch(call.id), record.encode(), commit.revision });
       isDone = true;
       noteEnded(call.id);
-      const auto* owner = mCluster.ownerOf(call.id);
-      if (owner != nullptr && !mCluster.isSelf(*owner)) {
-        net::HttpRequest request;
-        request.method = "POST";
-        request.target = peer_paths::kEndBatch + call.id;
-        const auto instance = owner->instance;
-        co_await mPeers.ask(instance, std::move(request), kPeerTimeout);
-      }
+      net::HttpRequest request;
+      request.method = "POST";
+      request.target = peer_paths::kEndBatch + call.id;
+      co_await mReader.askOwner(call.id, std::move(request), kPeerTimeout);
     } else {
       std::ranges::for_each(
         commit.current, [this](const auto& item) { mCluster.takeItem(item); });
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -1,7 +1,5 @@
 #include "gateway/context.h"
 
-#include "gateway/state_sync.h"
-
 namespace lentilrack::gateway {
 
 Context::Context(net::asio::io_context& context,
@@ -15,11 +13,7 @@
   , store(coordinationStore)
   , log(decisionLog)
   , http(context)
-  , mirrors{ core::KeyMirror(),
-             core::KeyMirror([&wireFormat](const auto& a, const auto& b) {
-               return isSameServer(wireFormat, a, b);
-             }),
-             core::KeyMirror() }
+
   , lifetime(std::to_string(random()))
 {
 }
--- a/src/gateway/coordination_store.h
+++ b/src/gateway/coordination_store.h
@@ -115,7 +115,6 @@
   virtual net::Awaitable<core::Result<std::int64_t>> grantLease(
     core::Millis timeToLive) = 0;
   virtual net::Awaitable<std::error_code> renewLease(std::int64_t lease) = 0;
-  virtual net::Awaitable<std::error_code> endLease(std::int64_t lease) = 0;
 };
 
 } // namespace lentilrack::gateway
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "gateway/forwarder.h"
 
+#include "core/decimal.h"
+#include "gateway/server_answer.h"
 #include "gateway/stream_forward.h"
 #include "net/error.h"
 #include "net/notifier.h"
@@ -8,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace lentilrack::gateway {
 
@@ -34,25 +35,12 @@
 constexpr Millis kRetryAfter{ 200 };
 constexpr std::size_t kLargestAnswer = 16UL * 1024 * 1024;
 
-constexpr int kMisdirected = 421;
-
 Millis
 timeUntil(TimePoint time)
 {
   return std::chrono::duration_cast<Millis>(time - Clock::now());
 }
 
-std::optional<Millis>
-parseMillis(const std::string& text)
-{
-  std::int64_t value = 0;
-  const auto end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, value);
-  return parsed.ec == std::errc{} && parsed.ptr != text.data()
-           ? std::optional(Millis(value))
-           : std::nullopt;
-}
-
 bool
 isSuccess(int status)
 {
@@ -205,8 +193,8 @@
     http.freshConnection = !mCall.isRepeatable;
     http.cancel = mCancelAttempts;
     http.acceptHeader = [&](const net::HttpResponse& response) {
-      const auto echoed = net::headerValue(response.headers, names.requestId);
-      return echoed.empty() || echoed == mCall.request.header(names.requestId);
+      return answersRequest(
+        response, names, mCall.request.header(names.requestId));
     };
     // Only a caller's own time counts for the server.
     http.request.headers.emplace_back(
@@ -234,33 +222,22 @@
     const auto now = Clock::now();
     mOutcome.server = server.id;
     const auto& response = result.response;
-    if (result.error) {
-      const bool isStale = result.onKeptConnection &&
-                           result.error == net::NetError::ConnectionLost;
-      if (!isStale && result.error != net::NetError::Cancelled) {
-        mContext.registry.failed(server, now);
-      }
-      mMayHaveRun = mMayHaveRun || result.sent;
-      if (isStale || !result.sent) {
+    const auto answer = classifyAnswer(result, names);
+    if (answer != ServerAnswer::Answered) {
+      noteTrouble(mContext.registry, server, answer, now);
+      mMayHaveRun = mMayHaveRun || !provesNotRun(answer);
+      const bool isIdleClose = answer == ServerAnswer::ClosedWhenIdle;
+      if (isIdleClose || provesNotRun(answer)) {
         // The server did not see the request, or has closed an idle
         // connection: neither says anything about the next attempt.
-        forgiveAttempt(server, isStale);
+        forgiveAttempt(server, isIdleClose);
       }
-      noteNoAnswer(result.error.message());
-      return;
-    }
-    const bool isNotRun =
-      response.status == kMisdirected ||
-      !net::headerValue(response.headers, names.notRun).empty();
-    if (isNotRun) {
-      if (response.status == kMisdirected) {
-        mContext.registry.noteLeaving(server);
-      } else {
-        mContext.registry.refused(server, now);
+      if (!result.error) {
+        mPause = kRefusedPause;
       }
-      forgiveAttempt(server, false);
-      mPause = kRefusedPause;
-      noteNoAnswer(fmt::format("server_refused_{}", response.status));
+      noteNoAnswer(result.error
+                     ? result.error.message()
+                     : fmt::format("server_refused_{}", response.status));
       return;
     }
     mMayHaveRun = true;
@@ -380,9 +357,10 @@
                        const net::HttpExchange& exchange,
                        const core::Route& route)
 {
-  const auto callersTime =
-    parseMillis(exchange.request().header(context.format.headers().timeLeft));
-  return std::min(callersTime.value_or(route.timeout), route.timeout);
+  const auto callersTime = core::parseDecimal<std::int64_t>(
+    exchange.request().header(context.format.headers().timeLeft));
+  return callersTime ? std::min(Millis(*callersTime), route.timeout)
+                     : route.timeout;
 }
 
 net::Awaitable<void>
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,8 @@
 #include "gateway/gateway.h"
 
+#include "core/decimal.h"
+
 #include <algorithm>
-#include <charconv>
 
 namespace lentilrack::gateway {
 
@@ -25,14 +26,6 @@
 constexpr Millis kEndMargin{ 1'000 };
 constexpr Millis kRetryAfter{ 300 };
 
-std::size_t
-number(const std::string& text)
-{
-  std::size_t value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return value;
-}
-
 net::HttpLimits
 internalLimits()
 {
@@ -148,9 +141,9 @@
 {
   const auto call = mContext.format.classify(exchange.request());
   if (const auto* read = std::get_if<ReadBatch>(&call)) {
-    co_await mBatches.read(exchange, *read);
+    co_await mBatches.reader().read(exchange, *read);
   } else if (const auto* body = std::get_if<ReadItemBody>(&call)) {
-    co_await mBatches.readItemBody(exchange, *body);
+    co_await mBatches.reader().readItemBody(exchange, *body);
   } else if (const auto* end = std::get_if<EndBatch>(&call)) {
     co_await mBatches.end(exchange, *end);
   } else if (const auto* bad = std::get_if<BadCall>(&call)) {
@@ -277,12 +270,13 @@
   if (path.starts_with(peer_paths::kResults)) {
     ReadBatch read;
     read.id = after(peer_paths::kResults);
-    read.after = number(request.query("after"));
-    read.wait =
-      Millis(static_cast<std::int64_t>(number(request.query("wait"))));
-    response = co_await mBatches.readOwn(std::move(read));
+    read.after =
+      core::parseDecimal<std::size_t>(request.query("after")).value_or(0);
+    read.wait = Millis(
+      core::parseDecimal<std::int64_t>(request.query("wait")).value_or(0));
+    response = co_await mBatches.reader().readOwn(std::move(read));
   } else if (path.starts_with(peer_paths::kItemBody)) {
-    response = mBatches.itemBodyOfOwn(
+    response = mBatches.reader().itemBodyOfOwn(
       { after(peer_paths::kItemBody), request.query("item") });
   } else if (path.starts_with(peer_paths::kEndBatch)) {
     mBatches.noteEnded(after(peer_paths::kEndBatch));
--- /dev/null
+++ b/src/gateway/item_score.cpp
@@ -0,0 +1,86 @@
+#include "gateway/item_score.h"
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Clock;
+using core::Millis;
+
+/// Pause after a call without a score.
+constexpr Millis kRetryPause{ 20 };
+/// Pause while the desired state has no route for the call.
+constexpr Millis kRoutePause{ 50 };
+/// Servers that one call may reach; the next call may reach others.
+constexpr int kAttemptsOfCall = 2;
+constexpr int kServerError = 500;
+
+ServiceCall
+prepareCall(Context& context,
+            const ScoreRequest& request,
+            const core::Route& route)
+{
+  const auto& reward = request.reward;
+  ServiceCall call;
+  call.id = reward.id;
+  call.service = route.pickService(context.draw());
+  call.request.method = "POST";
+  call.request.target = reward.path;
+  call.request.headers = { { "Host", reward.host },
+                           { context.format.headers().requestId, reward.id } };
+  call.request.body = reward.body;
+  call.maxAttempts = kAttemptsOfCall;
+  call.isRepeatable = true;
+  call.retriesFailures = false;
+  call.mayHedge = true;
+  call.deadline = Clock::now() + route.timeout;
+  call.cancel = request.cancel;
+  return call;
+}
+
+} // namespace
+
+net::Awaitable<ItemScore>
+scoreItem(Context& context, Forwarder& forwarder, ScoreRequest request)
+{
+  while (!request.cancel->cancelled()) {
+    const auto desired = context.desired;
+    const auto* route =
+      desired ? desired->match(request.reward.host, request.reward.path)
+              : nullptr;
+    if (route == nullptr) {
+      co_await net::sleepFor(kRoutePause);
+      continue;
+    }
+    auto call = prepareCall(context, request, *route);
+    const auto outcome = co_await forwarder.call(std::move(call));
+    const auto status = outcome.response.status;
+    const bool isAnswered = outcome.end == CallEnd::Answered;
+    if (isAnswered && status / 100 == 2) {
+      ItemScore scored{ ScoreEnd::Scored,
+                        net::headerValue(outcome.response.headers,
+                                         context.format.headers().stamp) };
+      co_return scored;
+    }
+    if (outcome.end == CallEnd::Cancelled) {
+      break;
+    }
+    context.log.info("reward_call",
+                     { { "batch", request.batch },
+                       { "item", request.item },
+                       { "request", request.reward.id },
+                       { "server", outcome.server },
+                       { "status", status },
+                       { "outcome", outcome.reason } });
+    if (isAnswered && status == kServerError &&
+        request.noteFailure() >= route->maxAttempts) {
+      const ItemScore failed{ ScoreEnd::Failed, "" };
+      co_return failed;
+    }
+    co_await net::sleepFor(kRetryPause);
+  }
+  const ItemScore cancelled;
+  co_return cancelled;
+}
+
+} // namespace lentilrack::gateway
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -22,9 +22,9 @@
 
 /// The variable with the path of the settings file, unless an option names it.
 constexpr const char* kSettingsVariable = "LENTILRACK_NODE_FILE";
-/// Store calls of one process a second: a share of the 2,000 reads and 400
-/// writes of all processes that leaves room for bursts.
-constexpr double kStoreCallsPerSecond = 150;
+/// The part of the store's calls a second that one process may take. Few
+/// processes make most of the calls, since the others follow them.
+constexpr double kStoreShare = 1.0 / 16;
 /// A store that is slowed 60 times answers within 0.3 s.
 constexpr core::Millis kStoreTimeout{ 700 };
 constexpr core::Millis kFirstStorePause{ 40 };
@@ -144,7 +144,8 @@
   backends::KvClientOptions options;
   options.endpoints = { settings->store };
   options.timeout = kStoreTimeout;
-  options.callsPerSecond = kStoreCallsPerSecond;
+  options.callsPerSecond = kStoreShare * (settings->storeReadsPerSecond +
+                                          settings->storeWritesPerSecond);
   options.firstPause = kFirstStorePause;
   options.longestPause = kLongestStorePause;
   platform::StoreClient store(io, options);
--- a/src/gateway/process_settings.h
+++ b/src/gateway/process_settings.h
@@ -21,8 +21,6 @@
   core::Millis resultRetention{ 120'000 };
   /// Longest lifetime of an address answer.
   core::Millis longestAddressLife{ 5'000 };
-  /// Whether backend servers check fencing numbers themselves.
-  bool serversCheckFences = false;
 };
 
 /// What a process is told at its start, and again on SIGHUP.
@@ -31,7 +29,6 @@
   /// Name of the instance; unique.
   std::string instance;
   std::string failureDomain;
-  std::string region;
   /// Address of the machine, without a port.
   std::string address;
   /// Where the process shows its metrics; 0: nowhere.
--- /dev/null
+++ b/src/gateway/result_log.cpp
@@ -0,0 +1,237 @@
+#include "gateway/result_log.h"
+
+#include <algorithm>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Clock;
+using core::Millis;
+
+/// Results are gathered until a group is whole, but not longer than this.
+constexpr Millis kLongestGathering{ 250 };
+/// Shortest time between two writes, which keeps a batch under 10 a second.
+constexpr Millis kWritePause{ 100 };
+/// Pause before a call to the store is tried again.
+constexpr Millis kStorePause{ 50 };
+/// A chunk takes at most this part of the largest value of the store.
+constexpr std::size_t kChunkShare = 2;
+
+} // namespace
+
+ResultLog::ResultLog(Context& context,
+                     ClusterView& cluster,
+                     std::string batch,
+                     BatchRecord record,
+                     std::int64_t ownerRevision)
+  : mContext(context)
+  , mCluster(cluster)
+  , mBatch(std::move(batch))
+  , mRecord(std::move(record))
+  , mOwnerRevision(ownerRevision)
+  , mIsListed(mRecord.total, false)
+  , mAdded(context.io)
+{
+}
+
+void
+ResultLog::restore(std::vector<StoredResult> results)
+{
+  for (auto& result : results) {
+    mIsListed[result.item] = true;
+    mListed.push_back(std::move(result));
+  }
+}
+
+void
+ResultLog::add(StoredResult result, bool completesGroup)
+{
+  if (mPending.empty()) {
+    mFirstPendingAt = Clock::now();
+  }
+  mPending.push_back({ std::move(result), completesGroup });
+  mAdded.notify();
+}
+
+void
+ResultLog::stop()
+{
+  mIsStopped = true;
+  mAdded.notify();
+  mReaders.notifyAll();
+}
+
+net::Awaitable<std::error_code>
+ResultLog::release()
+{
+  StoreTransaction transaction;
+  transaction.expectations = { { keys::owner(mBatch), mOwnerRevision } };
+  transaction.deletes = { keys::owner(mBatch) };
+  const auto commit = co_await mContext.store.commit(std::move(transaction));
+  co_return commit.error;
+}
+
+net::Awaitable<void>
+ResultLog::waitForMore(std::size_t after, Millis most)
+{
+  const auto end = Clock::now() + most;
+  while (mListed.size() <= after && !isWhole() && !mIsStopped &&
+         Clock::now() < end) {
+    co_await mReaders.wait(
+      mContext.io,
+      std::chrono::duration_cast<Millis>(end - Clock::now()) + Millis(1));
+  }
+}
+
+bool
+ResultLog::isDue() const
+{
+  const bool completesGroup =
+    std::ranges::any_of(mPending, &Pending::completesGroup);
+  const bool isLast = mListed.size() + mPending.size() == mRecord.total;
+  return !mPending.empty() &&
+         (completesGroup || isLast ||
+          Clock::now() - mFirstPendingAt >= kLongestGathering);
+}
+
+std::vector<StoredResult>
+ResultLog::takeChunk()
+{
+  const auto limit = mContext.settings.storeValueBytes / kChunkShare;
+  std::size_t size = 0;
+  const auto end = std::ranges::find_if(mPending, [&](const Pending& pending) {
+    const bool isFirst = size == 0;
+    size += pending.result.text.size();
+    return !isFirst && size >= limit;
+  });
+  std::vector<StoredResult> chunk;
+  std::transform(mPending.begin(),
+                 end,
+                 std::back_inserter(chunk),
+                 [](Pending& pending) { return std::move(pending.result); });
+  mPending.erase(mPending.begin(), end);
+  return chunk;
+}
+
+net::Awaitable<ResultLog::Ending>
+ResultLog::write()
+{
+  while (!mIsStopped && !isWhole()) {
+    if (!isDue()) {
+      co_await mAdded.wait(kLongestGathering);
+      continue;
+    }
+    auto chunk = takeChunk();
+    const bool isWritten = co_await commit(chunk);
+    if (mIsStopped) {
+      break;
+    }
+    if (!isWritten) {
+      co_return Ending::OwnedElsewhere;
+    }
+    restore(std::move(chunk));
+    mReaders.notifyAll();
+    co_await net::sleepFor(kWritePause);
+  }
+  co_return isWhole() ? Ending::Whole : Ending::Stopped;
+}
+
+net::Awaitable<bool>
+ResultLog::commit(const std::vector<StoredResult>& chunk)
+{
+  const auto key = keys::results(mBatch, mListed.size());
+  const auto value = encodeChunk(chunk);
+  const bool isLast = mListed.size() + chunk.size() == mRecord.total;
+  while (!mIsStopped) {
+    StoreTransaction transaction;
+    transaction.expectations = { { keys::owner(mBatch), mOwnerRevision },
+                                 { key, 0 } };
+    transaction.writes = { { key, value, 0 } };
+    if (isLast) {
+      auto finished = mRecord;
+      finished.state = BatchState::Finished;
+      transaction.expectations.push_back(
+        { keys::batch(mBatch), mRecord.revision });
+      transaction.writes.push_back(
+        { keys::batch(mBatch), finished.encode(), 0 });
+      transaction.deletes = { keys::owner(mBatch) };
+    }
+    const auto commit = co_await mContext.store.commit(std::move(transaction));
+    if (!commit.error) {
+      mContext.log.info("results_written",
+                        { { "batch", mBatch },
+                          { "position", mListed.size() },
+                          { "count", chunk.size() },
+                          { "bytes", value.size() },
+                          { "revision", commit.revision } });
+      co_return true;
+    }
+    if (commit.error != StoreError::Conflict) {
+      mContext.log.warning("results_not_written",
+                           { { "batch", mBatch },
+                             { "position", mListed.size() },
+                             { "error", commit.error.message() } });
+      co_await net::sleepFor(kStorePause);
+      continue;
+    }
+    // An earlier try without an answer may have been done.
+    const auto written = co_await mContext.store.read(key);
+    if (!written) {
+      co_await net::sleepFor(kStorePause);
+      continue;
+    }
+    if (written.value()) {
+      co_return written.value()->value == value;
+    }
+    const bool isOwner = co_await reclaim();
+    if (!isOwner) {
+      co_return false;
+    }
+  }
+  co_return false;
+}
+
+net::Awaitable<bool>
+ResultLog::reclaim()
+{
+  const auto self = Holder{ mContext.settings.instance, mContext.lifetime, 0 };
+  while (!mIsStopped) {
+    const auto owner = co_await mContext.store.read(keys::owner(mBatch));
+    const auto record = co_await mContext.store.read(keys::batch(mBatch));
+    if (!owner || !record) {
+      co_await net::sleepFor(kStorePause);
+      continue;
+    }
+    const auto known =
+      record.value() ? BatchRecord::decode(*record.value()) : std::nullopt;
+    if (!known || known->state != BatchState::Open) {
+      co_return false;
+    }
+    mRecord.revision = known->revision;
+    if (owner.value()) {
+      const auto holder = Holder::decode(*owner.value());
+      const bool isOwn = holder && mCluster.isSelf(*holder);
+      mOwnerRevision = isOwn ? holder->revision : mOwnerRevision;
+      co_return isOwn;
+    }
+    if (mCluster.lease() == 0) {
+      co_await net::sleepFor(kStorePause);
+      continue;
+    }
+    StoreTransaction transaction;
+    transaction.expectations = { { keys::owner(mBatch), 0 } };
+    transaction.writes = {
+      { keys::owner(mBatch), self.encode(), mCluster.lease() }
+    };
+    const auto commit = co_await mContext.store.commit(std::move(transaction));
+    if (!commit.error) {
+      mOwnerRevision = commit.revision;
+      co_return true;
+    }
+    co_await net::sleepFor(kStorePause);
+  }
+  co_return false;
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/server_answer.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/server_registry.h"
+#include "gateway/wire_format.h"
+#include "net/http_client.h"
+
+namespace lentilrack::gateway {
+
+/// How a call to a backend server ended, as far as the call itself shows.
+enum class ServerAnswer
+{
+  /// The server ran the request and answered.
+  Answered,
+  /// The server did not run the request, for the moment.
+  Refused,
+  /// The address belongs to another server, or this one is leaving.
+  Misdirected,
+  /// No byte of the request was written.
+  NotSent,
+  /// A kept connection ended before any answer. The server may have closed it
+  /// when the request was on its way, which says nothing of its health.
+  ClosedWhenIdle,
+  /// The request may have run, and its answer is not whole.
+  Broken,
+  Cancelled,
+};
+
+ServerAnswer
+classifyAnswer(const net::HttpResult& result, const HeaderNames& names);
+
+/// Whether the call proves that the server has not run the request.
+bool
+provesNotRun(ServerAnswer answer);
+
+/// Tells the registry what a call that brought no proper answer says about its
+/// server.
+void
+noteTrouble(core::ServerRegistry& registry,
+            const core::ServerEntry& server,
+            ServerAnswer answer,
+            core::TimePoint now);
+
+/// Whether the answer belongs to the request of this id. A server may send an
+/// extra answer where that to the next request is due.
+bool
+answersRequest(const net::HttpResponse& response,
+               const HeaderNames& names,
+               const std::string& requestId);
+
+} // namespace lentilrack::gateway
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -1,10 +1,11 @@
 #include "gateway/state_feed.h"
 
+#include "core/decimal.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace lentilrack::gateway {
 
@@ -34,14 +35,6 @@
 /// 0.3 s.
 constexpr Millis kOldestCopy{ 1'100 };
 
-std::uint64_t
-number(const std::string& text)
-{
-  std::uint64_t value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return value;
-}
-
 Json
 encodeDelta(const core::MirrorDelta& delta)
 {
@@ -202,14 +195,17 @@
   }
   const bool isKnown = request.query("lifetime") == mContext.lifetime;
   const auto place = [&](const char* name) {
-    return isKnown ? number(request.query(name)) : 0;
+    return isKnown ? core::parseDecimal<std::uint64_t>(request.query(name))
+                       .value_or(0)
+                   : 0;
   };
   const auto operatorPlace = place("operator");
   const auto serverPlace = place("servers");
   const auto clusterPlace = place("cluster");
-  const auto wait =
-    std::min(kFollowWait,
-             Millis(static_cast<std::int64_t>(number(request.query("wait")))));
+  const auto wait = std::min(
+    kFollowWait,
+    Millis(
+      core::parseDecimal<std::int64_t>(request.query("wait")).value_or(0)));
   const auto end = Clock::now() + wait;
   const auto hasNews = [&] {
     return mOperator.mirror.sequence() != operatorPlace ||
--- a/src/gateway/state_sync.cpp
+++ b/src/gateway/state_sync.cpp
@@ -5,26 +5,18 @@
 
 namespace lentilrack::gateway {
 
-bool
-isSameServer(const WireFormat& format,
-             const core::MirroredItem& before,
-             const core::MirroredItem& after)
-{
-  const auto known = format.decodeServer(before.key, before.value);
-  const auto told = format.decodeServer(after.key, after.value);
-  return known && told && known.value() == told.value();
-}
-
 StateSync::StateSync(Context& context)
   : mContext(context)
 {
   mContext.mirrors.operatorKeys.onItem(
     [this](const auto& item) { takeOperatorItem(item); });
+  mContext.mirrors.servers.ignoreChanges(
+    [this](const auto&, const auto& item) { return isKnownServer(item); });
   mContext.mirrors.servers.onItem(
     [this](const auto& item) { takeServer(item); });
   mContext.mirrors.servers.onRemoved([this](const auto& key, auto) {
     mServers.erase(key);
-    applyServers();
+    scheduleServers();
   });
 }
 
@@ -94,7 +86,26 @@
                            { "revision", item.revision },
                            { "error", entry.error() } });
   }
-  applyServers();
+  scheduleServers();
+}
+
+bool
+StateSync::isKnownServer(const core::MirroredItem& item) const
+{
+  const auto known = mServers.find(item.key);
+  const auto told = mContext.format.decodeServer(item.key, item.value);
+  return known != mServers.end() && told && told.value() == known->second;
+}
+
+void
+StateSync::scheduleServers()
+{
+  if (!std::exchange(mIsScheduled, true)) {
+    net::asio::post(mContext.io, [this] {
+      mIsScheduled = false;
+      applyServers();
+    });
+  }
 }
 
 void
--- a/src/gateway/state_sync.h
+++ b/src/gateway/state_sync.h
@@ -24,19 +24,16 @@
   void takeOperatorItem(const core::MirroredItem& item);
   void takeDesiredState(const core::MirroredItem& item);
   void takeServer(const core::MirroredItem& item);
-  /// Gives the registry the whole list.
+  /// Whether the item says the same of its server but for a counter of writes.
+  bool isKnownServer(const core::MirroredItem& item) const;
+  /// Gives the registry the whole list once the present changes are taken.
+  void scheduleServers();
   void applyServers();
 
   Context& mContext;
   std::map<std::string, std::int64_t> mRetirements;
   std::map<std::string, core::ServerEntry> mServers;
+  bool mIsScheduled = false;
 };
 
-/// Whether two values of a server's entry say the same but for its counter of
-/// writes.
-bool
-isSameServer(const WireFormat& format,
-             const core::MirroredItem& before,
-             const core::MirroredItem& after);
-
 } // namespace lentilrack::gateway
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -1,11 +1,11 @@
 #include "gateway/stream_forward.h"
 
-#include "net/error.h"
+#include "core/decimal.h"
+#include "gateway/server_answer.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace lentilrack::gateway {
 
@@ -22,7 +22,7 @@
 constexpr Millis kRefusedPause{ 15 };
 constexpr Millis kRetryAfter{ 200 };
 constexpr int kMostRefusals = 12;
-constexpr int kMisdirected = 421;
+
 constexpr int kOk = 200;
 
 } // namespace
@@ -43,7 +43,7 @@
   , mChanged(context.io)
 {
   const auto after = mRequest.header(context.format.headers().lastEvent);
-  std::from_chars(after.data(), after.data() + after.size(), mLastEvent);
+  mLastEvent = core::parseDecimal<std::int64_t>(after).value_or(0);
 }
 
 Millis
@@ -62,14 +62,8 @@
 bool
 StreamForward::isNotRun(const Attempt& attempt) const
 {
-  const auto& result = attempt.result;
-  if (result.error) {
-    return !result.sent;
-  }
-  return result.response.status == kMisdirected ||
-         !net::headerValue(result.response.headers,
-                           mContext.format.headers().notRun)
-            .empty();
+  return provesNotRun(
+    classifyAnswer(attempt.result, mContext.format.headers()));
 }
 
 net::Awaitable<void>
@@ -163,8 +157,7 @@
   }
   call.acceptHeader = [this, attempt](const net::HttpResponse& response) {
     const auto& header = mContext.format.headers();
-    const auto echoed = net::headerValue(response.headers, header.requestId);
-    if (!echoed.empty() && echoed != mId) {
+    if (!answersRequest(response, header, mId)) {
       return false;
     }
     attempt->isStream =
@@ -278,22 +271,11 @@
     mContext.registry.failed(attempt.server, now);
     return;
   }
-  if (!isNotRun(attempt)) {
-    const bool isStale = attempt.result.onKeptConnection &&
-                         attempt.result.error == net::NetError::ConnectionLost;
-    if (!isStale) {
-      mContext.registry.failed(attempt.server, now);
-    }
-    return;
-  }
-  --mAttempts;
-  ++mRefusals;
-  if (attempt.result.response.status == kMisdirected) {
-    mContext.registry.noteLeaving(attempt.server);
-  } else if (attempt.result.error) {
-    mContext.registry.failed(attempt.server, now);
-  } else {
-    mContext.registry.refused(attempt.server, now);
+  const auto answer = classifyAnswer(attempt.result, mContext.format.headers());
+  noteTrouble(mContext.registry, attempt.server, answer, now);
+  if (provesNotRun(answer)) {
+    --mAttempts;
+    ++mRefusals;
   }
 }
 
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -24,9 +24,6 @@
   std::string timeLeft;
   /// Only the server of this id may run the request.
   std::string expectedServer;
-  /// Only weights of this version may run the request.
-  std::string expectedVersion;
-  std::string urgency;
   /// A server's own mark on an answer; a success without it is none.
   std::string stamp;
   /// The server did not run the request.
@@ -38,9 +35,6 @@
   std::string lastEvent;
   /// How long an answer may be held until there is something to tell.
   std::string wait;
-  /// Ids of the parts of a prompt.
-  std::string promptParts;
-  std::string expectedLength;
 };
 
 /// What a caller asks of an instance besides requests that are forwarded.
--- a/src/net/settings.cpp
+++ b/src/net/settings.cpp
@@ -1,10 +1,11 @@
 #include "net/settings.h"
 
+#include "core/decimal.h"
+
 #include <fmt/format.h>
 #include <popt.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -31,13 +32,8 @@
 std::optional<std::int64_t>
 parseInteger(const std::string& text, std::int64_t low, std::int64_t high)
 {
-  std::int64_t value = 0;
-  const auto* end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, value);
-  if (error != std::errc{} || rest != end || value < low || value > high) {
-    return std::nullopt;
-  }
-  return value;
+  const auto value = core::parseDecimal<std::int64_t>(text);
+  return value && *value >= low && *value <= high ? value : std::nullopt;
 }
 
 std::optional<std::vector<core::Endpoint>>
--- a/src/standins/standin_server.cpp
+++ b/src/standins/standin_server.cpp
@@ -1,6 +1,7 @@
 #include "standins/standin_server.h"
 
-#include <charconv>
+#include "core/decimal.h"
+
 #include <stdexcept>
 
 namespace lentilrack::standins {
@@ -263,13 +264,7 @@
 std::optional<std::int64_t>
 queryNumber(const net::HttpRequest& request, std::string_view name)
 {
-  const auto text = request.query(name);
-  std::int64_t number = 0;
-  const auto [end, error] =
-    std::from_chars(text.data(), text.data() + text.size(), number);
-  const bool isNumber =
-    error == std::errc{} && end == text.data() + text.size();
-  return isNumber ? std::optional(number) : std::nullopt;
+  return core::parseDecimal<std::int64_t>(request.query(name));
 }
 
 std::string
--- a/src/standins/weight_store_standin.cpp
+++ b/src/standins/weight_store_standin.cpp
@@ -1,11 +1,11 @@
 #include "standins/weight_store_standin.h"
 
 #include "backends/weight_store_client.h"
+#include "core/decimal.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace lentilrack::standins {
 
@@ -17,12 +17,7 @@
 std::int64_t
 numberOf(const std::string& text)
 {
-  std::int64_t number = 0;
-  const auto [end, error] =
-    std::from_chars(text.data(), text.data() + text.size(), number);
-  const bool isNumber =
-    error == std::errc{} && end == text.data() + text.size();
-  return isNumber ? number : -1;
+  return core::parseDecimal<std::int64_t>(text).value_or(-1);
 }
 
 } // namespace
--- a/tests/gateway/batch_service_test.cpp
+++ b/tests/gateway/batch_service_test.cpp
@@ -38,7 +38,7 @@
     call.after = after;
     call.wait = Millis(50);
     TestExchange exchange{ net::HttpRequest() };
-    co_await node.batches.read(exchange, std::move(call));
+    co_await node.batches.reader().read(exchange, std::move(call));
     auto json = nlohmann::json::parse(exchange.response.body, nullptr, false);
     json["status"] = exchange.response.status;
     co_return json;
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -216,12 +216,4 @@
   co_return std::error_code();
 }
 
-net::Awaitable<std::error_code>
-FakeStore::endLease(std::int64_t lease)
-{
-  co_await net::sleepFor(Millis(1));
-  mTable->revoke(lease);
-  co_return std::error_code();
-}
-
 } // namespace lentilrack::gateway
