Share servers by demand, shorten the change of leader, plan loads by their time

Servers now follow the demand: mean work of a model's batches by the shortest interval of its trainer, never under half of an equal share, with 15% of slack so that steps of unlike size move nothing. 2. After the loss of a leader no weights were loaded for 7.3 s (2 s lease, then 3 s pause, 2 s lease, 0.3 s), longer than a step. A leader now orders only 1.2 s after a renewal, tells each order's number, and a successor that finds the same number at the server knows when the last order came; only servers with an order that nobody heard of wait for the whole pause. A load kept its place until the server had told of its end, 1.3 s instead of 0.9 s each; a place is now free when loads usually end.

Ruled out: the start of batches (first results after 0.4 s) and prompt reads (2 ms for 2,000 tokens).

--- a/src/core/rollout_batch.cpp
+++ b/src/core/rollout_batch.cpp
@@ -30,6 +30,15 @@
 
 } // namespace
 
+double
+BatchSpec::expectedWork() const
+{
+  return std::accumulate(
+    items.begin(), items.end(), 0.0, [](double sum, const BatchItem& item) {
+      return sum + item.expectedLength;
+    });
+}
+
 BatchProgress::BatchProgress(std::shared_ptr<const BatchSpec> spec)
   : mSpec(std::move(spec))
   , mItems(mSpec->items.size())
--- a/src/core/rollout_batch.h
+++ b/src/core/rollout_batch.h
@@ -49,6 +49,9 @@
   /// Whole groups that the trainer waits for.
   int desiredGroups = 0;
   std::vector<BatchItem> items;
+
+  /// Tokens that its items are expected to give; 0 if unknown.
+  double expectedWork() const;
 };
 
 enum class ItemOutcome
--- a/src/core/weight_wave.cpp
+++ b/src/core/weight_wave.cpp
@@ -8,6 +8,15 @@
 
 namespace {
 
+/// The version that servers start with.
+constexpr std::int64_t kFirstVersion = 1;
+/// Loads by whose times the next are planned.
+constexpr std::size_t kRecentLoads = 12;
+constexpr Millis kShortestLoad{ 200 };
+/// Servers change their model only if one lacks more than this part of its
+/// servers: each move costs a load, and the demand varies between steps.
+constexpr double kUneven = 0.15;
+
 std::int64_t
 versionOf(const RegisteredServer& server, const std::string& model)
 {
@@ -24,42 +33,112 @@
   target = std::max(target, version);
 }
 
+std::int64_t
+WeightWave::behind(const RegisteredServer& server,
+                   const std::string& model) const
+{
+  const auto target = mTargets.find(model);
+  return target == mTargets.end()
+           ? 0
+           : std::max<std::int64_t>(0,
+                                    target->second - versionOf(server, model));
+}
+
+std::string
+WeightWave::presentModel(const RegisteredServer& server,
+                         const std::vector<std::string>& models) const
+{
+  std::vector<std::string> loaded;
+  std::ranges::copy_if(
+    models, std::back_inserter(loaded), [&](const auto& model) {
+      return versionOf(server, model) > kFirstVersion;
+    });
+  // A new server has the newest weights of every model.
+  const bool hasAll =
+    loaded.size() > 1 && std::ranges::all_of(models, [&](const auto& model) {
+      return behind(server, model) == 0;
+    });
+  if (loaded.empty() || hasAll) {
+    return "";
+  }
+  return *std::ranges::min_element(loaded, {}, [&](const auto& model) {
+    return std::pair(behind(server, model), -versionOf(server, model));
+  });
+}
+
 void
 WeightWave::assign(const std::vector<const RegisteredServer*>& servers,
                    const std::vector<std::string>& models)
 {
-  std::map<std::string, std::size_t> counts;
+  const auto wanted = shareServers(servers.size(), models, mDemand);
+  Counts counts;
   for (const auto& model : models) {
     counts[model] = 0;
   }
   std::vector<const RegisteredServer*> open;
   for (const auto* server : servers) {
     const auto known = mAssigned.find(server->entry.id);
-    if (known != mAssigned.end() && counts.contains(known->second)) {
-      ++counts[known->second];
-      continue;
-    }
-    // A server that already has newer weights of one model keeps serving it.
-    const auto newest = std::ranges::max_element(
-      models, {}, [&](const auto& m) { return versionOf(*server, m); });
-    const auto oldest = std::ranges::min_element(
-      models, {}, [&](const auto& m) { return versionOf(*server, m); });
-    if (versionOf(*server, *newest) > versionOf(*server, *oldest)) {
-      mAssigned[server->entry.id] = *newest;
-      ++counts[*newest];
-    } else {
+    const bool isKnown =
+      known != mAssigned.end() && counts.contains(known->second);
+    const auto model = isKnown ? known->second : presentModel(*server, models);
+    if (model.empty()) {
       open.push_back(server);
+      continue;
     }
+    mAssigned[server->entry.id] = model;
+    ++counts[model];
   }
   // Failure domain by failure domain, so that each model is served in each.
   std::ranges::stable_sort(open, {}, [](const RegisteredServer* server) {
     return std::pair(server->entry.failureDomain, server->entry.id);
   });
   for (const auto* server : open) {
-    const auto fewest = std::ranges::min_element(
-      models, {}, [&](const auto& model) { return counts[model]; });
-    mAssigned[server->entry.id] = *fewest;
-    ++counts[*fewest];
+    const auto emptiest =
+      std::ranges::min_element(models, {}, [&](const auto& model) {
+        return static_cast<double>(counts[model]) /
+               static_cast<double>(std::max<std::size_t>(1, wanted.at(model)));
+      });
+    mAssigned[server->entry.id] = *emptiest;
+    ++counts[*emptiest];
+  }
+  rebalance(servers, wanted, std::move(counts));
+}
+
+void
+WeightWave::rebalance(const std::vector<const RegisteredServer*>& servers,
+                      const Counts& wanted,
+                      Counts counts)
+{
+  const auto missing = [&](const std::string& model) {
+    return static_cast<double>(wanted.at(model)) -
+           static_cast<double>(counts[model]);
+  };
+  const auto models = std::views::keys(wanted);
+  const bool isUneven = std::ranges::any_of(models, [&](const auto& model) {
+    return missing(model) >
+           std::max(1.0, kUneven * static_cast<double>(wanted.at(model)));
+  });
+  while (isUneven) {
+    const auto poorest = *std::ranges::max_element(models, {}, missing);
+    const auto richest = *std::ranges::min_element(models, {}, missing);
+    std::vector<const RegisteredServer*> movable;
+    std::ranges::copy_if(servers,
+                         std::back_inserter(movable),
+                         [&](const RegisteredServer* server) {
+                           return mAssigned[server->entry.id] == richest &&
+                                  !mLoads.contains(server->entry.id);
+                         });
+    if (missing(poorest) <= 0 || missing(richest) >= 0 || movable.empty()) {
+      return;
+    }
+    // Weights that are newest already need no load.
+    const auto* moved =
+      *std::ranges::min_element(movable, {}, [&](const auto* server) {
+        return std::pair(behind(*server, poorest), -behind(*server, richest));
+      });
+    mAssigned[moved->entry.id] = poorest;
+    ++counts[poorest];
+    --counts[richest];
   }
 }
 
@@ -88,21 +167,24 @@
     const auto share = static_cast<std::size_t>(
       std::floor(mLimits.shareAtOnce * static_cast<double>(ofService.size())));
     const auto most = std::max(mLimits.fewest, share);
+    // A load makes room for the next when it should have ended: servers tell
+    // of the end late, and the next load would wait for that.
+    const auto expected = loadTime().value_or(mLimits.longestLoad);
     auto loading = static_cast<std::size_t>(
       std::ranges::count_if(ofService, [&](const RegisteredServer* server) {
-        return mLoads.contains(server->entry.id);
+        const auto load = mLoads.find(server->entry.id);
+        return load != mLoads.end() && now - load->second.since < expected;
       }));
     // Servers that are furthest behind block work first.
-    const auto behind = [&](const RegisteredServer* server) {
-      const auto& model = mAssigned[server->entry.id];
-      return mTargets[model] - versionOf(*server, model);
+    const auto lag = [&](const RegisteredServer* server) {
+      return behind(*server, mAssigned[server->entry.id]);
     };
-    std::ranges::stable_sort(ofService, std::greater<>(), behind);
+    std::ranges::stable_sort(ofService, std::greater<>(), lag);
     for (const auto* server : ofService) {
       const auto& id = server->entry.id;
       const auto retryAt = mRetryAt.find(id);
       const bool mustWait = retryAt != mRetryAt.end() && now < retryAt->second;
-      if (loading >= most || behind(server) <= 0) {
+      if (loading >= most || lag(server) == 0) {
         break;
       }
       if (mustWait || mLoads.contains(id)) {
@@ -130,9 +212,28 @@
 }
 
 void
-WeightWave::finished(const std::string& serverId)
+WeightWave::confirmed(const std::string& serverId, TimePoint now)
 {
-  mLoads.erase(serverId);
+  const auto load = mLoads.find(serverId);
+  if (load == mLoads.end()) {
+    return;
+  }
+  mRecentLoads.push_back(
+    std::chrono::duration_cast<Millis>(now - load->second.since));
+  if (mRecentLoads.size() > kRecentLoads) {
+    mRecentLoads.pop_front();
+  }
+  mLoads.erase(load);
+}
+
+std::optional<Millis>
+WeightWave::loadTime() const
+{
+  if (mRecentLoads.empty()) {
+    return std::nullopt;
+  }
+  const auto shortest = *std::ranges::min_element(mRecentLoads);
+  return std::max(shortest - mLimits.reportAge, kShortestLoad);
 }
 
 std::vector<WeightWave::Load>
--- a/src/core/weight_wave.h
+++ b/src/core/weight_wave.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "core/model_demand.h"
 #include "core/server_registry.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,9 +20,10 @@
 };
 
 /// Which servers load which weights next, and when. Each server serves one
-/// model of its service, so that each new version costs one load a server, and
-/// only a few servers load at a time, since more of them slow each other down
-/// and the others have to go on working.
+/// model of its service, so that each new version costs one load a server;
+/// models get servers in proportion to the work that is asked of them. Only a
+/// few servers load at a time, since more of them slow each other down and the
+/// others have to go on working.
 class WeightWave
 {
 public:
@@ -31,6 +34,8 @@
     std::size_t fewest = 2;
     /// A load that is not seen to end counts as failed after this time.
     Millis longestLoad{ 6'000 };
+    /// A server tells the end of a load at least this late.
+    Millis reportAge{ 100 };
     /// Pause before the next order to a server that refused one.
     Millis retryPause{ 400 };
   };
@@ -47,6 +52,11 @@
   /// The newest version of each model that was named. A target never goes
   /// back.
   void setTarget(const std::string& model, std::int64_t version);
+  /// Work a second that is asked of each model.
+  void setDemand(std::map<std::string, double> demand)
+  {
+    mDemand = std::move(demand);
+  }
   /// Orders that may be given now. Each must be followed by begun() or
   /// refused().
   std::vector<LoadOrder> plan(
@@ -55,7 +65,12 @@
     TimePoint now);
   void begun(const LoadOrder& order, TimePoint now);
   void refused(const LoadOrder& order, TimePoint now);
-  void finished(const std::string& serverId);
+  /// The server was seen to have the weights.
+  void confirmed(const std::string& serverId, TimePoint now);
+  /// The load is not waited for any more.
+  void dropped(const std::string& serverId) { mLoads.erase(serverId); }
+  /// How long a load takes, by the recent ones.
+  std::optional<Millis> loadTime() const;
   /// Loads that run, with the time of their order.
   struct Load
   {
@@ -65,14 +80,27 @@
   std::vector<Load> loads() const;
 
 private:
+  using Counts = std::map<std::string, std::size_t>;
+
   void assign(const std::vector<const RegisteredServer*>& servers,
               const std::vector<std::string>& models);
+  void rebalance(const std::vector<const RegisteredServer*>& servers,
+                 const Counts& wanted,
+                 Counts counts);
+  /// The model that the server was used for so far; empty if that is open.
+  std::string presentModel(const RegisteredServer& server,
+                           const std::vector<std::string>& models) const;
+  std::int64_t behind(const RegisteredServer& server,
+                      const std::string& model) const;
 
   Limits mLimits;
   std::map<std::string, std::int64_t> mTargets;
+  std::map<std::string, double> mDemand;
   /// Model of each server, by id.
   std::map<std::string, std::string> mAssigned;
   std::map<std::string, Load> mLoads;
+  /// From the order to the confirmation.
+  std::deque<Millis> mRecentLoads;
   std::map<std::string, TimePoint> mRetryAt;
 };
 
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -30,6 +30,9 @@
 /// median; prompts are read again within a few milliseconds.
 constexpr double kSlowServerFactor = 2.0;
 constexpr Millis kPauseBetweenMoves{ 1'000 };
+/// Runs that one round moves to one server. Servers slow down when they are
+/// nearly full, so that more would only move the trouble.
+constexpr int kMostMoves = 3;
 /// Pauses before an item is tried again.
 constexpr Millis kAfterRefusal{ 25 };
 constexpr Millis kAfterFailure{ 10 };
@@ -280,7 +283,8 @@
     if (event.version > 0) {
       mContext.registry.noteVersion(run.server, mSpec->model, event.version);
     }
-    if (state.eventsOfRun > 0) {
+    // The pause for a load of weights says nothing of the server's speed.
+    if (state.eventsOfRun > 0 && event.version == 0) {
       mContext.registry.succeeded(
         run.server,
         std::chrono::duration<double, std::milli>(now - run.lastEvent).count());
@@ -460,9 +464,10 @@
 {
   while (!mIsStopped && !mProgress.allFinished()) {
     const auto now = Clock::now();
+    std::map<std::string, int> moves;
     for (std::size_t i = 0; i < mRuns.size(); ++i) {
       if (mRuns[i].isGenerating && !mRuns[i].cancel->cancelled()) {
-        checkRun(i, now);
+        checkRun(i, now, moves);
       }
     }
     co_await net::sleepFor(kSupervisionPause);
@@ -470,7 +475,9 @@
 }
 
 void
-BatchRun::checkRun(std::size_t item, TimePoint now)
+BatchRun::checkRun(std::size_t item,
+                   TimePoint now,
+                   std::map<std::string, int>& moves)
 {
   auto& run = mRuns[item];
   const auto* server =
@@ -504,10 +511,17 @@
   need.model = mSpec->model;
   need.minVersion = mSpec->minVersion;
   need.exclude = { run.server.id };
+  for (const auto& [id, count] : moves) {
+    if (count >= kMostMoves) {
+      need.exclude.insert(id);
+    }
+  }
   need.freeSlotOnly = true;
   const auto* other = mContext.registry.choose(need, now, mContext.draw());
   if (other != nullptr && other->pace < server->pace / kSlowServerFactor) {
     run.movedAt = now;
+
+    ++moves[other->entry.id];
     mServerOfGroup[mSpec->items[item].group] = other->entry.id;
     mContext.log.info("item_moved",
                       { { "batch", mSpec->id },
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -161,6 +161,8 @@
   record.host = spec->host;
   record.path = spec->path;
   record.total = spec->items.size();
+  record.model = spec->model;
+  record.work = spec->expectedWork();
   record.parts = (body.size() + partSize - 1) / partSize;
   record.submittedAt = unixNow();
   bool mayBeDone = false;
@@ -211,6 +213,7 @@
                       { "listed", results.size() },
                       { "min_version", spec->minVersion },
                       { "model", spec->model },
+                      { "expected_tokens", spec->expectedWork() },
                       { "owner_revision", ownerRevision } });
   auto batch = std::make_shared<BatchRun>(
     mContext, mCluster, mForwarder, spec, record, ownerRevision);
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -129,6 +129,8 @@
     { "path", path },
     { "total", total },
     { "parts", parts },
+    { "model", model },
+    { "work", work },
     { "submitted_at", submittedAt.count() },
     { "state", static_cast<int>(state) }
   }.dump();
@@ -146,6 +148,8 @@
   record.path = json.value("path", "");
   record.total = json.value("total", std::size_t{ 0 });
   record.parts = json.value("parts", std::size_t{ 0 });
+  record.model = json.value("model", "");
+  record.work = json.value("work", 0.0);
   record.submittedAt = Millis(json.value("submitted_at", std::int64_t{ 0 }));
   record.state = static_cast<BatchState>(json.value("state", 0));
   record.revision = item.revision;
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -36,6 +36,9 @@
   std::size_t total = 0;
   /// Number of keys that hold the submission.
   std::size_t parts = 0;
+  std::string model;
+  /// Tokens that its items are expected to give.
+  double work = 0;
   /// Unix time of the submission.
   core::Millis submittedAt{ 0 };
   BatchState state = BatchState::Open;
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -15,20 +15,22 @@
 constexpr Millis kRound{ 100 };
 constexpr Millis kConnectTimeout{ 250 };
 constexpr Millis kOrderTimeout{ 900 };
-/// A load takes 0.9 s at best; asking earlier only costs a call.
-constexpr Millis kShortestLoad{ 920 };
+/// A load is asked for from this time after its order until loads were seen
+/// to take longer; asking earlier only costs a call.
+constexpr Millis kFirstCheck{ 900 };
+/// What a server says of its load is about this old.
+constexpr Millis kReportAge{ 150 };
 constexpr Millis kCheckPause{ 200 };
 /// A server that is not busy this long after an order did not take it.
 constexpr Millis kLostOrder{ 2'000 };
 /// Servers are given no item for this long after an order.
 constexpr Millis kLoadingNotice{ 1'500 };
-/// An order is given only if the lease has at least this much left, which is
-/// longer than the order takes to arrive.
-constexpr Millis kLeaseMargin{ 400 };
+/// Orders are given only for so long after the last renewal of the lease. A
+/// successor waits for its end, so that it is short; renewals come every 0.5 s
+/// and take up to 0.3 s when the store is slow.
+constexpr Millis kOrderWindow{ 1'200 };
 constexpr Millis kClaimPause{ 300 };
-/// How much longer than the pause between holders a new holder waits, for
-/// orders that are still on their way.
-constexpr Millis kHolderMargin{ 300 };
+
 constexpr Millis kDutyPause{ 15'000 };
 
 constexpr int kOk = 200;
@@ -44,6 +46,8 @@
   , mCluster(cluster)
   , mState(state)
   , mPeers(peers)
+  , mPause(
+      { .pause = context.settings.bounds.holderPause, .window = kOrderWindow })
 {
 }
 
@@ -58,7 +62,7 @@
 {
   const auto* leader = mCluster.leader();
   return mFence != 0 && leader != nullptr && leader->revision == mFence &&
-         Clock::now() >= mOrdersFrom && mCluster.leaseIsFresh(kLeaseMargin) &&
+         mCluster.leaseIsFresh(ClusterView::kLeaseTime - kOrderWindow) &&
          !mContext.isLeaving;
 }
 
@@ -83,6 +87,7 @@
     for (const auto& [model, version] : mContext.namedVersions) {
       mWave.setTarget(model, version);
     }
+    mWave.setDemand(demand());
     std::map<std::string, std::vector<std::string>> models;
     for (const auto& service : mContext.desired->services()) {
       if (!service.models.empty()) {
@@ -90,9 +95,11 @@
       }
     }
     const auto now = Clock::now();
+    const auto loadTime = mWave.loadTime();
+    const auto checkAfter = loadTime ? *loadTime + kReportAge : kFirstCheck;
     for (const auto& load : mWave.loads()) {
       const auto& id = load.order.server.id;
-      const bool isDue = now - load.since >= kShortestLoad &&
+      const bool isDue = now - load.since >= checkAfter &&
                          now - mCheckedAt[id] >= kCheckPause &&
                          !mBusy.contains(id);
       if (isDue) {
@@ -115,6 +122,16 @@
   }
 }
 
+std::map<std::string, double>
+WeightLeader::demand() const
+{
+  std::vector<core::BatchDemand> batches;
+  for (const auto& [id, record] : mCluster.batches()) {
+    batches.push_back({ record.model, record.work, record.submittedAt });
+  }
+  return core::demandOf(std::move(batches), unixNow());
+}
+
 net::Awaitable<void>
 WeightLeader::claim()
 {
@@ -147,13 +164,11 @@
     { { "fence", commit.revision },
       { "outcome", commit.error ? commit.error.message() : "done" } });
   if (!commit.error) {
-    // Another holder may have given its last order when its lease ended, or
-    // has not noticed yet that the store has revoked it.
-    const auto pause = isOwnInstance
-                         ? Millis(0)
-                         : mContext.settings.bounds.holderPause +
-                             ClusterView::kLeaseTime + kHolderMargin;
-    mOrdersFrom = Clock::now() + pause;
+    if (!isOwnInstance) {
+      // The store may have revoked the lease of the former holder, which has
+      // not noticed yet.
+      mPause.takeOver(Clock::now());
+    }
     mCluster.takeItem({ keys::leader(), self.encode(), commit.revision });
   } else {
     std::ranges::for_each(
@@ -167,7 +182,7 @@
   const auto id = order.server.id;
   auto* state = mContext.registry.find(id, order.server.startedAt);
   if (state == nullptr) {
-    mWave.finished(id);
+    mWave.dropped(id);
     mBusy.erase(id);
     co_return;
   }
@@ -177,12 +192,20 @@
     co_await checkLoad(std::move(load));
     state = mContext.registry.find(id, order.server.startedAt);
     if (state == nullptr || !state->orderCount) {
-      mWave.finished(id);
+      mWave.dropped(id);
       mWave.refused(order, Clock::now());
       co_return;
     }
     mBusy.insert(id);
   }
+  const bool isAllowed = co_await pauseIsOver(order);
+  state = mContext.registry.find(id, order.server.startedAt);
+  if (!isAllowed || state == nullptr) {
+    mWave.dropped(id);
+    mWave.refused(order, Clock::now());
+    mBusy.erase(id);
+    co_return;
+  }
   WeightOrder wire;
   wire.ordersBefore = *state->orderCount;
   wire.server = state->entry;
@@ -212,18 +235,26 @@
       { "status", status },
       { "outcome", result.error ? result.error.message() : "answered" } });
   mBusy.erase(id);
+  News news;
+  if (result.sent) {
+    news.orderCount = wire.ordersBefore + 1;
+    mPause.noteOrder(id, order.server.startedAt, *news.orderCount, now);
+  }
   if (status == kAccepted || (result.error && result.sent)) {
     // Without an answer the order may still be carried out.
     mContext.registry.noteLoading(
       id, order.server.startedAt, now + kLoadingNotice);
-    tell(order.server, order.model, 0, kLoadingNotice);
+    news.loading = kLoadingNotice;
+    tell(order, news);
     co_return;
   }
-  mWave.finished(id);
+  mWave.dropped(id);
   if (status == kOk) {
     mContext.registry.noteVersion(order.server, order.model, order.version);
-    tell(order.server, order.model, order.version, Millis(0));
+    news.version = order.version;
+    tell(order, news);
   } else {
+    tell(order, news);
     mWave.refused(order, now);
     mBusy.insert(id);
     core::WeightWave::Load load{ order, now };
@@ -247,7 +278,7 @@
   auto report = mContext.format.decodeReport(result.response.body);
   if (result.error || result.response.status != kOk || !report) {
     if (now - load.since > kLostOrder) {
-      mWave.finished(id);
+      mWave.dropped(id);
       mWave.refused(order, now);
     }
     co_return;
@@ -257,33 +288,47 @@
     state->orderCount =
       std::max(state->orderCount.value_or(0), report.value().orderCount);
   }
+  mPause.noteReport(order.server, report.value().orderCount, now);
   const auto version = report.value().versions[order.model];
   if (version >= order.version) {
     mContext.registry.noteVersion(order.server, order.model, version);
     mContext.registry.noteLoading(id, order.server.startedAt, now);
-    tell(order.server, order.model, version, Millis(0));
-    mWave.finished(id);
+    News news;
+    news.version = version;
+    tell(order, news);
+    mWave.confirmed(id, now);
     mContext.metrics.observe(
       "weight_load_ms",
       std::chrono::duration<double, std::milli>(now - load.since).count());
   } else if (!report.value().isBusy && now - load.since > kLostOrder) {
-    mWave.finished(id);
+    mWave.dropped(id);
     mWave.refused(order, now);
   }
 }
 
+net::Awaitable<bool>
+WeightLeader::pauseIsOver(core::LoadOrder order)
+{
+  if (mPause.needsReport(order.server, Clock::now())) {
+    core::WeightWave::Load load{ order, Clock::now() };
+    co_await checkLoad(std::move(load));
+    mBusy.insert(order.server.id);
+  }
+  co_return mPause.mayOrder(order.server, Clock::now());
+}
+
 void
-WeightLeader::tell(const core::ServerEntry& server,
-                   const std::string& model,
-                   std::int64_t version,
-                   Millis loading)
+WeightLeader::tell(const core::LoadOrder& order, const News& news)
 {
-  const Json news = { { "server", server.id },
-                      { "started_at", server.startedAt },
-                      { "model", model },
-                      { "version", version },
-                      { "loading_ms", loading.count() } };
-  mPeers.tellAll(peer_paths::kWeights, news.dump());
+  Json json = { { "server", order.server.id },
+                { "started_at", order.server.startedAt },
+                { "model", order.model },
+                { "version", news.version },
+                { "loading_ms", news.loading.count() } };
+  if (news.orderCount) {
+    json["orders"] = *news.orderCount;
+  }
+  mPeers.tellAll(peer_paths::kWeights, json.dump());
 }
 
 void
@@ -296,6 +341,10 @@
   }
   const auto id = news.value("server", "");
   const auto startedAt = news.value("started_at", std::int64_t{ 0 });
+  if (news.contains("orders")) {
+    mPause.noteOrder(
+      id, startedAt, news.value("orders", std::int64_t{ 0 }), Clock::now());
+  }
   auto* state = mContext.registry.find(id, startedAt);
   if (state == nullptr) {
     return;
--- a/src/gateway/weight_leader.h
+++ b/src/gateway/weight_leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/holder_pause.h"
 #include "core/weight_wave.h"
 #include "gateway/cluster_view.h"
 #include "gateway/peer_client.h"
@@ -37,21 +38,35 @@
   net::Awaitable<void> giveOrder(core::LoadOrder order);
   net::Awaitable<void> checkLoad(core::WeightWave::Load load);
   net::Awaitable<void> reportRetirements();
+  /// What trainers have asked for lately, by model.
+  std::map<std::string, double> demand() const;
   bool mayOrder() const;
-  void tell(const core::ServerEntry& server,
-            const std::string& model,
-            std::int64_t version,
-            core::Millis loading);
+  /// What one process tells the others of a server's weights.
+  struct News
+  {
+    /// 0: not loaded yet.
+    std::int64_t version = 0;
+    /// How long the server may be loading.
+    core::Millis loading{ 0 };
+    /// Orders that the server has accepted if it has accepted this one;
+    /// nothing if the news is of no order.
+    std::optional<std::int64_t> orderCount;
+  };
+  void tell(const core::LoadOrder& order, const News& news);
+  /// Whether the pause after another holder allows an order; asks the server
+  /// if need be.
+  net::Awaitable<bool> pauseIsOver(core::LoadOrder order);
 
   Context& mContext;
   ClusterView& mCluster;
   StateSync& mState;
   PeerClient& mPeers;
   core::WeightWave mWave;
+  core::HolderPause mPause;
   std::function<net::Awaitable<void>()> mDuty;
   /// 0 while another process, or none, leads.
   std::int64_t mFence = 0;
-  core::TimePoint mOrdersFrom{};
+
   core::TimePoint mVacantSince{};
   /// Servers to which a call is on its way.
   std::set<std::string> mBusy;
--- /dev/null
+++ b/tests/core/model_demand_test.cpp
@@ -0,0 +1,112 @@
+#include "core/model_demand.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <numeric>
+
+namespace lentilrack::core {
+
+namespace {
+
+constexpr Millis kNow{ 1'000'000'000 };
+
+/// Batches of one trainer, the last of them just now.
+std::vector<BatchDemand>
+steps(const std::string& model, double work, Millis interval, int count)
+{
+  std::vector<BatchDemand> batches;
+  for (int i = 0; i < count; ++i) {
+    batches.push_back({ model, work, kNow - i * interval });
+  }
+  return batches;
+}
+
+std::vector<BatchDemand>
+join(std::vector<std::vector<BatchDemand>> lists)
+{
+  std::vector<BatchDemand> all;
+  for (const auto& list : lists) {
+    all.insert(all.end(), list.begin(), list.end());
+  }
+  return all;
+}
+
+} // namespace
+
+// Pattern: short drafts beside two models with drafts of three times their
+// length. Guards against equal parts, with which the long drafts miss their
+// time while servers of the short ones idle.
+TEST(ModelDemandTest, LongDraftsGetMoreServers)
+{
+  const auto demand =
+    demandOf(join({ steps("short", 50'000, Millis(4000), 4),
+                    steps("long", 150'000, Millis(4000), 4),
+                    steps("wide", 150'000, Millis(4000), 4) }),
+             kNow);
+  const auto shares = shareServers(45, { "short", "long", "wide" }, demand);
+  EXPECT_EQ(shares.at("short"), 7U);
+  EXPECT_EQ(shares.at("long"), 19U);
+  EXPECT_EQ(shares.at("wide"), 19U);
+}
+
+// Guards against a model that loses servers since it is slow, and becomes
+// slower for it.
+TEST(ModelDemandTest, TrainerThatIsHeldUpKeepsItsDemand)
+{
+  auto held = steps("a", 100'000, Millis(4000), 3);
+  held.back().submittedAt -= Millis(20'000);
+  const auto demand =
+    demandOf(join({ held, steps("b", 100'000, Millis(4000), 9) }), kNow);
+  EXPECT_DOUBLE_EQ(demand.at("a"), demand.at("b"));
+}
+
+// Guards against batches that a trainer submits ahead counting as more work.
+TEST(ModelDemandTest, BatchesSubmittedTogetherDoNotShortenTheInterval)
+{
+  auto ahead = steps("a", 100'000, Millis(4000), 4);
+  ahead.push_back({ "a", 100'000, kNow - Millis(100) });
+  const auto demand =
+    demandOf(join({ ahead, steps("b", 100'000, Millis(4000), 4) }), kNow);
+  EXPECT_NEAR(demand.at("a") / demand.at("b"), 1.0, 0.05);
+}
+
+TEST(ModelDemandTest, OldBatchesDoNotCount)
+{
+  EXPECT_TRUE(
+    demandOf({ { "a", 1000, kNow - std::chrono::minutes(2) } }, kNow).empty());
+}
+
+TEST(ModelDemandTest, ModelsWithoutKnownDemandShareAlike)
+{
+  const auto shares = shareServers(9, { "a", "b", "c" }, {});
+  EXPECT_EQ(shares.at("a"), 3U);
+  EXPECT_EQ(shares.at("b"), 3U);
+  EXPECT_EQ(shares.at("c"), 3U);
+}
+
+// Guards against servers that are lost or counted twice, and against a model
+// that is left without its least part.
+RC_GTEST_PROP(ModelDemandTest, AllServersAreShared, ())
+{
+  const auto servers = *rc::gen::inRange<std::size_t>(1, 300);
+  const auto count = *rc::gen::inRange<std::size_t>(1, 6);
+  std::vector<std::string> models;
+  std::map<std::string, double> demand;
+  for (std::size_t i = 0; i < count; ++i) {
+    models.push_back("m" + std::to_string(i));
+    const auto work = *rc::gen::inRange(0, 1'000'000);
+    if (work > 0) {
+      demand[models.back()] = work;
+    }
+  }
+  const auto shares = shareServers(servers, models, demand);
+  std::size_t sum = 0;
+  for (const auto& [model, share] : shares) {
+    sum += share;
+    RC_ASSERT(share >= servers / (2 * count));
+  }
+  RC_ASSERT(sum == servers);
+}
+
+} // namespace lentilrack::core
--- a/tests/core/weight_wave_test.cpp
+++ b/tests/core/weight_wave_test.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace lentilrack::core {
@@ -65,7 +66,7 @@
     wave.begun(order, kNow);
   }
   EXPECT_TRUE(wave.plan(fleet.view(), fleet.models, kNow).empty());
-  wave.finished(first[0].server.id);
+  wave.confirmed(first[0].server.id, kNow + Millis(1'000));
   fleet.load(first[0]);
   EXPECT_EQ(wave.plan(fleet.view(), fleet.models, kNow).size(), 1U);
 }
@@ -132,4 +133,124 @@
   EXPECT_EQ(wave.plan(fleet.view(), fleet.models, later).size(), 2U);
 }
 
+namespace {
+
+std::map<std::string, int>
+serversByModel(const Fleet& fleet)
+{
+  std::map<std::string, int> counts;
+  for (const auto& server : fleet.servers) {
+    const auto newest = std::ranges::max_element(
+      server.entry.versions, {}, [](const auto& item) { return item.second; });
+    ++counts[newest->first];
+  }
+  return counts;
+}
+
+/// Carries out every order until no more are given.
+int
+loadAll(WeightWave& wave, Fleet& fleet)
+{
+  int loads = 0;
+  for (auto orders = wave.plan(fleet.view(), fleet.models, kNow);
+       !orders.empty();
+       orders = wave.plan(fleet.view(), fleet.models, kNow)) {
+    for (const auto& order : orders) {
+      wave.begun(order, kNow);
+      fleet.load(order);
+      wave.dropped(order.server.id);
+      ++loads;
+    }
+  }
+  return loads;
+}
+
+} // namespace
+
+// Pattern: short and long drafts on the same servers. Guards against equal
+// parts, with which the long drafts miss their time.
+TEST(WeightWaveTest, ServersFollowTheDemand)
+{
+  Fleet fleet(12, { "short", "long" });
+  WeightWave wave;
+  wave.setTarget("short", 2);
+  wave.setTarget("long", 2);
+  loadAll(wave, fleet);
+  EXPECT_EQ(serversByModel(fleet)["long"], 6);
+  wave.setDemand({ { "short", 1.0 }, { "long", 3.0 } });
+  wave.setTarget("long", 3);
+  loadAll(wave, fleet);
+  EXPECT_EQ(serversByModel(fleet)["long"], 9);
+}
+
+// Guards against servers that change their model with every small change of
+// the demand, of which each costs a load.
+TEST(WeightWaveTest, SmallChangesOfDemandMoveNoServer)
+{
+  Fleet fleet(12, { "short", "long" });
+  WeightWave wave;
+  wave.setDemand({ { "short", 1.0 }, { "long", 3.0 } });
+  wave.setTarget("short", 2);
+  wave.setTarget("long", 2);
+  loadAll(wave, fleet);
+  wave.setDemand({ { "short", 1.15 }, { "long", 2.85 } });
+  EXPECT_EQ(loadAll(wave, fleet), 0);
+}
+
+// Guards against a new leader that takes a server with old weights of a model
+// with many versions for a server of that model.
+TEST(WeightWaveTest, NewLeaderKeepsWhatServersAreUsedFor)
+{
+  Fleet fleet(4, { "fast", "slow" });
+  WeightWave first;
+  first.setTarget("fast", 9);
+  first.setTarget("slow", 3);
+  loadAll(first, fleet);
+  // A server that served the fast model before and now serves the slow one.
+  auto& moved = *std::ranges::find_if(fleet.servers, [](const auto& server) {
+    return server.entry.versions.at("slow") == 3;
+  });
+  moved.entry.versions["fast"] = 5;
+  WeightWave second;
+  second.setTarget("fast", 9);
+  second.setTarget("slow", 3);
+  EXPECT_EQ(loadAll(second, fleet), 0);
+  second.setTarget("slow", 4);
+  EXPECT_EQ(loadAll(second, fleet), 2);
+  EXPECT_EQ(moved.entry.versions.at("slow"), 4);
+}
+
+// Pattern: versions follow each other faster than all servers can load them.
+// Guards against the time in which a server has loaded but has not told so,
+// and none loads in its place.
+TEST(WeightWaveTest, NextLoadsBeginWhenTheFormerShouldHaveEnded)
+{
+  Fleet fleet(10, { "m" });
+  WeightWave wave;
+  wave.setTarget("m", 2);
+  const auto first = wave.plan(fleet.view(), fleet.models, kNow);
+  ASSERT_EQ(first.size(), 2U);
+  wave.begun(first[0], kNow);
+  wave.begun(first[1], kNow);
+  // Before any load was seen to end, nothing is known of their time.
+  EXPECT_TRUE(
+    wave.plan(fleet.view(), fleet.models, kNow + Millis(900)).empty());
+  for (const auto& order : first) {
+    fleet.load(order);
+    wave.confirmed(order.server.id, kNow + Millis(1'000));
+  }
+  EXPECT_EQ(wave.loadTime(), Millis(900));
+  const auto later = kNow + Millis(1'000);
+  const auto second = wave.plan(fleet.view(), fleet.models, later);
+  ASSERT_EQ(second.size(), 2U);
+  wave.begun(second[0], later);
+  wave.begun(second[1], later);
+  EXPECT_TRUE(
+    wave.plan(fleet.view(), fleet.models, later + Millis(899)).empty());
+  const auto third = wave.plan(fleet.view(), fleet.models, later + Millis(900));
+  EXPECT_EQ(third.size(), 2U);
+  EXPECT_NE(third[0].server.id, second[0].server.id);
+  EXPECT_NE(third[1].server.id, second[1].server.id);
+}
+
 } // namespace lentilrack::core
