--- a/src/core/reader_choice.h
+++ b/src/core/reader_choice.h
@@ -16,8 +16,8 @@
 {
 public:
   /// Two readers at least, so that the loss of one costs no time; one more for
-  /// this many processes, which keeps the work of a reader under 1% of a core.
-  static constexpr std::size_t kProcessesPerReader = 25;
+  /// this many processes, which keeps a reader at 2% of a core.
+  static constexpr std::size_t kProcessesPerReader = 30;
   static constexpr std::size_t kFewestReaders = 2;
   /// A reader that failed is not asked again for this long.
   static constexpr Millis kAvoidance{ 1'500 };
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -94,10 +94,10 @@
 class ClusterView
 {
 public:
-  /// Time after which others may take over what a process holds. Three
-  /// renewals may be lost before.
+  /// Time after which others may take over what a process holds. Two renewals
+  /// may be lost before.
   static constexpr core::Millis kLeaseTime{ 2'000 };
-  static constexpr core::Millis kRenewPause{ 500 };
+  static constexpr core::Millis kRenewPause{ 600 };
 
   explicit ClusterView(Context& context);
 
--- a/src/gateway/result_log.cpp
+++ b/src/gateway/result_log.cpp
@@ -10,9 +10,10 @@
 using core::Millis;
 
 /// Results are gathered until a group is whole, but not longer than this.
-constexpr Millis kLongestGathering{ 250 };
-/// Shortest time between two writes, which keeps a batch under 10 a second.
-constexpr Millis kWritePause{ 100 };
+constexpr Millis kLongestGathering{ 400 };
+/// Shortest time between two writes, which keeps a batch under 5 a second.
+/// Trainers read about twice a second.
+constexpr Millis kWritePause{ 200 };
 /// Pause before a call to the store is tried again.
 constexpr Millis kStorePause{ 50 };
 /// A chunk takes at most this part of the largest value of the store.
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -18,6 +18,9 @@
 /// Longest wait of one watch. What a watch does not confirm in time is not
 /// passed on, so that this bounds how late a reader in trouble is noticed.
 constexpr Millis kWatchWait{ 500 };
+/// What processes know of each other is not bound to a time after the store's
+/// word; changes come at once, and an idle watch costs a call.
+constexpr Millis kClusterWatchWait{ 2'000 };
 /// A leaving server must get no request 2 s after the store took its word,
 /// which leaves time for one lost read and the loss of a reader.
 constexpr Millis kServerPollPause{ 350 };
@@ -83,9 +86,12 @@
   , mPeers(peers)
   , mChoice(context.settings.instance)
   , mOperator{ context.mirrors.operatorKeys,
-               context.format.storeKeys().operatorPrefix }
-  , mServers{ context.mirrors.servers, context.format.storeKeys().serverPrefix }
-  , mClusterKeys{ context.mirrors.cluster, keys::prefix() }
+               context.format.storeKeys().operatorPrefix,
+               kWatchWait }
+  , mServers{ context.mirrors.servers,
+              context.format.storeKeys().serverPrefix,
+              kWatchWait }
+  , mClusterKeys{ context.mirrors.cluster, keys::prefix(), kClusterWatchWait }
 {
 }
 
@@ -101,8 +107,10 @@
 Millis
 StateFeed::age() const
 {
-  const auto oldest = std::min(
-    { mOperator.confirmedAt, mServers.confirmedAt, mClusterKeys.confirmedAt });
+  const auto extraWait = kClusterWatchWait - kWatchWait;
+  const auto oldest = std::min({ mOperator.confirmedAt,
+                                 mServers.confirmedAt,
+                                 mClusterKeys.confirmedAt + extraWait });
   return std::chrono::duration_cast<Millis>(Clock::now() - oldest);
 }
 
@@ -259,7 +267,7 @@
       noteConfirmed(source, Millis(0));
     }
     auto changes =
-      co_await mContext.store.watch(source.prefix, revision, kWatchWait);
+      co_await mContext.store.watch(source.prefix, revision, source.watchWait);
     if (!changes) {
       const bool isLost = changes.error() == StoreError::HistoryLost;
       mContext.log.warning("watch_failed",
--- a/src/gateway/state_feed.h
+++ b/src/gateway/state_feed.h
@@ -27,6 +27,8 @@
   {
     core::KeyMirror& mirror;
     std::string prefix;
+    /// Longest wait of one watch.
+    core::Millis watchWait;
     core::TimePoint confirmedAt{};
     /// Place in the sequence of the process that feeds this one.
     std::uint64_t followed = 0;
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -26,7 +26,7 @@
 /// Servers are given no item for this long after an order.
 constexpr Millis kLoadingNotice{ 1'500 };
 /// Orders are given only for so long after the last renewal of the lease. A
-/// successor waits for its end, so that it is short; renewals come every 0.5 s
+/// successor waits for its end, so that it is short; renewals come every 0.6 s
 /// and take up to 0.3 s when the store is slow.
 constexpr Millis kOrderWindow{ 1'200 };
 constexpr Millis kClaimPause{ 300 };
