--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -30,9 +30,7 @@
 /// median; prompts are read again within a few milliseconds.
 constexpr double kSlowServerFactor = 2.0;
 constexpr Millis kPauseBetweenMoves{ 1'000 };
-/// Runs that one round moves to one server. Servers slow down when they are
-/// nearly full, so that more would only move the trouble.
-constexpr int kMostMoves = 3;
+
 /// Pauses before an item is tried again.
 constexpr Millis kAfterRefusal{ 25 };
 constexpr Millis kAfterFailure{ 10 };
@@ -464,10 +462,10 @@
 {
   while (!mIsStopped && !mProgress.allFinished()) {
     const auto now = Clock::now();
-    std::map<std::string, int> moves;
+
     for (std::size_t i = 0; i < mRuns.size(); ++i) {
       if (mRuns[i].isGenerating && !mRuns[i].cancel->cancelled()) {
-        checkRun(i, now, moves);
+        checkRun(i, now);
       }
     }
     co_await net::sleepFor(kSupervisionPause);
@@ -475,9 +473,7 @@
 }
 
 void
-BatchRun::checkRun(std::size_t item,
-                   TimePoint now,
-                   std::map<std::string, int>& moves)
+BatchRun::checkRun(std::size_t item, TimePoint now)
 {
   auto& run = mRuns[item];
   const auto* server =
@@ -511,17 +507,12 @@
   need.model = mSpec->model;
   need.minVersion = mSpec->minVersion;
   need.exclude = { run.server.id };
-  for (const auto& [id, count] : moves) {
-    if (count >= kMostMoves) {
-      need.exclude.insert(id);
-    }
-  }
+
   need.freeSlotOnly = true;
   const auto* other = mContext.registry.choose(need, now, mContext.draw());
   if (other != nullptr && other->pace < server->pace / kSlowServerFactor) {
     run.movedAt = now;
 
-    ++moves[other->entry.id];
     mServerOfGroup[mSpec->items[item].group] = other->entry.id;
     mContext.log.info("item_moved",
                       { { "batch", mSpec->id },
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -76,10 +76,7 @@
   void putBack(std::size_t item, core::Millis pause);
   void finish(core::ItemResult result);
   void giveUpItem(std::size_t item, const std::string& reason);
-  /// `moves`: runs that this round has moved to each server.
-  void checkRun(std::size_t item,
-                core::TimePoint now,
-                std::map<std::string, int>& moves);
+  void checkRun(std::size_t item, core::TimePoint now);
 
   Context& mContext;
   ClusterView& mCluster;
--- a/tests/gateway/batch_service_test.cpp
+++ b/tests/gateway/batch_service_test.cpp
@@ -361,4 +361,33 @@
   });
 }
 
+// Pattern: new weights are loaded in the middle of long runs. Guards against a
+// server that counts as slow for the pause, so that its runs are moved off it.
+TEST_F(BatchServiceTest, PauseOfALoadIsNoSlowness)
+{
+  constexpr Millis kLoad{ 300 };
+  auto node = makeNode("a");
+  FakeServer server(mIo, "s1");
+  node->addServer(server, "engine");
+  server.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+    co_await exchange.beginStream(200, "text/event-stream", std::move(headers));
+    co_await exchange.write("id: 1\ndata: a\n\n");
+    co_await net::sleepFor(kLoad);
+    co_await exchange.write("x-weight-versions: 2\nid: 2\ndata: b\n\n"
+                            "id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
+    co_await exchange.endStream();
+  });
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    co_await submit(*node, submission("b1", 1));
+    co_await untilTotal(*node, "b1", 1);
+  });
+  const auto servers = node->context.registry.all();
+  ASSERT_EQ(servers.size(), 1U);
+  EXPECT_EQ(servers.front()->entry.versions.at("model"), 2);
+  // One event of three after the pause would make it a fifth of the pause.
+  EXPECT_LT(servers.front()->pace, static_cast<double>(kLoad.count()) / 10);
+}
+
 } // namespace lentilrack::gateway
