--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -176,6 +176,21 @@
   }
 }
 
+WeightOrder
+WeightLeader::wireOrder(const core::LoadOrder& order,
+                        const core::RegisteredServer& server) const
+{
+  WeightOrder wire;
+  wire.ordersBefore = server.orderCount.value_or(0);
+  wire.server = server.entry;
+  wire.model = order.model;
+  wire.version = order.version;
+  wire.waitForRuns = mContext.desired->wantsSingleVersion();
+  wire.holder = mContext.settings.instance;
+  wire.fence = mFence;
+  return wire;
+}
+
 net::Awaitable<void>
 WeightLeader::giveOrder(core::LoadOrder order)
 {
@@ -206,14 +221,8 @@
     mBusy.erase(id);
     co_return;
   }
-  WeightOrder wire;
-  wire.ordersBefore = *state->orderCount;
-  wire.server = state->entry;
-  wire.model = order.model;
-  wire.version = order.version;
-  wire.waitForRuns = mContext.desired->wantsSingleVersion();
-  wire.holder = mContext.settings.instance;
-  wire.fence = mFence;
+  const auto wire = wireOrder(order, *state);
+
   net::HttpCall call;
   call.endpoint = order.server.endpoint;
   call.request = mContext.format.encodeOrder(wire);
--- a/src/gateway/weight_leader.h
+++ b/src/gateway/weight_leader.h
@@ -35,6 +35,8 @@
 private:
   net::Awaitable<void> lead();
   net::Awaitable<void> claim();
+  WeightOrder wireOrder(const core::LoadOrder& order,
+                        const core::RegisteredServer& server) const;
   net::Awaitable<void> giveOrder(core::LoadOrder order);
   net::Awaitable<void> checkLoad(core::WeightWave::Load load);
   net::Awaitable<void> reportRetirements();
