--- a/src/core/key_mirror.h
+++ b/src/core/key_mirror.h
@@ -51,6 +51,7 @@
     : mIsSame(std::move(isSame))
   {
   }
+  /// Says which new values say nothing new.
   void ignoreChanges(IsSame isSame) { mIsSame = std::move(isSame); }
 
   void onItem(std::function<void(const MirroredItem&)> hook)
--- a/src/gateway/batch_reader.cpp
+++ b/src/gateway/batch_reader.cpp
@@ -24,6 +24,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
 
 net::HttpResponse
 bodyOf(const core::BatchItem& item)
@@ -96,7 +97,8 @@
   std::string body;
   std::ranges::for_each(items, [&](const auto& part) { body += part.value; });
   auto spec = mContext.format.decodeBatch(id, record.host, record.path, body);
-  if (!spec) {
+  // Positions count up to the number in the record.
+  if (!spec || spec.value().items.size() != record.total) {
     co_return make_error_code(StoreError::BadAnswer);
   }
   stored.spec =
@@ -166,7 +168,7 @@
     known != mCluster.batches().end() ? known->second.total : 0;
   auto listing = co_await mContext.store.list(keys::resultsPrefix(call.id));
   if (!listing || total == 0) {
-    co_return refusal(503, "store_unavailable", kRetryAfter);
+    co_return refusal(kUnavailable, "store_unavailable", kRetryAfter);
   }
   const auto results = joinChunks(std::move(listing.value().items));
   co_return page(total, call.after, results);
@@ -180,7 +182,7 @@
     co_return failure(kNotFound, "no_such_batch");
   }
   if (presence == BatchPresence::Unsure) {
-    co_return refusal(503, "store_unavailable", kRetryAfter);
+    co_return refusal(kUnavailable, "store_unavailable", kRetryAfter);
   }
   net::HttpRequest request;
   request.target = fmt::format("{}{}?after={}&wait={}",
@@ -235,7 +237,7 @@
     co_return failure(kNotFound, "no_such_batch");
   }
   if (presence == BatchPresence::Unsure) {
-    co_return refusal(503, "store_unavailable", kRetryAfter);
+    co_return refusal(kUnavailable, "store_unavailable", kRetryAfter);
   }
   net::HttpRequest request;
   request.target =
@@ -247,7 +249,7 @@
   const auto record = mCluster.batches().at(call.id);
   const auto stored = co_await load(call.id, record);
   if (!stored) {
-    co_return refusal(503, "store_unavailable", kRetryAfter);
+    co_return refusal(kUnavailable, "store_unavailable", kRetryAfter);
   }
   const auto& items = stored.value().spec->items;
   const auto found = std::ranges::find(items, call.item, &core::BatchItem::id);
