Apply the list of servers with each change again

The registry changes with the mirror again.

The list is applied once an entry again, as before; a hook at the end of a change of the mirror would save that.

--- a/src/gateway/state_sync.cpp
+++ b/src/gateway/state_sync.cpp
@@ -16,7 +16,7 @@
     [this](const auto& item) { takeServer(item); });
   mContext.mirrors.servers.onRemoved([this](const auto& key, auto) {
     mServers.erase(key);
-    scheduleServers();
+    applyServers();
   });
 }
 
@@ -86,7 +86,7 @@
                            { "revision", item.revision },
                            { "error", entry.error() } });
   }
-  scheduleServers();
+  applyServers();
 }
 
 bool
@@ -97,17 +97,6 @@
   return known != mServers.end() && told && told.value() == known->second;
 }
 
-void
-StateSync::scheduleServers()
-{
-  if (!std::exchange(mIsScheduled, true)) {
-    net::asio::post(mContext.io, [this] {
-      mIsScheduled = false;
-      applyServers();
-    });
-  }
-}
-
 void
 StateSync::applyServers()
 {
--- a/src/gateway/state_sync.h
+++ b/src/gateway/state_sync.h
@@ -26,14 +26,13 @@
   void takeServer(const core::MirroredItem& item);
   /// Whether the item says the same of its server but for a counter of writes.
   bool isKnownServer(const core::MirroredItem& item) const;
-  /// Gives the registry the whole list once the present changes are taken.
-  void scheduleServers();
+  /// Gives the registry the whole list at once, so that it is never behind the
+  /// mirror.
   void applyServers();
 
   Context& mContext;
   std::map<std::string, std::int64_t> mRetirements;
   std::map<std::string, core::ServerEntry> mServers;
-  bool mIsScheduled = false;
 };
 
 } // namespace lentilrack::gateway
