An unexpected error in one request no longer ends the process

BatchReader::readRemoteItemBody looked up the record of a batch with at() after it had asked the owner, and the record was gone. Ruled out: the planner's at() calls, whose maps hold every model by construction. Loops still end the process on an exception. Test: ExceptionOfTheHandlerEndsOnlyItsExchange ended the test program before.

--- a/src/gateway/batch_reader.cpp
+++ b/src/gateway/batch_reader.cpp
@@ -264,7 +264,13 @@
   if (ownerResponse && ownerResponse->status != net::status::kNotFound) {
     co_return std::move(*ownerResponse);
   }
-  const auto record = mCluster.batches().at(call.id);
+  // The record may have been removed while the owner was asked, and a batch
+  // that only runs in this process may have none yet.
+  const auto known = mCluster.batches().find(call.id);
+  if (known == mCluster.batches().end()) {
+    co_return storeUnavailableResponse();
+  }
+  const auto record = known->second;
   const auto stored = co_await load(call.id, record);
   if (!stored) {
     co_return storeUnavailableResponse();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -43,6 +43,7 @@
   tcp::acceptor acceptor;
   std::function<HttpLimits()> limits;
   HttpHandler handler;
+  std::function<void(const std::string& reason)> onFailure;
   std::set<beast::tcp_stream*> streams;
   /// The members of `streams` that have received no byte of a request yet.
   std::set<beast::tcp_stream*> idleStreams;
@@ -244,6 +245,7 @@
   }
 
   bool hasStarted() const { return mStarted; }
+  bool hasEnded() const { return mEnded; }
   /// Returns true if the connection can be used for another request.
   bool canBeReused() const
   {
@@ -356,8 +358,21 @@
   ServerExchange exchange(
     fromBeast(parser.release()), stream, limits, keepAlive);
   ++runningExchanges;
-  co_await handler(exchange);
+  bool hasFailed = false;
+  try {
+    co_await handler(exchange);
+  } catch (const std::exception& failure) {
+    hasFailed = true;
+    if (onFailure) {
+      onFailure(failure.what());
+    }
+  }
   --runningExchanges;
+  if (hasFailed && exchange.hasStarted() && !exchange.hasEnded()) {
+    // Closes the connection, so that the client does not take the response for
+    // complete.
+    exchange.abort();
+  }
   if (!exchange.hasStarted()) {
     HttpResponse response;
     response.status = 500;
@@ -432,6 +447,12 @@
   mState->limits = std::move(limits);
 }
 
+void
+HttpServer::onHandlerFailure(std::function<void(const std::string&)> hook)
+{
+  mState->onFailure = std::move(hook);
+}
+
 void
 HttpServer::stopAccepting()
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -86,6 +86,10 @@
   /// Sets a function that returns the limits. It is called for each request, so
   /// that the limits can change at run time.
   void setLimits(std::function<HttpLimits()> limits);
+  /// Sets a function that is called with the reason when the handler throws an
+  /// exception. Such an exception ends only its own exchange: the client gets
+  /// status 500, or the connection is closed if a stream has begun.
+  void onHandlerFailure(std::function<void(const std::string& reason)> hook);
   ~HttpServer();
 
   /// Binds and starts accepting. With port 0 the kernel chooses the port.
--- a/tests/net/broken_exchange_test.cpp
+++ b/tests/net/broken_exchange_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <stdexcept>
+#include <vector>
+
 namespace lentilrack::net {
 
 namespace {
@@ -30,8 +33,53 @@
   co_return;
 }
 
+Awaitable<void>
+throwOnRequest(HttpExchange& exchange)
+{
+  if (exchange.request().target == "/good") {
+    co_await respondEmpty(exchange);
+    co_return;
+  }
+  if (exchange.request().target == "/stream") {
+    co_await exchange.beginStream(200, "text/plain", {});
+    co_await exchange.write("part");
+  }
+  throw std::out_of_range("unexpected");
+}
+
 } // namespace
 
+// Guards against an unexpected error in one request that ends the process and
+// thus all its other requests: the read of an item of a batch whose record had
+// just been removed did so.
+TEST(BrokenExchangeTest, ExceptionOfTheHandlerEndsOnlyItsExchange)
+{
+  asio::io_context io;
+  HttpServer server(io, {}, throwOnRequest);
+  std::vector<std::string> reasons;
+  server.onHandlerFailure(
+    [&](const std::string& reason) { reasons.push_back(reason); });
+  const auto endpoint = server.listen({ "127.0.0.1", 0 }).value();
+  HttpClient client(io);
+  const auto run = [&]() -> Awaitable<void> {
+    auto call = callTo(endpoint);
+    call.request.target = "/bad";
+    const auto failed = co_await client.call(call);
+    EXPECT_EQ(failed.response.status, 500);
+    call.request.target = "/stream";
+    const auto cut = co_await client.call(call);
+    EXPECT_EQ(cut.error, NetError::ConnectionLost);
+    call.request.target = "/good";
+    const auto good = co_await client.call(call);
+    EXPECT_TRUE(good.isSuccess());
+    io.stop();
+  };
+  spawn(io, run());
+  io.run();
+  EXPECT_EQ(reasons, (std::vector<std::string>{ "unexpected", "unexpected" }));
+  EXPECT_EQ(server.activeExchanges(), 0U);
+}
+
 // Guards against the server sending a response although the handler has aborted
 // the exchange.
 TEST(BrokenExchangeTest, AbortSendsNoResponse)
