--- /dev/null
+++ b/src/core/replication_tree.cpp
@@ -0,0 +1,108 @@
+#include "core/replication_tree.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace lentilrack::core {
+
+namespace {
+
+std::uint64_t
+hashOf(const std::string& text)
+{
+  return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
+void
+ReplicationTree::setMembers(std::vector<Member> members)
+{
+  // The order by hash is the same in every process, and few processes change
+  // their level when a process joins or leaves.
+  std::ranges::sort(members, {}, [](const Member& member) {
+    return std::pair(hashOf(member.name), member.name);
+  });
+  mLevels.clear();
+  mOwnDomain.clear();
+  auto width = members.size() > kLargeFleet ? kMaxReaders : kMinReaders;
+  auto rest = std::ranges::subrange(members.begin(), members.end());
+  while (!rest.empty()) {
+    const auto taken =
+      static_cast<std::ptrdiff_t>(std::min(width, std::size_t(rest.size())));
+    mLevels.emplace_back(rest.begin(), rest.begin() + taken);
+    rest.advance(taken);
+    width *= kFanOut;
+  }
+  // A process that is not listed yet takes part in the lowest level.
+  mOwnLevel = std::max<std::size_t>(1, mLevels.size()) - 1;
+  for (std::size_t i = 0; i < mLevels.size(); ++i) {
+    const auto own = std::ranges::find(mLevels[i], mSelf, &Member::name);
+    if (own != mLevels[i].end()) {
+      mOwnLevel = i;
+      mOwnDomain = own->failureDomain;
+    }
+  }
+}
+
+std::vector<std::string>
+ReplicationTree::level(std::size_t index) const
+{
+  std::vector<std::string> names;
+  if (index < mLevels.size()) {
+    std::ranges::transform(
+      mLevels[index], std::back_inserter(names), &Member::name);
+  }
+  return names;
+}
+
+std::optional<std::string>
+ReplicationTree::chooseFrom(const std::vector<Member>& candidates,
+                            TimePoint now) const
+{
+  std::vector<Member> usable;
+  std::ranges::copy_if(
+    candidates, std::back_inserter(usable), [&](const Member& member) {
+      const auto avoided = mAvoidUntil.find(member.name);
+      return member.name != mSelf &&
+             (avoided == mAvoidUntil.end() || now >= avoided->second);
+    });
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  return std::ranges::max_element(usable,
+                                  {},
+                                  [&](const Member& member) {
+                                    return std::pair(
+                                      member.failureDomain == mOwnDomain,
+                                      hashOf(mSelf + "|" + member.name));
+                                  })
+    ->name;
+}
+
+std::optional<std::string>
+ReplicationTree::source(TimePoint now) const
+{
+  for (auto above = mOwnLevel; above > 0; --above) {
+    if (const auto chosen = chooseFrom(mLevels[above - 1], now)) {
+      return chosen;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string>
+ReplicationTree::sourceForCutReader(TimePoint now) const
+{
+  for (const auto& candidates : mLevels | std::views::take(2)) {
+    if (const auto chosen = chooseFrom(candidates, now)) {
+      return chosen;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace lentilrack::core
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -23,6 +23,11 @@
 /// that the outcome of the request is unknown.
 constexpr Millis kAcceptTimeout{ 4'000 };
 constexpr Millis kRetryAfter{ 200 };
+/// How long the process that runs the batches of a model may take to accept a
+/// batch. After this time the process that the trainer has called accepts it.
+constexpr Millis kHomeTimeout{ 1'200 };
+/// Larger submissions are not passed on to another process.
+constexpr std::size_t kMaxPeerBodyBytes = 4UL * 1024 * 1024;
 /// The maximum size of a body part is the maximum size of a value in the store
 /// divided by this.
 constexpr std::size_t kBodyPartDivisor = 2;
@@ -54,6 +59,7 @@
   : mContext(context)
   , mCluster(cluster)
   , mForwarder(forwarder)
+  , mPeers(peers)
   , mReader(context, cluster, peers, [this](const std::string& id) {
     return findLocalRun(id);
   })
@@ -98,20 +104,17 @@
   } else if (spec.value().items.empty()) {
     reason = "no items";
     response = errorResponse(400, "batch_without_items");
+  } else if (auto remote = co_await acceptAtHome(spec.value(), request.body)) {
+    reason = "accepted_by_home";
+    response = std::move(*remote);
+  } else if (isMemoryExhausted()) {
+    reason = "memory";
+    response = refusalResponse(503, "too_many_open_batches", kRetryAfter);
   } else {
-    std::size_t memory = 0;
-    for (const auto& [runId, run] : mRuns) {
-      memory += memoryOf(run->spec());
-    }
-    if (memory > mContext.settings.memoryLimitBytes / kMemoryDivisor) {
-      reason = "memory";
-      response = refusalResponse(503, "too_many_open_batches", kRetryAfter);
-    } else {
-      response = co_await accept(
-        std::make_shared<const core::BatchSpec>(std::move(spec).value()),
-        request.body,
-        start + kAcceptTimeout);
-    }
+    response = co_await accept(
+      std::make_shared<const core::BatchSpec>(std::move(spec).value()),
+      request.body,
+      start + kAcceptTimeout);
   }
   const auto took =
     std::chrono::duration<double, std::milli>(Clock::now() - start).count();
@@ -126,6 +129,73 @@
   co_await exchange.respond(std::move(response));
 }
 
+bool
+BatchService::isMemoryExhausted() const
+{
+  std::size_t memory = 0;
+  for (const auto& [id, run] : mRuns) {
+    memory += memoryOf(run->spec());
+  }
+  return memory > mContext.settings.memoryLimitBytes / kMemoryDivisor;
+}
+
+net::Awaitable<std::optional<net::HttpResponse>>
+BatchService::acceptAtHome(const core::BatchSpec& spec, const std::string& body)
+{
+  const auto home = mCluster.homeOf(spec.model);
+  const bool isKnown =
+    mCluster.batches().contains(spec.id) || mRuns.contains(spec.id);
+  if (!home || *home == mContext.settings.instance || isKnown ||
+      body.size() > kMaxPeerBodyBytes) {
+    co_return std::nullopt;
+  }
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = peer_paths::kSubmit + spec.id;
+  request.headers = { { peer_headers::kBatchHost, spec.host },
+                      { peer_headers::kBatchPath, spec.path } };
+  request.body = body;
+  auto answer =
+    co_await mPeers.sendRequest(*home, std::move(request), kHomeTimeout);
+  constexpr int kAccepted = 202;
+  if (!answer || answer->status != kAccepted) {
+    // The other process may have stored the batch nevertheless. The condition
+    // of the write then tells this process that the batch is stored.
+    co_return std::nullopt;
+  }
+  answer->headers.clear();
+  co_return answer;
+}
+
+net::Awaitable<net::HttpResponse>
+BatchService::acceptForPeer(std::string id, net::HttpRequest request)
+{
+  const auto deadline = Clock::now() + kHomeTimeout;
+  auto spec =
+    isValidBatchId(id)
+      ? mContext.format.decodeBatch(id,
+                                    request.header(peer_headers::kBatchHost),
+                                    request.header(peer_headers::kBatchPath),
+                                    request.body)
+      : std::string("the batch id is missing or invalid");
+  net::HttpResponse response;
+  if (!spec || spec.value().items.empty()) {
+    response = errorResponse(400, "malformed_batch");
+  } else if (mContext.isLeaving || !mContext.desired || isMemoryExhausted()) {
+    response = refusalResponse(503, "not_accepting_batches", kRetryAfter);
+  } else {
+    response = co_await accept(
+      std::make_shared<const core::BatchSpec>(std::move(spec).value()),
+      request.body,
+      deadline);
+  }
+  mContext.log.info("batch_from_peer",
+                    { { "batch", id },
+                      { "bytes", request.body.size() },
+                      { "status", response.status } });
+  co_return response;
+}
+
 StoreTransaction
 BatchService::makeAcceptTransaction(const std::string& id,
                                     const BatchRecord& record,
@@ -172,6 +242,9 @@
   record.bodyParts = (body.size() + partSize - 1) / partSize;
   record.submittedAt = unixNow();
   bool mayBeCommitted = false;
+  if (!mContext.isLeaving) {
+    co_await mCluster.acquireLease();
+  }
   while (Clock::now() < deadline) {
     auto transaction = makeAcceptTransaction(id, record, body);
     const bool isOwner = transaction.writes.size() > record.bodyParts + 1;
@@ -253,9 +326,8 @@
       const auto& batch = *item.second;
       return batch.isStopped() && now - batch.stoppedAt() > kEndedRunRetention;
     });
-    const bool canClaim = mCluster.isSynced() && mCluster.lease() != 0 &&
-                          mCluster.isRegistered() && !mContext.isLeaving &&
-                          mContext.desired;
+    const bool canClaim = mCluster.isSynced() && mCluster.isRegistered() &&
+                          !mContext.isLeaving && mContext.desired;
     if (!canClaim) {
       continue;
     }
@@ -299,13 +371,16 @@
   auto revision = ownerRevision;
   const bool isAlreadyOwner = owner != nullptr && mCluster.isSelf(*owner);
   if (!isAlreadyOwner) {
+    const auto lease = co_await mCluster.acquireLease();
+    if (lease == 0) {
+      mPendingClaims.erase(id);
+      co_return;
+    }
     const auto self = mCluster.self();
     StoreTransaction transaction;
     transaction.preconditions = { { keys::owner(id), ownerRevision },
                                   { keys::batch(id), record.revision } };
-    transaction.writes = {
-      { keys::owner(id), self.encode(), mCluster.lease() }
-    };
+    transaction.writes = { { keys::owner(id), self.encode(), lease } };
     const auto commit = co_await mContext.store.commit(std::move(transaction));
     mContext.log.info(
       "batch_claimed",
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -21,9 +21,14 @@
 
   /// Starts to look for batches without an owner and to take them over.
   void start();
-  /// Stores a submitted batch and responds with 202 once the store holds it.
+  /// Has a submitted batch accepted, by the process that runs the batches of
+  /// its model or else by this process, and responds with 202 once the store
+  /// holds it.
   net::Awaitable<void> submit(net::HttpExchange& exchange,
                               const core::Route& route);
+  /// Accepts a batch that a trainer has submitted to another process.
+  net::Awaitable<net::HttpResponse> acceptForPeer(std::string id,
+                                                  net::HttpRequest request);
   /// Ends a batch at the request of its trainer.
   net::Awaitable<void> end(net::HttpExchange& exchange, EndBatch call);
   BatchReader& reader() { return mReader; }
@@ -44,6 +49,15 @@
   std::size_t openRunCount() const;
 
 private:
+  /// Has the batch accepted by the process that runs the batches of its model.
+  /// Returns nothing if that is this process, or if the other process has not
+  /// accepted it.
+  net::Awaitable<std::optional<net::HttpResponse>> acceptAtHome(
+    const core::BatchSpec& spec,
+    const std::string& body);
+  /// Returns whether the open batches use so much memory that no further one
+  /// may be accepted.
+  bool isMemoryExhausted() const;
   /// Stores the batch and returns the response. Retries the store until the
   /// deadline.
   net::Awaitable<net::HttpResponse> accept(
@@ -71,6 +85,7 @@
   Context& mContext;
   ClusterView& mCluster;
   Forwarder& mForwarder;
+  PeerClient& mPeers;
   BatchReader mReader;
   /// Running batches, and batches that stopped recently, by id.
   std::map<std::string, std::shared_ptr<BatchRun>> mRuns;
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -1,8 +1,11 @@
 #include "gateway/cluster_view.h"
 
+#include "core/batch_home.h"
+#include "core/lease_timing.h"
+#include "core/takeover_order.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <chrono>
@@ -16,6 +19,16 @@
 using Json = nlohmann::json;
 
 constexpr Millis kFailureRetryDelay{ 100 };
+/// A process that has just started registers after this time even if it has not
+/// read the cluster keys yet.
+constexpr Millis kMaxSyncWait{ 2'000 };
+constexpr Millis kSyncPollInterval{ 20 };
+/// The lease of the registration is kept this long at least, so that it is not
+/// replaced several times while the fleet starts.
+constexpr Millis kMinMemberLeaseAge{ 3'000 };
+/// A separate duty lease is renewed for this long after it was last requested,
+/// even without duties, since the next duty often comes soon.
+constexpr Millis kUnusedDutyLeaseTime{ 20'000 };
 
 constexpr std::string_view kPrefix = "lentilrack/";
 constexpr std::string_view kInstances = "lentilrack/instances/";
@@ -48,11 +61,11 @@
   if (!json.is_object()) {
     return std::nullopt;
   }
-  return Peer{ item.key.substr(kInstances.size()),
-               json.value("failure_domain", ""),
-               endpointOf(json, "callers"),
-               endpointOf(json, "peers"),
-               json.value("leaving", false) };
+  return Peer{
+    item.key.substr(kInstances.size()), json.value("failure_domain", ""),
+    endpointOf(json, "callers"),        endpointOf(json, "peers"),
+    json.value("processor_share", 0.0), json.value("leaving", false)
+  };
 }
 
 } // namespace
@@ -188,12 +201,40 @@
 ClusterView::start()
 {
   net::spawn(mContext.io, keepRegistered());
+  net::spawn(mContext.io, keepDutyLease());
+}
+
+const ClusterView::Lease&
+ClusterView::dutyLease() const
+{
+  const bool isMemberLeaseShort =
+    mMemberLease.timeToLive <=
+    std::max(kLeaseTtl, mContext.settings.minLeaseTtl);
+  return mSeparateDutyLease.id == 0 && isMemberLeaseShort ? mMemberLease
+                                                          : mSeparateDutyLease;
+}
+
+net::Awaitable<std::int64_t>
+ClusterView::acquireLease()
+{
+  mDutyRequestedAt = core::Clock::now();
+  if (dutyLease().id == 0 && mMemberLease.id != 0) {
+    // Another call may have obtained a lease in the meantime; the unused one
+    // expires by itself.
+    Lease granted;
+    co_await grant(granted, kLeaseTtl);
+    if (dutyLease().id == 0) {
+      mSeparateDutyLease = granted;
+    }
+  }
+  co_return dutyLease().id;
 }
 
 bool
 ClusterView::isLeaseValid(Millis margin) const
 {
-  return mLease != 0 && bootTime() + margin < mRenewedAt + kLeaseTtl;
+  const auto& lease = dutyLease();
+  return lease.id != 0 && bootTime() + margin < lease.renewedAt + kLeaseTtl;
 }
 
 const Holder*
@@ -219,17 +260,53 @@
 std::size_t
 ClusterView::takeoverRank(const std::string& name) const
 {
-  const auto weight = [&](const std::string& instance) {
-    const auto text = instance + "|" + name;
-    return XXH3_64bits(text.data(), text.size());
-  };
-  const auto ownWeight = weight(mContext.settings.instance);
+  const auto ownWeight = core::takeoverWeight(mContext.settings.instance, name);
   return static_cast<std::size_t>(
     std::ranges::count_if(mPeers, [&](const auto& item) {
-      return !item.second.isLeaving && weight(item.first) > ownWeight;
+      return !item.second.isLeaving &&
+             core::takeoverWeight(item.first, name) > ownWeight;
     }));
 }
 
+std::vector<std::string>
+ClusterView::presentPeers() const
+{
+  std::vector<std::string> result;
+  for (const auto& [name, peer] : mPeers) {
+    if (!peer.isLeaving && peer.peerEndpoint) {
+      result.push_back(name);
+    }
+  }
+  return result;
+}
+
+std::optional<std::string>
+ClusterView::homeOf(const std::string& model) const
+{
+  std::vector<core::HomeCandidate> candidates;
+  for (const auto& [name, peer] : mPeers) {
+    if (!peer.isLeaving && peer.peerEndpoint) {
+      candidates.push_back({ name, peer.processorShare });
+    }
+  }
+  return core::chooseBatchHome(std::move(candidates), model);
+}
+
+std::vector<std::string>
+ClusterView::ownersOfModel(const std::string& model) const
+{
+  std::vector<std::string> result;
+  for (const auto& [id, holder] : mBatchOwners) {
+    const auto batch = mBatches.find(id);
+    const bool isOpen =
+      batch != mBatches.end() && batch->second.state == BatchState::Open;
+    if (isOpen && batch->second.model == model) {
+      result.push_back(holder.instance);
+    }
+  }
+  return result;
+}
+
 void
 ClusterView::recordItem(const StoreItem& item)
 {
@@ -296,41 +373,139 @@
   }
 }
 
+net::Awaitable<bool>
+ClusterView::grant(Lease& lease, Millis timeToLive)
+{
+  const auto sentAt = bootTime();
+  timeToLive = std::max(timeToLive, mContext.settings.minLeaseTtl);
+  const auto granted = co_await mContext.store.grantLease(timeToLive);
+  if (granted) {
+    lease = { granted.value(), timeToLive, sentAt };
+  }
+  co_return granted.has_value();
+}
+
+net::Awaitable<bool>
+ClusterView::renew(Lease& lease)
+{
+  const auto id = lease.id;
+  const auto sentAt = bootTime();
+  const auto error = co_await mContext.store.renewLease(id);
+  if (!error && lease.id == id) {
+    lease.renewedAt = sentAt;
+  }
+  co_return error != StoreError::LeaseNotFound || lease.id != id;
+}
+
 net::Awaitable<void>
 ClusterView::keepRegistered()
 {
+  // The cluster keys tell the size of the fleet, and thus the time to live.
+  const auto firstGrantAt = core::Clock::now() + kMaxSyncWait;
+  while (!isSynced() && core::Clock::now() < firstGrantAt) {
+    co_await net::sleepFor(kSyncPollInterval);
+  }
   for (;;) {
-    const auto sentAt = bootTime();
-    if (mLease == 0) {
-      auto lease = co_await mContext.store.grantLease(
-        std::max(kLeaseTtl, mContext.settings.minLeaseTtl));
-      if (lease) {
-        mLease = lease.value();
-        mRenewedAt = sentAt;
+    if (mMemberLease.id == 0) {
+      const bool isGranted = co_await grant(
+        mMemberLease,
+        core::LeaseTiming::forProcesses(mPeers.size()).timeToLive);
+      if (isGranted) {
+        mMemberLeaseGrantedAt = core::Clock::now();
         mIsRegistered = false;
       }
     } else {
-      const auto error = co_await mContext.store.renewLease(mLease);
-      if (!error) {
-        mRenewedAt = sentAt;
-      } else if (error == StoreError::LeaseNotFound) {
-        handleLeaseLost();
+      const bool isKnown = co_await renew(mMemberLease);
+      if (!isKnown) {
+        handleMemberLeaseLost();
         continue;
       }
+      co_await adaptMemberLease();
     }
-    if (mLease != 0 && !mIsRegistered) {
+    if (mMemberLease.id != 0 && !mIsRegistered) {
       mIsRegistered = co_await registerSelf();
     }
-    co_await net::sleepFor(mIsRegistered ? kRenewInterval : kFailureRetryDelay);
+    co_await net::sleepFor(mIsRegistered
+                             ? mMemberLease.timeToLive *
+                                 kRenewInterval.count() / kLeaseTtl.count()
+                             : kFailureRetryDelay);
+  }
+}
+
+net::Awaitable<void>
+ClusterView::adaptMemberLease()
+{
+  const auto wanted = core::LeaseTiming::forProcesses(mPeers.size()).timeToLive;
+  const auto age = core::Clock::now() - mMemberLeaseGrantedAt;
+  if (age < kMinMemberLeaseAge || !mIsRegistered ||
+      !core::LeaseTiming::mustReplace(mMemberLease.timeToLive, wanted)) {
+    co_return;
+  }
+  const auto previous = mMemberLease;
+  const bool isDutyLease = &dutyLease() == &mMemberLease;
+  const bool isGranted = co_await grant(mMemberLease, wanted);
+  if (!isGranted) {
+    co_return;
+  }
+  mMemberLeaseGrantedAt = core::Clock::now();
+  mIsRegistered = false;
+  // The keys of present duties stay bound to the previous lease.
+  if (isDutyLease && hasDuties()) {
+    mSeparateDutyLease = previous;
   }
+  mContext.log.info("lease",
+                    { { "lease", mMemberLease.id },
+                      { "ttl_ms", mMemberLease.timeToLive },
+                      { "members", mPeers.size() },
+                      { "outcome", "replaced" } });
+}
+
+net::Awaitable<void>
+ClusterView::keepDutyLease()
+{
+  for (;;) {
+    co_await net::sleepFor(kRenewInterval);
+    if (mSeparateDutyLease.id == 0) {
+      continue;
+    }
+    if (!hasDuties()) {
+      mSeparateDutyLease = {};
+      continue;
+    }
+    const bool isKnown = co_await renew(mSeparateDutyLease);
+    if (!isKnown) {
+      mSeparateDutyLease = {};
+      handleDutyLeaseLost();
+    }
+  }
+}
+
+bool
+ClusterView::hasDuties() const
+{
+  const bool ownsBatch = std::ranges::any_of(
+    mBatchOwners, [this](const auto& item) { return isSelf(item.second); });
+  return ownsBatch || (mLeader && isSelf(*mLeader)) ||
+         core::Clock::now() - mDutyRequestedAt < kUnusedDutyLeaseTime;
 }
 
 void
-ClusterView::handleLeaseLost()
+ClusterView::handleMemberLeaseLost()
 {
-  mContext.log.warning("lease", { { "lease", mLease }, { "outcome", "lost" } });
-  mLease = 0;
+  const bool isDutyLease = &dutyLease() == &mMemberLease;
+  mContext.log.warning("lease",
+                       { { "lease", mMemberLease.id }, { "outcome", "lost" } });
+  mMemberLease = {};
   mIsRegistered = false;
+  if (isDutyLease) {
+    handleDutyLeaseLost();
+  }
+}
+
+void
+ClusterView::handleDutyLeaseLost()
+{
+  mContext.log.warning("duties", { { "outcome", "lost" } });
   // The watch may not have reported yet that the store has deleted the keys of
   // the lost lease. Remove these keys from the mirror here. Otherwise this
   // process would take them for its own under its next lease.
@@ -346,6 +521,7 @@
 {
   const auto& settings = mContext.settings;
   Json json = { { "failure_domain", settings.failureDomain },
+                { "processor_share", settings.processorShare },
                 { "leaving", mContext.isLeaving } };
   if (settings.callerAddress) {
     json["callers"] = settings.callerAddress->text();
@@ -355,7 +531,7 @@
   }
   StoreTransaction transaction;
   transaction.writes = {
-    { keys::instance(settings.instance), json.dump(), mLease }
+    { keys::instance(settings.instance), json.dump(), mMemberLease.id }
   };
   const auto commit = co_await mContext.store.commit(transaction);
   if (!commit.error) {
@@ -363,7 +539,7 @@
                  transaction.writes[0].value,
                  commit.revision });
   } else if (commit.error == StoreError::LeaseNotFound) {
-    handleLeaseLost();
+    handleMemberLeaseLost();
   }
   co_return !commit.error;
 }
@@ -371,7 +547,7 @@
 net::Awaitable<void>
 ClusterView::announceLeaving()
 {
-  if (mLease != 0) {
+  if (mMemberLease.id != 0) {
     const bool isAnnounced = co_await registerSelf();
     mContext.log.info("leaving_told", { { "outcome", isAnnounced } });
   }
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lentilrack::gateway {
 
@@ -16,6 +17,8 @@
   std::string failureDomain;
   std::optional<core::Endpoint> callerEndpoint;
   std::optional<core::Endpoint> peerEndpoint;
+  /// Share of a processor core that the process may use.
+  double processorShare = 0;
   bool isLeaving = false;
 };
 
@@ -102,28 +105,34 @@
 unixNow();
 
 /// The shared state of the cluster: members, batches, batch owners and the
-/// leader. Keeps this process registered under a lease. When the lease expires,
-/// the store also deletes the keys that make this process the owner of a batch
-/// or the leader.
+/// leader. Keeps this process registered under a lease. The keys that make this
+/// process the owner of a batch or the leader (its duties) are bound to a lease
+/// with a short time to live, the duty lease; when it expires, the store
+/// deletes these keys. In a small fleet one lease serves both purposes. In a
+/// large one processes without duties renew only a lease with a longer time to
+/// live.
 class ClusterView
 {
 public:
-  /// Time to live of the lease. After the lease of a process has expired, other
-  /// processes may take over its batches and its leadership. The lease is
-  /// renewed every 0.6 s, so two renewals in a row may fail before it expires.
+  /// Time to live of the duty lease. After it has expired, other processes may
+  /// take over the batches and the leadership. The lease is renewed every 0.6
+  /// s, so two renewals in a row may fail before it expires.
   static constexpr core::Millis kLeaseTtl{ 2'000 };
   static constexpr core::Millis kRenewInterval{ 600 };
 
   explicit ClusterView(Context& context);
 
-  /// Starts to register this process and to renew its lease.
+  /// Starts to register this process and to renew its leases.
   void start();
   /// Sets the hook that is called after each change of a cluster key.
   void onChange(std::function<void()> hook) { mOnChange = std::move(hook); }
 
-  /// Returns the id of the current lease; 0 if there is none.
-  std::int64_t lease() const { return mLease; }
-  /// Returns true if the lease of this process remains valid for at least
+  /// Returns the id of the duty lease; 0 if there is none.
+  std::int64_t lease() const { return dutyLease().id; }
+  /// Returns the id of the duty lease, after obtaining one if there is none; 0
+  /// if the store does not grant one.
+  net::Awaitable<std::int64_t> acquireLease();
+  /// Returns true if the duty lease of this process remains valid for at least
   /// `margin`. Until then no other process can take over the batches or the
   /// leadership that this process holds, unless the store revokes the lease.
   /// Time in which the machine was suspended counts as elapsed.
@@ -149,6 +158,15 @@
   /// to take over `name`, a batch id or the leader key; 0 is first. Each name
   /// has an order of its own.
   std::size_t takeoverRank(const std::string& name) const;
+  /// Returns the instances that are present, not leaving, and reachable for
+  /// peers.
+  std::vector<std::string> presentPeers() const;
+  /// Returns the instance that runs the batches of a model, or nothing if no
+  /// process is present.
+  std::optional<std::string> homeOf(const std::string& model) const;
+  /// Returns the owners of the open batches of a model. An instance that owns
+  /// several of them is listed several times.
+  std::vector<std::string> ownersOfModel(const std::string& model) const;
 
   /// Updates the mirror with an item that this process has just read or written
   /// itself, without waiting for the watch.
@@ -159,11 +177,31 @@
   net::Awaitable<void> announceLeaving();
 
 private:
+  struct Lease
+  {
+    std::int64_t id = 0;
+    core::Millis timeToLive{ 0 };
+    /// When the last successful renewal was sent, as the time since the machine
+    /// booted.
+    core::Millis renewedAt{ 0 };
+  };
+
+  const Lease& dutyLease() const;
+  net::Awaitable<bool> grant(Lease& lease, core::Millis timeToLive);
+  /// Renews the lease. Returns false if the store does not know it any more.
+  net::Awaitable<bool> renew(Lease& lease);
   net::Awaitable<void> keepRegistered();
+  /// Replaces the lease of the registration if the size of the fleet calls for
+  /// a different time to live.
+  net::Awaitable<void> adaptMemberLease();
+  net::Awaitable<void> keepDutyLease();
+  /// Whether this process owns a batch or is the leader, or may become so soon.
+  bool hasDuties() const;
   net::Awaitable<bool> registerSelf();
+  void handleMemberLeaseLost();
   /// Forgets the batches and the leadership that were bound to the lost lease,
   /// since other processes may hold them now.
-  void handleLeaseLost();
+  void handleDutyLeaseLost();
   void applyItem(const core::MirroredItem& item);
   void applyRemoval(const std::string& key, std::int64_t revision);
 
@@ -174,10 +212,15 @@
   /// Owner of each batch that has one, by batch id.
   std::map<std::string, Holder> mBatchOwners;
   std::optional<Holder> mLeader;
-  std::int64_t mLease = 0;
-  /// When the last successful renewal of the lease was sent, as the time since
-  /// the machine booted.
-  core::Millis mRenewedAt{ 0 };
+  /// Lease of the registration.
+  Lease mMemberLease;
+  /// Lease of the duties, if the lease of the registration has a longer time to
+  /// live.
+  Lease mSeparateDutyLease;
+  /// When the duty lease was last requested.
+  core::TimePoint mDutyRequestedAt{};
+  /// When the lease of the registration was granted.
+  core::TimePoint mMemberLeaseGrantedAt{};
   bool mIsRegistered = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "core/decimal.h"
+#include "core/takeover_order.h"
 
 #include <algorithm>
 
@@ -27,6 +28,9 @@
 /// requests are still open.
 constexpr Millis kShutdownMargin{ 1'000 };
 constexpr Millis kRetryAfter{ 300 };
+/// Number of peers that are told directly that this process is leaving. The
+/// others learn it from the store.
+constexpr std::size_t kMaxLeavingRecipients = 64;
 
 net::HttpLimits
 internalLimits()
@@ -71,6 +75,10 @@
   auto server = std::make_unique<net::HttpServer>(
     mContext.io, net::HttpLimits(), std::move(handler));
   server->setLimits(std::move(limits));
+  server->onHandlerFailure([this](const std::string& reason) {
+    mContext.metrics.increment("handler_failures_total");
+    mContext.log.warning("handler_failed", { { "error", reason } });
+  });
   const auto bound = server->listen(*endpoint);
   mServers.push_back(std::move(server));
   if (!bound) {
@@ -287,10 +295,13 @@
       { after(peer_paths::kItemBody), request.query("item") });
   } else if (path.starts_with(peer_paths::kEndBatch)) {
     mBatches.stopEndedRun(after(peer_paths::kEndBatch));
+  } else if (path.starts_with(peer_paths::kSubmit)) {
+    response =
+      co_await mBatches.acceptForPeer(after(peer_paths::kSubmit), request);
   } else if (path == peer_paths::kState) {
     response = co_await mReplicator.serveFollower(request);
   } else if (path == peer_paths::kWeights) {
-    mLeader.applyWeightUpdate(request.body);
+    mLeader.applyWeightUpdates(request.body);
   } else if (path.starts_with(peer_paths::kLeaving)) {
     mCluster.markPeerLeaving(after(peer_paths::kLeaving));
   } else {
@@ -314,7 +325,11 @@
   const auto start = Clock::now();
   const auto shutdownGrace = mContext.settings.bounds.shutdownGrace;
   mContext.log.info("leaving", { { "grace_ms", shutdownGrace } });
-  mPeers.broadcast(peer_paths::kLeaving + mContext.settings.instance, "");
+  const auto& self = mContext.settings.instance;
+  mPeers.notify(core::firstInTakeoverOrder(
+                  mCluster.presentPeers(), self, kMaxLeavingRecipients),
+                peer_paths::kLeaving + self,
+                "");
   co_await mBatches.handOverAll();
   net::spawn(mContext.io, mCluster.announceLeaving());
   const auto drainTime =
--- a/src/gateway/peer_client.cpp
+++ b/src/gateway/peer_client.cpp
@@ -51,18 +51,22 @@
 }
 
 void
-PeerClient::broadcast(const std::string& path, const std::string& body)
+PeerClient::notify(const std::vector<std::string>& instances,
+                   const std::string& path,
+                   const std::string& body)
 {
-  for (const auto& [name, peer] : mCluster.peers()) {
-    const bool isOther =
-      name != mContext.settings.instance && peer.peerEndpoint;
-    if (isOther) {
+  for (const auto& name : instances) {
+    const auto peer = mCluster.peers().find(name);
+    const bool isReachable = peer != mCluster.peers().end() &&
+                             name != mContext.settings.instance &&
+                             peer->second.peerEndpoint;
+    if (isReachable) {
       net::HttpRequest request;
       request.method = "POST";
       request.target = path;
       request.body = body;
       net::spawn(mContext.io,
-                 notifyPeer(*peer.peerEndpoint, std::move(request)));
+                 notifyPeer(*peer->second.peerEndpoint, std::move(request)));
     }
   }
 }
--- a/src/gateway/peer_client.h
+++ b/src/gateway/peer_client.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lentilrack::gateway {
 
@@ -16,6 +17,14 @@
 inline constexpr const char* kWeights = "/peer/weights";
 inline constexpr const char* kLeaving = "/peer/leaving/";
 inline constexpr const char* kState = "/peer/state";
+inline constexpr const char* kSubmit = "/peer/submit/";
+}
+
+/// Headers of the calls between the processes of the cluster.
+namespace peer_headers {
+/// Host and path to which a trainer has submitted a batch.
+inline constexpr const char* kBatchHost = "X-Batch-Host";
+inline constexpr const char* kBatchPath = "X-Batch-Path";
 }
 
 /// Sends requests to other processes of the cluster.
@@ -34,9 +43,11 @@
     core::Endpoint endpoint,
     net::HttpRequest request,
     core::Millis timeout);
-  /// Sends a message to every other process without waiting for the responses.
-  /// A message may be lost.
-  void broadcast(const std::string& path, const std::string& body);
+  /// Sends a message to the instances without waiting for the responses. A
+  /// message may be lost.
+  void notify(const std::vector<std::string>& instances,
+              const std::string& path,
+              const std::string& body);
 
 private:
   /// Sends a message to one process and ignores the response.
--- a/src/gateway/process_settings.h
+++ b/src/gateway/process_settings.h
@@ -21,6 +21,10 @@
   core::Millis resultRetention{ 120'000 };
   /// Maximum time for which callers may cache a list of addresses.
   core::Millis maxAddressTtl{ 5'000 };
+  /// Time within which a new desired state must be in force everywhere.
+  core::Millis configPropagation{ 2'000 };
+  /// Time after which a leaving server must get no more requests.
+  core::Millis drainPropagation{ 2'000 };
 };
 
 /// Settings that a process reads at its start. On SIGHUP, `seeds` and `bounds`
@@ -51,6 +55,8 @@
   /// Minimum time to live of a lease that the store grants.
   core::Millis minLeaseTtl{ 1'000 };
   std::size_t memoryLimitBytes = 110UL * 1024 * 1024;
+  /// Share of a processor core that the process may use.
+  double processorShare = 0;
   DeploymentBounds bounds;
 };
 
--- a/src/gateway/result_log.cpp
+++ b/src/gateway/result_log.cpp
@@ -219,15 +219,14 @@
       mOwnerRevision = isOwn ? holder->revision : mOwnerRevision;
       co_return isOwn;
     }
-    if (mCluster.lease() == 0) {
+    const auto lease = co_await mCluster.acquireLease();
+    if (lease == 0) {
       co_await net::sleepFor(kStoreRetryDelay);
       continue;
     }
     StoreTransaction transaction;
     transaction.preconditions = { { keys::owner(mBatch), 0 } };
-    transaction.writes = {
-      { keys::owner(mBatch), self.encode(), mCluster.lease() }
-    };
+    transaction.writes = { { keys::owner(mBatch), self.encode(), lease } };
     const auto commit = co_await mContext.store.commit(std::move(transaction));
     if (!commit.error) {
       mOwnerRevision = commit.revision;
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -15,38 +15,25 @@
 using core::Millis;
 using Json = nlohmann::json;
 
-/// Maximum duration of one watch call to the store. A mirror counts as
-/// confirmed when a watch ends without an error. A reader (a process that reads
-/// the store) whose mirrors were not confirmed recently serves no followers.
-/// The duration of a watch thus also bounds how late followers notice that
-/// their reader has lost the store.
-constexpr Millis kWatchTimeout{ 500 };
-/// Longer than kWatchTimeout, to save calls to the store, since each idle watch
-/// costs one. The cluster keys (members, batches, owners and leader) need not
-/// be known within a fixed time, and a change ends the watch at once.
+/// Longest watch of the cluster keys (members, batches, owners and leader). It
+/// is longer than the other watches, to save calls to the store: these keys
+/// need not be known within a fixed time, and a change ends the watch at once.
 constexpr Millis kClusterWatchTimeout{ 2'000 };
-/// Delay between two listings of the server entries. A leaving server must
-/// receive no request later than 2 s after the store has accepted the change of
-/// its entry. The interval leaves time for one lost listing and for the failure
-/// of a reader.
-constexpr Millis kServerPollInterval{ 350 };
+/// Pause after a watch that has delivered changes, so that changes in quick
+/// succession share one call.
+constexpr Millis kChangeCollectionTime{ 30 };
 constexpr Millis kFailureRetryDelay{ 100 };
 constexpr Millis kIdlePollInterval{ 100 };
-/// How long a reader may hold the request of a follower while nothing changes,
-/// and how much longer than this the follower waits for the response.
-constexpr Millis kFollowTimeout{ 300 };
+/// How much longer than the source holds a request the follower waits for the
+/// response.
 constexpr Millis kFollowTimeoutMargin{ 250 };
 /// Minimum time between two responses to a follower, so that changes in quick
 /// succession share one response.
 constexpr Millis kMinResponseInterval{ 15 };
-/// Maximum time since the mirrors of a reader were last confirmed by an
-/// error-free response of the store. A reader with older mirrors serves no
-/// followers, and its followers change to another reader. The limit is above
-/// 0.8 s, for which a mirror may go unconfirmed on a slow store: a watch lasts
-/// up to 0.5 s and the response takes up to 0.3 s. A new desired state must be
-/// in force everywhere within 2 s; the limit leaves 0.9 s of these to fetch the
-/// state from another reader.
-constexpr Millis kMaxMirrorAge{ 1'100 };
+/// A process that has just started asks the seeds for this long before it reads
+/// the store itself. All processes may start at the same time, and the seeds
+/// read the store within a few milliseconds.
+constexpr Millis kSeedTimeout{ 1'500 };
 
 Json
 encodeDelta(const core::MirrorDelta& delta)
@@ -96,13 +83,16 @@
   : mContext(context)
   , mCluster(cluster)
   , mPeers(peers)
-  , mReaderChoice(context.settings.instance)
+  , mTiming(core::ReplicationTiming::forBounds(
+      context.settings.bounds.configPropagation,
+      context.settings.bounds.drainPropagation))
+  , mTree(context.settings.instance)
   , mOperatorKeys{ context.mirrors.operatorKeys,
                    context.format.storeKeys().operatorPrefix,
-                   kWatchTimeout }
+                   mTiming.watchTimeout }
   , mServers{ context.mirrors.servers,
               context.format.storeKeys().serverPrefix,
-              kWatchTimeout }
+              mTiming.watchTimeout }
   , mClusterKeys{ context.mirrors.cluster,
                   keys::prefix(),
                   kClusterWatchTimeout }
@@ -112,59 +102,103 @@
 void
 StateReplicator::start()
 {
+  mStartedAt = Clock::now();
+  mReadsStoreDirectly = !mayAskSeeds();
   net::spawn(mContext.io, watchStore(mOperatorKeys));
   net::spawn(mContext.io, watchStore(mClusterKeys));
   net::spawn(mContext.io, pollStore(mServers));
-  net::spawn(mContext.io, followReaders());
+  net::spawn(mContext.io, followSource());
 }
 
 Millis
 StateReplicator::mirrorAge() const
 {
-  const auto extraWait = kClusterWatchTimeout - kWatchTimeout;
+  const auto extraWait = kClusterWatchTimeout - mTiming.watchTimeout;
   const auto oldest = std::min({ mOperatorKeys.confirmedAt,
                                  mServers.confirmedAt,
                                  mClusterKeys.confirmedAt + extraWait });
   return std::chrono::duration_cast<Millis>(Clock::now() - oldest);
 }
 
+bool
+StateReplicator::isComplete() const
+{
+  return mOperatorKeys.mirror.isComplete() && mServers.mirror.isComplete() &&
+         mClusterKeys.mirror.isComplete();
+}
+
+bool
+StateReplicator::mayAskSeeds() const
+{
+  const auto& settings = mContext.settings;
+  return !settings.seeds.empty() && settings.peerAddress &&
+         std::ranges::find(settings.seeds, *settings.peerAddress) ==
+           settings.seeds.end() &&
+         Clock::now() < mStartedAt + kSeedTimeout;
+}
+
+void
+StateReplicator::updateTree()
+{
+  std::vector<core::ReplicationTree::Member> members;
+  for (const auto& [name, peer] : mCluster.peers()) {
+    if (!peer.isLeaving && peer.peerEndpoint) {
+      members.push_back({ name, peer.failureDomain });
+    }
+  }
+  mTree.setMembers(std::move(members));
+}
+
 net::Awaitable<void>
-StateReplicator::followReaders()
+StateReplicator::followSource()
 {
   for (;;) {
-    std::vector<std::string> members;
-    for (const auto& [name, peer] : mCluster.peers()) {
-      if (!peer.isLeaving && peer.peerEndpoint) {
-        members.push_back(name);
-      }
+    if (!isComplete() && mayAskSeeds()) {
+      co_await fetchFromSeed();
+      continue;
     }
-    mReaderChoice.setMembers(std::move(members));
-    const bool isComplete = mOperatorKeys.mirror.isComplete() &&
-                            mServers.mirror.isComplete() &&
-                            mClusterKeys.mirror.isComplete();
-    const auto reader =
-      isComplete ? mReaderChoice.source(Clock::now()) : std::nullopt;
-    mReadsStoreDirectly = !reader;
-    if (!reader) {
+    updateTree();
+    const auto now = Clock::now();
+    const bool isCutReader = mTree.isReader() && !mIsStoreReachable &&
+                             mirrorAge() > mTiming.maxMirrorAge;
+    const auto source = !isComplete() ? std::nullopt
+                        : isCutReader ? mTree.sourceForCutReader(now)
+                                      : mTree.source(now);
+    // A reader goes on trying the store while another process supplies it.
+    mReadsStoreDirectly = !source || isCutReader;
+    if (!source) {
       co_await net::sleepFor(kIdlePollInterval);
       continue;
     }
-    const bool isUpdated = co_await fetchFromReader(*reader);
+    const auto peer = mCluster.peers().find(*source);
+    const bool isUpdated = peer != mCluster.peers().end() &&
+                           co_await fetchFrom(*peer->second.peerEndpoint);
     if (!isUpdated) {
       mContext.log.warning("reader",
-                           { { "instance", *reader },
+                           { { "instance", *source },
                              { "age_ms", mirrorAge() },
                              { "outcome", "failed" } });
-      mReaderChoice.recordFailure(*reader, Clock::now());
+      mTree.recordFailure(*source, Clock::now());
     }
   }
 }
 
+net::Awaitable<void>
+StateReplicator::fetchFromSeed()
+{
+  const auto& seeds = mContext.settings.seeds;
+  const auto seed = seeds[mNextSeed++ % seeds.size()];
+  const bool isUpdated = co_await fetchFrom(seed);
+  if (!isUpdated) {
+    co_await net::sleepFor(kIdlePollInterval);
+  }
+}
+
 net::Awaitable<bool>
-StateReplicator::fetchFromReader(std::string reader)
+StateReplicator::fetchFrom(core::Endpoint source)
 {
-  if (reader != mFollowedReader) {
-    mFollowedReader = reader;
+  if (source != mFollowedEndpoint) {
+    mFollowedEndpoint = source;
     mFollowedIncarnation.clear();
   }
   net::HttpRequest request;
@@ -175,20 +209,29 @@
                 mOperatorKeys.followedSequence,
                 mServers.followedSequence,
                 mClusterKeys.followedSequence,
-                kFollowTimeout.count());
+                mTiming.followTimeout.count());
+  const auto sentAt = Clock::now();
   const auto answer = co_await mPeers.sendRequest(
-    reader, std::move(request), kFollowTimeout + kFollowTimeoutMargin);
+    source, std::move(request), mTiming.followTimeout + kFollowTimeoutMargin);
+  const auto elapsed =
+    std::chrono::duration_cast<Millis>(Clock::now() - sentAt);
   co_return answer && answer->status == 200 &&
-    applyReaderResponse(reader, answer->body);
+    applySourceResponse(source.text(), answer->body, elapsed);
 }
 
 bool
-StateReplicator::applyReaderResponse(const std::string& reader,
-                                     const std::string& body)
+StateReplicator::applySourceResponse(const std::string& source,
+                                     const std::string& body,
+                                     Millis elapsed)
 {
   try {
     const auto json = Json::from_cbor(body);
-    const auto reportedAge = Millis(json.at("age_ms").get<std::int64_t>());
+    // The source reports the age at the end of the time for which it held the
+    // request. The rest of the elapsed time may have passed since then, for
+    // example because one of the two processes was suspended.
+    const auto held = Millis(json.at("held_ms").get<std::int64_t>());
+    const auto age = Millis(json.at("age_ms").get<std::int64_t>()) +
+                     std::max(elapsed - held, Millis(0));
     const std::array<std::pair<const char*, Replica*>, 3> parts{
       { { "operator", &mOperatorKeys },
         { "servers", &mServers },
@@ -198,13 +241,13 @@
       const auto delta = decodeDelta(json.at(name));
       replica->mirror.applyDelta(delta);
       replica->followedSequence = delta.sequence;
-      markConfirmed(*replica, reportedAge);
+      markConfirmed(*replica, age);
     }
     mFollowedIncarnation = json.at("lifetime").get<std::string>();
-    return reportedAge <= kMaxMirrorAge;
+    return age <= mTiming.maxMirrorAge;
   } catch (const Json::exception& error) {
     mContext.log.warning("malformed_state",
-                         { { "instance", reader }, { "error", error.what() } });
+                         { { "source", source }, { "error", error.what() } });
     return false;
   }
 }
@@ -213,7 +256,7 @@
 StateReplicator::serveFollower(net::HttpRequest request)
 {
   net::HttpResponse response;
-  if (!mReadsStoreDirectly || mirrorAge() > kMaxMirrorAge) {
+  if (mirrorAge() > mTiming.maxMirrorAge) {
     response.status = 503;
     co_return response;
   }
@@ -227,10 +270,11 @@
   const auto serverSequence = sequenceOf("servers");
   const auto clusterSequence = sequenceOf("cluster");
   const auto wait = std::min(
-    kFollowTimeout,
+    mTiming.followTimeout,
     Millis(
       core::parseDecimal<std::int64_t>(request.query("wait")).value_or(0)));
-  const auto end = Clock::now() + wait;
+  const auto receivedAt = Clock::now();
+  const auto end = receivedAt + wait;
   const auto hasChanges = [&] {
     return mOperatorKeys.mirror.sequence() != operatorSequence ||
            mServers.mirror.sequence() != serverSequence ||
@@ -245,6 +289,8 @@
   const Json json = {
     { "lifetime", mContext.incarnation },
     { "age_ms", mirrorAge().count() },
+    { "held_ms",
+      std::chrono::duration_cast<Millis>(Clock::now() - receivedAt).count() },
     { "operator",
       encodeDelta(mOperatorKeys.mirror.changesSince(operatorSequence)) },
     { "servers", encodeDelta(mServers.mirror.changesSince(serverSequence)) },
@@ -312,6 +358,9 @@
       revision = std::max(revision, change.revision);
     }
     markConfirmed(replica, Millis(0));
+    if (!changes.value().changes.empty()) {
+      co_await net::sleepFor(kChangeCollectionTime);
+    }
   }
 }
 
@@ -336,7 +385,8 @@
     } else {
       mContext.registry.recordDirectoryFailure(Clock::now());
     }
-    co_await net::sleepFor(listing ? kServerPollInterval : kFailureRetryDelay);
+    co_await net::sleepFor(listing ? mTiming.serverPollInterval
+                                   : kFailureRetryDelay);
   }
 }
 
--- a/src/gateway/state_replicator.h
+++ b/src/gateway/state_replicator.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "core/reader_choice.h"
+#include "core/replication_timing.h"
+#include "core/replication_tree.h"
 #include "gateway/peer_client.h"
 #include "gateway/wait_list.h"
 
@@ -10,20 +11,21 @@
 
 /// Keeps the mirrors (local copies of the keys of the store) current. To limit
 /// the load on the store, only a few processes (the readers) read the store;
-/// the others (the followers) fetch the changes from a reader. A process that
-/// finds no working reader reads the store itself, and a process that the store
-/// rejects fetches the changes from a reader.
+/// the others fetch the changes from a process above them in the replication
+/// tree. A process that has just started first asks the seeds. A process that
+/// finds no working source reads the store itself, and a reader that the store
+/// rejects fetches the changes from another process.
 class StateReplicator
 {
 public:
   StateReplicator(Context& context, ClusterView& cluster, PeerClient& peers);
 
-  /// Starts to read the store or to follow a reader.
+  /// Starts to read the store or to follow another process.
   void start();
   /// Returns the changes of the mirrors that the requesting process does not
   /// have yet. Waits a short time for a change if there is none. The status is
-  /// 503 if this process does not read the store itself or if the store has not
-  /// confirmed its mirrors recently.
+  /// 503 if the store has not confirmed the mirrors recently, directly or
+  /// through the source of this process.
   net::Awaitable<net::HttpResponse> serveFollower(net::HttpRequest request);
 
 private:
@@ -37,19 +39,29 @@
     /// When the store last confirmed, directly or through a reader, that the
     /// mirror is current.
     core::TimePoint confirmedAt{};
-    /// Sequence number of the last change received from the followed reader.
+    /// Sequence number of the last change received from the followed process.
     /// The next request asks for the changes after it.
     std::uint64_t followedSequence = 0;
   };
 
-  net::Awaitable<void> followReaders();
-  /// Requests the changes from the reader and applies them. Returns false if
-  /// the reader does not respond or its mirrors were not confirmed recently.
-  net::Awaitable<bool> fetchFromReader(std::string reader);
-  /// Applies the changes in the response of a reader. Returns false if the
-  /// response is malformed or the mirrors of the reader were not confirmed
-  /// recently.
-  bool applyReaderResponse(const std::string& reader, const std::string& body);
+  /// Whether all mirrors have been read at least once.
+  bool isComplete() const;
+  /// Whether this process may still wait for the state of a seed instead of
+  /// reading the store. False for the seeds themselves.
+  bool mayAskSeeds() const;
+  /// Tells the replication tree which processes are present.
+  void updateTree();
+  net::Awaitable<void> followSource();
+  net::Awaitable<void> fetchFromSeed();
+  /// Requests the changes from the process and applies them. Returns false if
+  /// it does not respond or its mirrors were not confirmed recently.
+  net::Awaitable<bool> fetchFrom(core::Endpoint source);
+  /// Applies the changes in a response that arrived `elapsed` after its
+  /// request. Returns false if the response is malformed or the mirrors of the
+  /// source were not confirmed recently.
+  bool applySourceResponse(const std::string& source,
+                           const std::string& body,
+                           core::Millis elapsed);
   /// Keep a mirror current, by watching its prefix or by listing it at
   /// intervals, while this process reads the store itself.
   net::Awaitable<void> watchStore(Replica& replica);
@@ -66,7 +78,8 @@
   Context& mContext;
   ClusterView& mCluster;
   PeerClient& mPeers;
-  core::ReaderChoice mReaderChoice;
+  core::ReplicationTiming mTiming;
+  core::ReplicationTree mTree;
   /// Keys that the operator writes.
   Replica mOperatorKeys;
   /// Entries of the backend servers.
@@ -76,10 +89,13 @@
   /// Requests of followers that wait for a change; woken whenever a mirror is
   /// confirmed.
   WaitList mWaitingFollowers;
-  /// The reader that was followed last, and its incarnation, an id that changes
-  /// when the reader restarts. Sequence numbers are valid only within one
-  /// incarnation.
-  std::string mFollowedReader;
+  core::TimePoint mStartedAt{};
+  /// Index of the seed to ask next, counted without wrapping around.
+  std::size_t mNextSeed = 0;
+  /// The process that was followed last, and its incarnation, an id that
+  /// changes when the process restarts. Sequence numbers are valid only within
+  /// one incarnation.
+  std::optional<core::Endpoint> mFollowedEndpoint;
   std::string mFollowedIncarnation;
   bool mReadsStoreDirectly = true;
   bool mIsStoreReachable = true;
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace lentilrack::gateway {
 
@@ -38,6 +39,9 @@
 /// this much longer than the one before it.
 constexpr Millis kClaimStagger{ 300 };
 constexpr Millis kMaintenanceInterval{ 15'000 };
+/// Updates about the weights of servers are collected for this time, since many
+/// servers are ordered to load at the same time.
+constexpr Millis kUpdateCollectionTime{ 20 };
 
 } // namespace
 
@@ -52,6 +56,7 @@
   , mHandoverDelay(
       { .minOrderInterval = context.settings.bounds.leaderHandoverDelay,
         .orderWindow = kOrderWindow })
+  , mAudience(context.settings.instance, keys::leader())
 {
 }
 
@@ -160,11 +165,15 @@
   if (!isOwnInstance && now - mNoLeaderSince < claimDelay) {
     co_return;
   }
+  const auto presentRevision = isOwnInstance ? leader->revision : 0;
+  const auto lease = co_await mCluster.acquireLease();
+  if (lease == 0) {
+    co_return;
+  }
   const auto self = mCluster.self();
   StoreTransaction transaction;
-  transaction.preconditions = { { keys::leader(),
-                                  isOwnInstance ? leader->revision : 0 } };
-  transaction.writes = { { keys::leader(), self.encode(), mCluster.lease() } };
+  transaction.preconditions = { { keys::leader(), presentRevision } };
+  transaction.writes = { { keys::leader(), self.encode(), lease } };
   const auto commit = co_await mContext.store.commit(std::move(transaction));
   mContext.log.info(
     "leader_claimed",
@@ -256,16 +265,16 @@
     mContext.registry.markLoading(
       id, order.server.startedAt, now + kLoadingHoldTime);
     update.loading = kLoadingHoldTime;
-    broadcastUpdate(order, update);
+    reportUpdate(order, update);
     co_return;
   }
   mPlanner.loadDropped(id);
   if (status == net::status::kOk) {
     mContext.registry.recordVersion(order.server, order.model, order.version);
     update.version = order.version;
-    broadcastUpdate(order, update);
+    reportUpdate(order, update);
   } else {
-    broadcastUpdate(order, update);
+    reportUpdate(order, update);
     mPlanner.loadRefused(order, now);
     mServersWithPendingCall.insert(id);
     core::WeightLoadPlanner::Load load{ order, now };
@@ -306,7 +315,7 @@
     mContext.registry.markLoading(id, order.server.startedAt, now);
     WeightUpdate update;
     update.version = version;
-    broadcastUpdate(order, update);
+    reportUpdate(order, update);
     mPlanner.loadConfirmed(id, now);
     mContext.metrics.observe(
       "weight_load_ms",
@@ -319,8 +328,8 @@
 }
 
 void
-WeightLeader::broadcastUpdate(const core::LoadOrder& order,
-                              const WeightUpdate& update)
+WeightLeader::reportUpdate(const core::LoadOrder& order,
+                           const WeightUpdate& update)
 {
   Json json = { { "server", order.server.id },
                 { "started_at", order.server.startedAt },
@@ -330,36 +339,69 @@
   if (update.orderCount) {
     json["orders"] = *update.orderCount;
   }
-  mPeers.broadcast(peer_paths::kWeights, json.dump());
+  const bool isSendScheduled = !mCollectedUpdates.empty();
+  auto users = mCluster.ownersOfModel(order.model);
+  if (auto home = mCluster.homeOf(order.model)) {
+    users.push_back(std::move(*home));
+  }
+  const auto recipients =
+    mAudience.recipients(mCluster.presentPeers(), std::move(users));
+  for (const auto& recipient : recipients) {
+    mCollectedUpdates[recipient].push_back(json);
+  }
+  if (!isSendScheduled && !mCollectedUpdates.empty()) {
+    net::spawn(mContext.io, sendCollectedUpdates());
+  }
+}
+
+net::Awaitable<void>
+WeightLeader::sendCollectedUpdates()
+{
+  co_await net::sleepFor(kUpdateCollectionTime);
+  const auto updates = std::exchange(mCollectedUpdates, {});
+  for (const auto& [recipient, list] : updates) {
+    mPeers.notify({ recipient }, peer_paths::kWeights, Json(list).dump());
+  }
 }
 
 void
-WeightLeader::applyWeightUpdate(const std::string& body)
+WeightLeader::applyWeightUpdates(const std::string& body)
 {
-  const auto update = Json::parse(body, nullptr, false);
-  if (!update.is_object()) {
+  const auto updates = Json::parse(body, nullptr, false);
+  if (!updates.is_array()) {
     mContext.log.warning("malformed_news", { { "bytes", body.size() } });
     return;
   }
-  const auto id = update.value("server", "");
-  const auto startedAt = update.value("started_at", std::int64_t{ 0 });
-  if (update.contains("orders")) {
-    mHandoverDelay.recordOrder(
-      id, startedAt, update.value("orders", std::int64_t{ 0 }), Clock::now());
-  }
-  auto* state = mContext.registry.find(id, startedAt);
-  if (state == nullptr) {
-    return;
-  }
-  const auto version = update.value("version", std::int64_t{ 0 });
-  if (version > 0) {
-    mContext.registry.recordVersion(
-      state->entry, update.value("model", ""), version);
+  std::ranges::for_each(updates,
+                        [this](const auto& update) { applyUpdate(update); });
+}
+
+void
+WeightLeader::applyUpdate(const Json& update)
+{
+  try {
+    const auto id = update.value("server", "");
+    const auto startedAt = update.value("started_at", std::int64_t{ 0 });
+    if (update.contains("orders")) {
+      mHandoverDelay.recordOrder(
+        id, startedAt, update.value("orders", std::int64_t{ 0 }), Clock::now());
+    }
+    auto* state = mContext.registry.find(id, startedAt);
+    if (state == nullptr) {
+      return;
+    }
+    const auto version = update.value("version", std::int64_t{ 0 });
+    if (version > 0) {
+      mContext.registry.recordVersion(
+        state->entry, update.value("model", ""), version);
+    }
+    mContext.registry.markLoading(
+      id,
+      startedAt,
+      Clock::now() + Millis(update.value("loading_ms", std::int64_t{ 0 })));
+  } catch (const Json::exception& error) {
+    mContext.log.warning("malformed_news", { { "error", error.what() } });
   }
-  mContext.registry.markLoading(
-    id,
-    startedAt,
-    Clock::now() + Millis(update.value("loading_ms", std::int64_t{ 0 })));
 }
 
 net::Awaitable<void>
--- a/src/gateway/weight_leader.h
+++ b/src/gateway/weight_leader.h
@@ -1,13 +1,17 @@
 #pragma once
 
 #include "core/handover_delay.h"
+#include "core/order_audience.h"
 #include "core/weight_load_planner.h"
 #include "gateway/cluster_view.h"
 #include "gateway/peer_client.h"
 #include "gateway/state_applier.h"
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <string>
+#include <vector>
 
 namespace lentilrack::gateway {
 
@@ -31,9 +35,8 @@
   {
     mMaintenanceTask = std::move(task);
   }
-  /// Applies an update that the leader has broadcast about the weights of a
-  /// server.
-  void applyWeightUpdate(const std::string& body);
+  /// Applies updates that the leader has sent about the weights of servers.
+  void applyWeightUpdates(const std::string& body);
   /// Returns true while this process holds the leader key.
   bool isLeading() const { return mFencingToken != 0; }
 
@@ -55,7 +58,7 @@
   /// Returns true while this process is the leader, has renewed its lease
   /// recently and is not shutting down.
   bool canSendOrders() const;
-  /// State of a server's weights, as the leader broadcasts it to its peers.
+  /// State of a server's weights, as the leader reports it to its peers.
   struct WeightUpdate
   {
     /// Version that the server has loaded; 0 if it has not finished loading.
@@ -66,8 +69,12 @@
     /// as accepted. Empty if no order was sent.
     std::optional<std::int64_t> orderCount;
   };
-  void broadcastUpdate(const core::LoadOrder& order,
-                       const WeightUpdate& update);
+  /// Reports the update to the processes that need it, together with the other
+  /// updates of the next moments.
+  void reportUpdate(const core::LoadOrder& order, const WeightUpdate& update);
+  /// Sends the collected updates, in one message for each recipient.
+  net::Awaitable<void> sendCollectedUpdates();
+  void applyUpdate(const nlohmann::json& update);
 
   Context& mContext;
   ClusterView& mCluster;
@@ -76,6 +83,9 @@
   core::WeightLoadPlanner mPlanner;
   /// Delays orders after a takeover until the former leader can send no more.
   core::HandoverDelay mHandoverDelay;
+  core::OrderAudience mAudience;
+  /// Updates that have not been sent yet, by recipient.
+  std::map<std::string, std::vector<nlohmann::json>> mCollectedUpdates;
   std::function<net::Awaitable<void>()> mMaintenanceTask;
   /// Revision of the leader key that this process holds; 0 if it holds none.
   std::int64_t mFencingToken = 0;
--- a/tests/gateway/state_replicator_test.cpp
+++ b/tests/gateway/state_replicator_test.cpp
@@ -119,9 +119,9 @@
               R"({"service":"engine","address":"127.0.0.1:2","zone":"north",)"
               R"("slots":4,"state":"ready","born":1})");
   auto node = makeNode("a");
-  core::ReaderChoice choice("a");
-  choice.setMembers({ "a", "b", "c", "d" });
-  ASSERT_FALSE(choice.isReader());
+  core::ReplicationTree tree("a");
+  tree.setMembers({ { "a", "" }, { "b", "" }, { "c", "" }, { "d", "" } });
+  ASSERT_FALSE(tree.isReader());
   mTable->put(keys::instance("a"), R"({"peers":"127.0.0.1:1"})");
   run([&]() -> net::Awaitable<void> {
     co_await untilReplicated(*node);
