Keep calls during an outage of the store independent of the fleet's size

Change: if a source answers that its data is too old, only about ten processes a second of the whole fleet try the store; the others follow whoever succeeds. Retries of the registration are spread over the renewal interval. Finished batches are read from the process that ran them before the store is asked.

--- a/src/gateway/batch_reader.cpp
+++ b/src/gateway/batch_reader.cpp
@@ -111,18 +111,31 @@
   co_return stored;
 }
 
+std::optional<std::string>
+BatchReader::likelyHolderOf(const std::string& id) const
+{
+  if (const auto* owner = mCluster.ownerOf(id)) {
+    return owner->instance;
+  }
+  // A finished batch has no owner, but the process that ran it keeps its
+  // results for a while.
+  const auto batch = mCluster.batches().find(id);
+  const bool isFinished = batch != mCluster.batches().end() &&
+                          batch->second.state != BatchState::Open;
+  return isFinished ? mCluster.homeOf(batch->second.model) : std::nullopt;
+}
+
 net::Awaitable<std::optional<net::HttpResponse>>
 BatchReader::requestFromOwner(std::string id,
                               net::HttpRequest request,
                               Millis timeout)
 {
-  const auto* owner = mCluster.ownerOf(id);
-  if (owner == nullptr || mCluster.isSelf(*owner)) {
+  const auto instance = likelyHolderOf(id);
+  if (!instance || *instance == mContext.settings.instance) {
     co_return std::nullopt;
   }
-  const auto instance = owner->instance;
   auto answer =
-    co_await mPeers.sendRequest(instance, std::move(request), timeout);
+    co_await mPeers.sendRequest(*instance, std::move(request), timeout);
   if (answer) {
     // The headers of the response belong to the connection between the two
     // processes and must not reach the trainer.
--- a/src/gateway/batch_reader.h
+++ b/src/gateway/batch_reader.h
@@ -83,6 +83,9 @@
     core::Millis timeout);
 
 private:
+  /// Returns the instance that is most likely to have the results of a batch in
+  /// memory, or nothing if there is none.
+  std::optional<std::string> likelyHolderOf(const std::string& id) const;
   /// Returns an error response if the batch does not exist or the store cannot
   /// tell, or nothing if the batch exists.
   net::Awaitable<std::optional<net::HttpResponse>> rejectUnknownBatch(
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -17,8 +17,9 @@
 /// other processes in less time.
 constexpr Millis kClaimStagger{ 250 };
 /// A run is kept this long after it stopped, since trainers go on reading its
-/// results.
-constexpr Millis kEndedRunRetention{ 5'000 };
+/// results. The time is shorter while the runs use much memory.
+constexpr Millis kEndedRunRetention{ 30'000 };
+constexpr Millis kShortRunRetention{ 5'000 };
 /// How long to retry a write to the store. After this time the caller is told
 /// that the outcome of the request is unknown.
 constexpr Millis kAcceptTimeout{ 4'000 };
@@ -34,6 +35,9 @@
 /// All open batches together may use the memory limit of the process divided by
 /// this.
 constexpr std::size_t kMemoryDivisor = 4;
+/// Stopped runs are kept for the longer time while all runs together use less
+/// than the memory limit divided by this.
+constexpr std::size_t kRetentionMemoryDivisor = 16;
 /// The stored data of a batch is deleted this long after the end of its
 /// retention period.
 constexpr Millis kDeletionMargin{ 60'000 };
@@ -129,14 +133,20 @@
   co_await exchange.respond(std::move(response));
 }
 
-bool
-BatchService::isMemoryExhausted() const
+std::size_t
+BatchService::runMemory() const
 {
   std::size_t memory = 0;
   for (const auto& [id, run] : mRuns) {
     memory += memoryOf(run->spec());
   }
-  return memory > mContext.settings.memoryLimitBytes / kMemoryDivisor;
+  return memory;
+}
+
+bool
+BatchService::isMemoryExhausted() const
+{
+  return runMemory() > mContext.settings.memoryLimitBytes / kMemoryDivisor;
 }
 
 net::Awaitable<std::optional<net::HttpResponse>>
@@ -322,9 +332,13 @@
   for (;;) {
     co_await net::sleepFor(kOrphanCheckInterval);
     const auto now = Clock::now();
+    const auto retention =
+      runMemory() > mContext.settings.memoryLimitBytes / kRetentionMemoryDivisor
+        ? kShortRunRetention
+        : kEndedRunRetention;
     std::erase_if(mRuns, [&](const auto& item) {
       const auto& batch = *item.second;
-      return batch.isStopped() && now - batch.stoppedAt() > kEndedRunRetention;
+      return batch.isStopped() && now - batch.stoppedAt() > retention;
     });
     const bool canClaim = mCluster.isSynced() && mCluster.isRegistered() &&
                           !mContext.isLeaving && mContext.desired;
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -55,7 +55,9 @@
   net::Awaitable<std::optional<net::HttpResponse>> acceptAtHome(
     const core::BatchSpec& spec,
     const std::string& body);
-  /// Returns whether the open batches use so much memory that no further one
+  /// Returns an estimate of the memory that the runs use, in bytes.
+  std::size_t runMemory() const;
+  /// Returns whether the batches use so much memory that no further one
   /// may be accepted.
   bool isMemoryExhausted() const;
   /// Stores the batch and returns the response. Retries the store until the
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -325,6 +325,7 @@
           { "revision", item.revision },
           { "outcome", peer->isLeaving ? "leaving" : "present" } });
       mPeers[peer->instance] = std::move(*peer);
+      mLargestFleet = std::max(mLargestFleet, mPeers.size());
     }
   } else if (key.starts_with(kBatches)) {
     if (auto record =
@@ -432,6 +433,25 @@
   }
 }
 
+Millis
+ClusterView::renewInterval(const Lease& lease)
+{
+  return lease.timeToLive * kRenewInterval.count() / kLeaseTtl.count();
+}
+
+Millis
+ClusterView::registrationRetryDelay()
+{
+  // Processes that lose their registration mostly do so together, when the
+  // store fails. Their retries must not grow with the fleet.
+  const auto spread =
+    core::LeaseTiming::forProcesses(mLargestFleet).renewInterval -
+    core::LeaseTiming::kShortestRenewal;
+  const auto random = static_cast<std::int64_t>(
+    mContext.uniformRandom() * static_cast<double>(spread.count()));
+  return kFailureRetryDelay + Millis(random);
+}
+
 net::Awaitable<void>
 ClusterView::adaptMemberLease()
 {
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -190,6 +190,9 @@
   net::Awaitable<bool> grant(Lease& lease, core::Millis timeToLive);
   /// Renews the lease. Returns false if the store does not know it any more.
   net::Awaitable<bool> renew(Lease& lease);
+  static core::Millis renewInterval(const Lease& lease);
+  /// Returns the delay before the next try to register.
+  core::Millis registrationRetryDelay();
   net::Awaitable<void> keepRegistered();
   /// Replaces the lease of the registration if the size of the fleet calls for
   /// a different time to live.
@@ -221,6 +224,8 @@
   core::TimePoint mDutyRequestedAt{};
   /// When the lease of the registration was granted.
   core::TimePoint mMemberLeaseGrantedAt{};
+  /// Largest number of processes that were present at the same time.
+  std::size_t mLargestFleet = 0;
   bool mIsRegistered = false;
 };
 
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -1,6 +1,7 @@
 #include "gateway/state_replicator.h"
 
 #include "core/decimal.h"
+#include "net/http_status.h"
 
 #include <nlohmann/json.hpp>
 
@@ -34,6 +35,12 @@
 /// the store itself. All processes may start at the same time, and the seeds
 /// read the store within a few milliseconds.
 constexpr Millis kSeedTimeout{ 1'500 };
+/// Delay before the next source is asked, so that sources without current data
+/// are not asked in quick succession by all their followers.
+constexpr Millis kNextSourceDelay{ 20 };
+/// How long a process that tries the store because no source has current data
+/// keeps reading it. Meanwhile the sources find this process and follow it.
+constexpr Millis kTrialTime{ 3'000 };
 
 Json
 encodeDelta(const core::MirrorDelta& delta)
@@ -149,6 +156,22 @@
   mTree.setMembers(std::move(members));
 }
 
+bool
+StateReplicator::mayReadWithoutSource()
+{
+  const auto now = Clock::now();
+  const bool hasStaleSource =
+    now - mStaleAnswerAt < 2 * core::ReplicationTree::kFailureAvoidTime;
+  if (mTree.isReader() || !hasStaleSource || now < mTrialUntil) {
+    return true;
+  }
+  if (mContext.uniformRandom() >= mTree.trialProbability(kIdlePollInterval)) {
+    return false;
+  }
+  mTrialUntil = now + kTrialTime;
+  return true;
+}
+
 net::Awaitable<void>
 StateReplicator::followSource()
 {
@@ -165,7 +188,8 @@
                         : isCutReader ? mTree.sourceForCutReader(now)
                                       : mTree.source(now);
     // A reader goes on trying the store while another process supplies it.
-    mReadsStoreDirectly = !source || isCutReader;
+    mReadsStoreDirectly =
+      isCutReader || (!source && mayReadWithoutSource()) || !isComplete();
     if (!source) {
       co_await net::sleepFor(kIdlePollInterval);
       continue;
@@ -179,6 +203,7 @@
                              { "age_ms", mirrorAge() },
                              { "outcome", "failed" } });
       mTree.recordFailure(*source, Clock::now());
+      co_await net::sleepFor(kNextSourceDelay);
     }
   }
 }
@@ -215,6 +240,9 @@
     source, std::move(request), mTiming.followTimeout + kFollowTimeoutMargin);
   const auto elapsed =
     std::chrono::duration_cast<Millis>(Clock::now() - sentAt);
+  if (answer && answer->status == net::status::kUnavailable) {
+    mStaleAnswerAt = Clock::now();
+  }
   co_return answer && answer->status == 200 &&
     applySourceResponse(source.text(), answer->body, elapsed);
 }
