Keep half of a model's servers working while weights load, and move long items

A fifth of the 97 servers may load at once, and a model has 16, so all of them loaded together. Besides, each load stopped the running items for 0.9 s, and the longest items decide when a step completes. Ruled out: slots (97 for 144 items) and the duration of reward calls. Change: at most half of the servers of a model load at a time, two if that is more. An item that is longer than most leaves a loading server for one with a free slot, unless that would lose its text.

--- a/src/core/rollout_batch.cpp
+++ b/src/core/rollout_batch.cpp
@@ -57,7 +57,8 @@
     mIndexById[item.id] = i;
   }
   std::iota(mOrder.begin(), mOrder.end(), 0);
-  const double longThreshold = kLongItemFactor * medianLength(mSpec->items);
+  mMedianLength = medianLength(mSpec->items);
+  const double longThreshold = kLongItemFactor * mMedianLength;
   std::ranges::stable_sort(mOrder, {}, [&](std::size_t i) {
     const double length = mSpec->items[i].expectedLength;
     const bool isLong = longThreshold > 0 && length > longThreshold;
@@ -116,6 +117,23 @@
   return true;
 }
 
+bool
+BatchProgress::isLong(std::size_t item, std::int64_t events) const
+{
+  const bool hasLongHint =
+    mMedianLength > 0 && mSpec->items[item].expectedLength > mMedianLength;
+  return hasLongHint ||
+         (mCompleteItems > 0 && static_cast<double>(events) > mMeanEvents);
+}
+
+void
+BatchProgress::recordLength(std::int64_t events)
+{
+  ++mCompleteItems;
+  mMeanEvents += (static_cast<double>(events) - mMeanEvents) /
+                 static_cast<double>(mCompleteItems);
+}
+
 bool
 BatchProgress::isFinished(std::size_t item) const
 {
--- a/src/core/rollout_batch.h
+++ b/src/core/rollout_batch.h
@@ -101,6 +101,13 @@
     return ++mItems[item].rewardFailures;
   }
 
+  /// Whether the item is expected to be longer than most items of the batch.
+  /// `events` is the number of events that it has produced so far. Long items
+  /// determine when the step completes.
+  bool isLong(std::size_t item, std::int64_t events) const;
+  /// Records the number of events of an item that is complete.
+  void recordLength(std::int64_t events);
+
   bool isFinished(std::size_t item) const;
   /// Whether all items are finished.
   bool isComplete() const { return mFinished == mItems.size(); }
@@ -136,6 +143,11 @@
   /// Index of each item by its identifier.
   std::map<std::string, std::size_t> mIndexById;
   std::size_t mFinished = 0;
+  /// Median of the expected lengths; 0 if unknown.
+  double mMedianLength = 0;
+  /// Mean number of events of the complete items, and their number.
+  double mMeanEvents = 0;
+  std::size_t mCompleteItems = 0;
 };
 
 } // namespace lentilrack::core
--- a/src/core/weight_load_planner.cpp
+++ b/src/core/weight_load_planner.cpp
@@ -151,6 +151,40 @@
   }
 }
 
+bool
+WeightLoadPlanner::isLoading(const std::string& serverId, TimePoint now) const
+{
+  // Servers report the end of a load with a delay, and the next load need not
+  // wait for the report.
+  const auto expected = expectedLoadTime().value_or(mLimits.loadTimeout);
+  const auto load = mLoadByServer.find(serverId);
+  return load != mLoadByServer.end() && now - load->second.orderedAt < expected;
+}
+
+WeightLoadPlanner::Counts
+WeightLoadPlanner::allowedLoadsByModel(
+  const std::vector<const RegisteredServer*>& servers) const
+{
+  Counts total;
+  Counts loading;
+  for (const auto* server : servers) {
+    const auto& id = server->entry.id;
+    const auto& model = mModelByServer.at(id);
+    ++total[model];
+    // A model's next loads wait for the reports of those before, since only
+    // then are the loaded servers used again.
+    loading[model] += mLoadByServer.contains(id) ? 1 : 0;
+  }
+  Counts allowed;
+  for (const auto& [model, count] : total) {
+    const auto share = static_cast<std::size_t>(
+      std::ceil(mLimits.maxLoadingShareOfModel * static_cast<double>(count)));
+    const auto limit = std::max(mLimits.minConcurrentLoads, share);
+    allowed[model] = limit - std::min(limit, loading[model]);
+  }
+  return allowed;
+}
+
 std::vector<LoadOrder>
 WeightLoadPlanner::plan(
   const std::vector<const RegisteredServer*>& servers,
@@ -176,15 +210,11 @@
     const auto share = static_cast<std::size_t>(std::floor(
       mLimits.maxLoadingShare * static_cast<double>(ofService.size())));
     const auto maxLoading = std::max(mLimits.minConcurrentLoads, share);
-    // A load counts as concurrent only until its expected end. Servers report
-    // the end with a delay, and the next load need not wait for the report.
-    const auto expected = expectedLoadTime().value_or(mLimits.loadTimeout);
     auto loading = static_cast<std::size_t>(
       std::ranges::count_if(ofService, [&](const RegisteredServer* server) {
-        const auto load = mLoadByServer.find(server->entry.id);
-        return load != mLoadByServer.end() &&
-               now - load->second.orderedAt < expected;
+        return isLoading(server->entry.id, now);
       }));
+    auto allowedOfModel = allowedLoadsByModel(ofService);
     // Servers that are the most versions behind load first, because they will
     // be the first that can no longer run work for recent weights.
     const auto lagOf = [&](const RegisteredServer* server) {
@@ -199,10 +229,12 @@
       if (loading >= maxLoading || lagOf(server) == 0) {
         break;
       }
-      if (mustWait || mLoadByServer.contains(id)) {
+      const auto& model = mModelByServer[id];
+      if (mustWait || mLoadByServer.contains(id) ||
+          allowedOfModel[model] == 0) {
         continue;
       }
-      const auto& model = mModelByServer[id];
+      --allowedOfModel[model];
       orders.push_back({ server->entry, model, mTargetByModel[model] });
       ++loading;
     }
--- a/src/core/weight_load_planner.h
+++ b/src/core/weight_load_planner.h
@@ -32,9 +32,11 @@
     /// Maximum number of concurrent loads, as a fraction of the servers of a
     /// service.
     double maxLoadingShare = 0.2;
-    /// Concurrent loads that are allowed even if `maxLoadingShare` allows
-    /// fewer.
+    /// Concurrent loads that are allowed even if the shares allow fewer.
     std::size_t minConcurrentLoads = 2;
+    /// Maximum number of concurrent loads, as a fraction of the servers of a
+    /// model. The model's work goes on at the others.
+    double maxLoadingShareOfModel = 0.5;
     /// A load whose end was not observed counts as failed after this time.
     Millis loadTimeout{ 6'000 };
     /// Shortest delay between the end of a load and the server's report of it.
@@ -105,6 +107,13 @@
   void rebalance(const std::vector<const RegisteredServer*>& servers,
                  const Counts& wanted,
                  Counts counts);
+  /// Returns how many servers of each model may start to load now, given the
+  /// servers of one service.
+  Counts allowedLoadsByModel(
+    const std::vector<const RegisteredServer*>& servers) const;
+  /// Whether a load of the server is in progress and not yet expected to have
+  /// ended.
+  bool isLoading(const std::string& serverId, TimePoint now) const;
   /// Returns the model that the server has served so far, judging by the
   /// versions it has loaded; empty if these versions do not determine the
   /// model.
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -323,6 +323,7 @@
                                  !run->isOutOfOrder &&
                                  !run->eventParser.hasPartialEvent();
   if (hasCompleteOutput) {
+    mProgress.recordLength(mItemStates[item].text.lastNumber());
     mContext.metrics.observe("item_run_ms",
                              std::chrono::duration<double, std::milli>(
                                Clock::now() - mItemStates[item].startedAt)
@@ -498,6 +499,7 @@
     run.eventsInRun == 0 ? kFirstEventTimeout : kEventTimeout;
   if (isLoading) {
     run.lastActivity = std::max(run.lastActivity, now - allowed / 2);
+    moveFromLoadingServer(item, now);
     return;
   }
   if (now - run.lastActivity > allowed) {
@@ -518,27 +520,59 @@
   if (!isSlow || mProgress.nextItem(now)) {
     return;
   }
+  const auto* other = findOtherServer(run.server, now);
+  if (other != nullptr &&
+      other->millisPerUnit < server->millisPerUnit / kSlowServerFactor) {
+    moveItem(item, *other, "slow", now);
+  }
+}
+
+const core::RegisteredServer*
+BatchRun::findOtherServer(const core::ServerEntry& server, TimePoint now) const
+{
   core::ServerRequirements requirements;
-  requirements.service = run.server.service;
+  requirements.service = server.service;
   requirements.model = mSpec->model;
   requirements.minVersion = mSpec->minVersion;
-  requirements.exclude = { run.server.id };
+  requirements.exclude = { server.id };
   requirements.freeSlotOnly = true;
-  const auto* other =
-    mContext.registry.choose(requirements, now, mContext.uniformRandom());
-  if (other != nullptr &&
-      other->millisPerUnit < server->millisPerUnit / kSlowServerFactor) {
-    run.lastMovedAt = now;
-    mServerByGroup[mSpec->items[item].group] = other->entry.id;
-    mContext.log.info("item_moved",
-                      { { "batch", mSpec->id },
-                        { "item", mSpec->items[item].id },
-                        { "from", run.server.id },
-                        { "to", other->entry.id },
-                        { "pace_ms", server->millisPerUnit },
-                        { "median_ms", median } });
-    run.cancel->cancel();
+  return mContext.registry.choose(requirements, now, mContext.uniformRandom());
+}
+
+void
+BatchRun::moveFromLoadingServer(std::size_t item, TimePoint now)
+{
+  const auto& run = mItemStates[item];
+  const auto* batchRoute = route();
+  const bool losesText = batchRoute != nullptr && batchRoute->singleVersion &&
+                         run.text.lastNumber() > 0;
+  if (losesText || now - run.lastMovedAt < kMinMoveInterval ||
+      !mProgress.isLong(item, run.text.lastNumber())) {
+    return;
   }
+  if (const auto* other = findOtherServer(run.server, now)) {
+    moveItem(item, *other, "loading", now);
+  }
+}
+
+void
+BatchRun::moveItem(std::size_t item,
+                   const core::RegisteredServer& target,
+                   const std::string& reason,
+                   TimePoint now)
+{
+  auto& run = mItemStates[item];
+  run.lastMovedAt = now;
+  mServerByGroup[mSpec->items[item].group] = target.entry.id;
+  mContext.log.info("item_moved",
+                    { { "batch", mSpec->id },
+                      { "item", mSpec->items[item].id },
+                      { "from", run.server.id },
+                      { "to", target.entry.id },
+                      { "reason", reason },
+                      { "events", run.text.lastNumber() },
+                      { "pace_ms", target.millisPerUnit } });
+  run.cancel->cancel();
 }
 
 net::Awaitable<void>
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -112,6 +112,18 @@
   /// Cancels the run of an item if its server is silent or much slower than
   /// others. The item then runs on another server.
   void checkRunProgress(std::size_t item, core::TimePoint now);
+  /// Returns another server with a free slot for an item that runs on `server`,
+  /// or null.
+  const core::RegisteredServer* findOtherServer(const core::ServerEntry& server,
+                                                core::TimePoint now) const;
+  /// Moves a long item away from a server that loads weights, since the load
+  /// stops it for longer than another server needs to read its text.
+  void moveFromLoadingServer(std::size_t item, core::TimePoint now);
+  /// Cancels the current run of an item, which then continues on the target.
+  void moveItem(std::size_t item,
+                const core::RegisteredServer& target,
+                const std::string& reason,
+                core::TimePoint now);
 
   Context& mContext;
   ClusterView& mCluster;
--- a/tests/core/rollout_batch_test.cpp
+++ b/tests/core/rollout_batch_test.cpp
@@ -67,4 +67,23 @@
   EXPECT_EQ(progress.nextItem(kNow), 0U);
 }
 
+// Guards against long items that are not recognised without hints, and against
+// short ones that are taken for long.
+TEST(BatchProgressTest, LongItemsAreKnownByHintOrByLength)
+{
+  auto spec = makeSpec(1, 3);
+  spec->items[0].expectedLength = 10;
+  spec->items[1].expectedLength = 10;
+  spec->items[2].expectedLength = 50;
+  BatchProgress progress(spec);
+  EXPECT_FALSE(progress.isLong(0, 40));
+  EXPECT_TRUE(progress.isLong(2, 0));
+  progress.recordLength(8);
+  progress.recordLength(12);
+  EXPECT_FALSE(progress.isLong(0, 10));
+  EXPECT_TRUE(progress.isLong(0, 11));
+  const BatchProgress withoutHints(makeSpec(1, 3));
+  EXPECT_FALSE(withoutHints.isLong(0, 0));
+}
+
 } // namespace lentilrack::core
--- a/tests/core/weight_load_planner_test.cpp
+++ b/tests/core/weight_load_planner_test.cpp
@@ -261,4 +261,53 @@
   EXPECT_NE(third[1].server.id, second[1].server.id);
 }
 
+// Guards against a model whose servers all load at the same time: in a fleet of
+// 97 servers and six models a fifth of the servers is more than a whole model
+// has, and each change of version left its next batch without a server.
+TEST(WeightLoadPlannerTest, HalfOfTheServersOfAModelKeepWorking)
+{
+  for (const int count : { 12, 97, 300 }) {
+    const std::vector<std::string> models{ "m0", "m1", "m2", "m3", "m4", "m5" };
+    Fleet fleet(count, models);
+    WeightLoadPlanner planner;
+    planner.setTarget("m2", 2);
+    std::set<std::string> ordered;
+    for (bool isPlanned = true; isPlanned;) {
+      const auto orders =
+        planner.plan(fleet.serverPointers(), fleet.models, kNow);
+      isPlanned = !orders.empty();
+      for (const auto& order : orders) {
+        EXPECT_EQ(order.model, "m2");
+        planner.loadStarted(order, kNow);
+        ordered.insert(order.server.id);
+      }
+    }
+    const int servers = count / 6 + (count % 6 > 2 ? 1 : 0);
+    EXPECT_LE(static_cast<int>(ordered.size()), (servers + 2) / 2) << count;
+    EXPECT_GE(ordered.size(), 1U);
+  }
+}
+
+// Guards against servers that are never loaded because others of their model
+// were loaded before.
+TEST(WeightLoadPlannerTest, SecondHalfLoadsAfterTheFirst)
+{
+  Fleet fleet(97, { "m0", "m1", "m2", "m3", "m4", "m5" });
+  WeightLoadPlanner planner;
+  planner.setTarget("m2", 2);
+  auto now = kNow;
+  std::set<std::string> loaded;
+  for (int round = 0; round < 4; ++round) {
+    for (const auto& order :
+         planner.plan(fleet.serverPointers(), fleet.models, now)) {
+      planner.loadStarted(order, now);
+      planner.loadConfirmed(order.server.id, now + Millis(900));
+      fleet.load(order);
+      loaded.insert(order.server.id);
+    }
+    now += Millis(1'000);
+  }
+  EXPECT_GE(loaded.size(), 16U);
+}
+
 } // namespace lentilrack::core
--- a/tests/gateway/batch_service_test.cpp
+++ b/tests/gateway/batch_service_test.cpp
@@ -402,4 +402,43 @@
             static_cast<double>(kLoad.count()) / 10);
 }
 
+// Guards against a long item that waits for the load of weights of its server
+// although another server is free: each change of version cost such an item the
+// time of a load, and these items decide when a step is complete.
+TEST_F(BatchServiceTest, LongItemLeavesALoadingServer)
+{
+  auto node = makeNode("a");
+  FakeServer loading(mIo, "s1");
+  FakeServer other(mIo, "s2");
+  bool isReleased = false;
+  loading.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+    co_await exchange.beginStream(200, "text/event-stream", headers);
+    if (exchange.request().header("X-Request-Id") == "b1-0") {
+      co_await exchange.write("id: 1\ndata: piece 1\n\n");
+      co_await exchange.endStream();
+      co_return;
+    }
+    co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n");
+    while (!isReleased && !exchange.isClientDisconnected()) {
+      co_await net::sleepFor(Millis(5));
+    }
+  });
+  node->addServer(loading, "engine", 2);
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    co_await submit(*node, submission("b1", 2));
+    co_await untilResultCount(*node, "b1", 1);
+    node->addServer(other, "engine", 2);
+    node->context.registry.markLoading(
+      "s1", 1, core::Clock::now() + Millis(60'000));
+    co_await until([&] { return !other.requests().empty(); });
+    EXPECT_EQ(other.requests().at(0).header("Last-Event-Id"), "2");
+    co_await untilResultCount(*node, "b1", 2);
+    isReleased = true;
+    const auto page = co_await readAll(*node, "b1", 0);
+    EXPECT_EQ(page["results"][1]["output"], "piece 1\npiece 2\npiece 3");
+  });
+}
+
 } // namespace lentilrack::gateway
