--- a/src/core/key_mirror.cpp
+++ b/src/core/key_mirror.cpp
@@ -32,7 +32,6 @@
   if (item.revision <= known.revision) {
     return false;
   }
-  mRevision = std::max(mRevision, item.revision);
   const bool isUnchanged =
     known.revision != 0 && mUnchangedTest && mUnchangedTest(known, item);
   known = item;
@@ -50,7 +49,6 @@
 bool
 KeyMirror::remove(const std::string& key, std::int64_t revision)
 {
-  mRevision = std::max(mRevision, revision);
   const auto known = mItems.find(key);
   if (known == mItems.end() || revision < known->second.revision) {
     return false;
@@ -81,7 +79,7 @@
   }
   std::ranges::for_each(missing,
                         [&](const auto& key) { remove(key, revision); });
-  mRevision = std::max(mRevision, revision);
+  markCompleteTo(revision);
   mIsComplete = true;
 }
 
@@ -96,7 +94,7 @@
   for (const auto& [key, revision] : delta.removed) {
     remove(key, revision);
   }
-  mRevision = std::max(mRevision, delta.revision);
+  markCompleteTo(delta.revision);
 }
 
 MirrorDelta
@@ -104,7 +102,7 @@
 {
   MirrorDelta delta;
   delta.sequence = mSequence;
-  delta.revision = mRevision;
+  delta.revision = mCompleteRevision;
   const bool hasAllChanges =
     sequence <= mSequence && sequence > 0 &&
     (sequence == mSequence ||
--- a/src/core/key_mirror.h
+++ b/src/core/key_mirror.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -76,14 +77,20 @@
   void replace(const std::vector<MirroredItem>& items, std::int64_t revision);
   /// Applies the changes of another mirror.
   void applyDelta(const MirrorDelta& delta);
+  /// Records that all changes up to a revision have been applied.
+  void markCompleteTo(std::int64_t revision)
+  {
+    mCompleteRevision = std::max(mCompleteRevision, revision);
+  }
 
   /// Returns the changes after a sequence number, or a snapshot if these
   /// changes are no longer kept.
   MirrorDelta changesSince(std::uint64_t sequence) const;
   /// Returns the number of the last change.
   std::uint64_t sequence() const { return mSequence; }
-  /// Returns the newest store revision that was seen.
-  std::int64_t revision() const { return mRevision; }
+  /// Returns the store revision up to which all changes have been applied.
+  /// Single items may be newer.
+  std::int64_t completeRevision() const { return mCompleteRevision; }
   /// Whether all keys below the prefix were read at least once.
   bool isComplete() const { return mIsComplete; }
   const std::map<std::string, MirroredItem>& items() const { return mItems; }
@@ -106,7 +113,7 @@
   std::map<std::string, std::int64_t> mRemoved;
   std::deque<Change> mChanges;
   std::uint64_t mSequence = 1;
-  std::int64_t mRevision = 0;
+  std::int64_t mCompleteRevision = 0;
   bool mIsComplete = false;
 };
 
--- a/src/gateway/state_applier.cpp
+++ b/src/gateway/state_applier.cpp
@@ -106,9 +106,10 @@
   std::ranges::copy(mServers | std::views::values, std::back_inserter(entries));
   for (const auto& change :
        mContext.registry.apply(std::move(entries), core::Clock::now())) {
-    mContext.log.info("server_list",
-                      { { "change", change },
-                        { "revision", mContext.mirrors.servers.revision() } });
+    mContext.log.info(
+      "server_list",
+      { { "change", change },
+        { "revision", mContext.mirrors.servers.completeRevision() } });
   }
 }
 
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -385,6 +385,7 @@
       }
       revision = std::max(revision, change.revision);
     }
+    replica.mirror.markCompleteTo(revision);
     markConfirmed(replica, Millis(0));
     if (!changes.value().changes.empty()) {
       co_await net::sleepFor(kChangeCollectionTime);
--- a/tests/core/key_mirror_test.cpp
+++ b/tests/core/key_mirror_test.cpp
@@ -108,4 +108,39 @@
   EXPECT_FALSE(source.changesSince(source.sequence()).isSnapshot);
 }
 
+// Guards against a snapshot that claims to be newer than it is: the sender has
+// written a key itself and does not know an earlier write of another key yet.
+// The receiver took that key for removed, and never accepted it again:
+// processes that had lost the leader key this way claimed the leadership ten
+// times a second.
+TEST(KeyMirrorTest, OwnWriteDoesNotMakeASnapshotNewer)
+{
+  KeyMirror sender;
+  sender.replace({ { "a", "1", 3 } }, 5);
+  sender.put({ "own", "x", 10 });
+  KeyMirror receiver;
+  receiver.replace({ { "a", "1", 3 }, { "leader", "b", 8 } }, 9);
+  receiver.applyDelta(sender.changesSince(0));
+  EXPECT_TRUE(receiver.items().contains("leader"));
+  EXPECT_TRUE(receiver.items().contains("own"));
+  KeyMirror follower;
+  follower.applyDelta(sender.changesSince(0));
+  EXPECT_EQ(follower.completeRevision(), 5);
+  EXPECT_TRUE(follower.put({ "leader", "b", 8 }));
+}
+
+// Guards against removed keys that stay in a mirror, because a sender that has
+// applied all changes does not say so.
+TEST(KeyMirrorTest, SnapshotOfACompleteMirrorRemovesKeys)
+{
+  KeyMirror sender;
+  sender.replace({ { "a", "1", 3 } }, 5);
+  sender.put({ "b", "1", 9 });
+  sender.markCompleteTo(9);
+  KeyMirror receiver;
+  receiver.replace({ { "gone", "1", 4 } }, 4);
+  receiver.applyDelta(sender.changesSince(0));
+  EXPECT_FALSE(receiver.items().contains("gone"));
+}
+
 } // namespace lentilrack::core
