Give up streams whose bytes contain no events

A stalled server that sends a byte now and then kept its item, up to the 60 s of a run, since any byte counted as activity; the forwarding of resumable streams had the same fault. And the bytes of an event without end were collected up to the limit of a whole body, 64 MB for each run, and searched from the start with each piece. Heads are bounded by the parser of the library (8 KB), other bodies by their limits. Change: only events count as activity; a stream is given up once an incomplete event is larger than 1 MB, a response that is no stream at 16 MB. Tests: BytesWithoutEventsDoNotKeepARunAlive, EventWithoutEndEndsTheRun, EventWithoutEndIsOverlong. They were not run against the code before. The forwarding of streams has no such test yet.

--- a/src/core/event_stream.cpp
+++ b/src/core/event_stream.cpp
@@ -28,9 +28,11 @@
 {
   constexpr std::string_view kEnd = "\n\n";
   std::vector<std::string> blocks;
+  // The bytes before were searched by earlier calls, but for a first line feed.
+  const auto searched = mPartialEvent.empty() ? 0 : mPartialEvent.size() - 1;
   mPartialEvent.append(bytes);
   std::size_t start = 0;
-  for (auto end = mPartialEvent.find(kEnd); end != std::string::npos;
+  for (auto end = mPartialEvent.find(kEnd, searched); end != std::string::npos;
        end = mPartialEvent.find(kEnd, start)) {
     blocks.push_back(mPartialEvent.substr(start, end + kEnd.size() - start));
     start = end + kEnd.size();
--- a/src/core/event_stream.h
+++ b/src/core/event_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -22,6 +23,10 @@
 class EventStreamParser
 {
 public:
+  /// Maximum size of one event. A server in trouble may send bytes without end
+  /// that contain no event.
+  static constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+
   /// `versionField` is the lower-case name of the field that gives a new weight
   /// version.
   explicit EventStreamParser(std::string versionField);
@@ -35,6 +40,9 @@
   StreamEvent parseBlock(std::string_view block) const;
   /// Whether there are bytes of an incomplete event.
   bool hasPartialEvent() const { return !mPartialEvent.empty(); }
+  /// Whether the incomplete event is larger than an event may be. The stream
+  /// must then be given up.
+  bool isOverlong() const { return mPartialEvent.size() > kMaxEventBytes; }
 
 private:
   std::string mVersionField;
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -54,7 +54,8 @@
   /// True once a response with a stamp and with recent enough weights has
   /// begun.
   bool isAccepted = false;
-  /// True once an event did not have the number after that of the event before.
+  /// True once an event did not have the number after that of the event before,
+  /// or was too long.
   bool isOutOfOrder = false;
   /// True if the server responded with older weights than the batch allows.
   bool hasStaleWeights = false;
@@ -299,8 +300,14 @@
     }
     run.lastEvent = now;
     ++state.eventsInRun;
+    // Other bytes do not count, or a stalled server that sends a byte now and
+    // then would keep its item.
+    state.lastActivity = now;
+  }
+  if (run.eventParser.isOverlong()) {
+    run.isOutOfOrder = true;
+    state.cancel->cancel();
   }
-  state.lastActivity = now;
 }
 
 net::Awaitable<void>
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -67,8 +67,8 @@
     bool isGenerating = false;
     /// When the current run started.
     core::TimePoint startedAt{};
-    /// When the current run last received data. Moved forward while the server
-    /// loads weights, so that the run does not count as silent.
+    /// When the current run last received an event. Moved forward while the
+    /// server loads weights, so that the run does not count as silent.
     core::TimePoint lastActivity{};
     /// When the item was last moved away from a slow server; the default value
     /// if it never was.
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -16,6 +16,8 @@
 using core::Millis;
 
 constexpr Millis kConnectTimeout{ 250 };
+/// Maximum size of a response that is no stream of events.
+constexpr std::size_t kMaxFailureBytes = 16UL * 1024 * 1024;
 /// A resumable stream is moved to another server if it receives no data for
 /// this time. The limit is below the 2 s after which callers abandon a stream.
 constexpr Millis kMaxSilence{ 1'200 };
@@ -167,13 +169,24 @@
     return true;
   };
   call.onData = [this, attempt](std::string_view bytes) {
-    attempt->lastActivity = Clock::now();
     if (!attempt->isStream) {
+      attempt->lastActivity = Clock::now();
       attempt->head.body.append(bytes);
+      if (attempt->head.body.size() > kMaxFailureBytes) {
+        attempt->cancel->cancel();
+      }
       return;
     }
-    std::ranges::move(attempt->eventParser.splitBlocks(bytes),
-                      std::back_inserter(attempt->events));
+    auto blocks = attempt->eventParser.splitBlocks(bytes);
+    // Bytes without an event do not count, or a stalled server that sends a
+    // byte now and then would keep the stream.
+    if (!blocks.empty()) {
+      attempt->lastActivity = Clock::now();
+    }
+    std::ranges::move(blocks, std::back_inserter(attempt->events));
+    if (attempt->eventParser.isOverlong()) {
+      attempt->cancel->cancel();
+    }
     mChanged.notify();
   };
   attempt->result = co_await mContext.http.call(std::move(call));
--- a/tests/core/event_stream_test.cpp
+++ b/tests/core/event_stream_test.cpp
@@ -67,4 +67,22 @@
   EXPECT_EQ(text.versions(), (std::set<std::int64_t>{ 2, 4 }));
 }
 
+// Guards against memory that grows without bound while a server in trouble
+// sends bytes without end, and against an end of event that is missed because
+// it arrives in two pieces.
+TEST(EventStreamParserTest, EventWithoutEndIsOverlong)
+{
+  EventStreamParser parser("weights");
+  const std::string piece(EventStreamParser::kMaxEventBytes / 4, 'x');
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(parser.parseEvents(piece).empty());
+    EXPECT_FALSE(parser.isOverlong());
+  }
+  EXPECT_TRUE(parser.parseEvents("x").empty());
+  EXPECT_TRUE(parser.isOverlong());
+  EventStreamParser split("weights");
+  EXPECT_TRUE(split.parseEvents("id: 1\ndata: a\n").empty());
+  EXPECT_EQ(split.parseEvents("\n").size(), 1U);
+}
+
 } // namespace lentilrack::core
--- a/tests/gateway/batch_service_test.cpp
+++ b/tests/gateway/batch_service_test.cpp
@@ -441,4 +441,68 @@
   });
 }
 
+// Guards against a stalled server that keeps its item for as long as it sends a
+// byte now and then.
+TEST_F(BatchServiceTest, BytesWithoutEventsDoNotKeepARunAlive)
+{
+  auto node = makeNode("a");
+  FakeServer stalled(mIo, "s1");
+  FakeServer healthy(mIo, "s2");
+  bool isClosed = false;
+  stalled.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+    co_await exchange.beginStream(200, "text/event-stream", headers);
+    co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\ndata: ");
+    while (!exchange.isClientDisconnected()) {
+      co_await exchange.write("x");
+      co_await net::sleepFor(Millis(20));
+    }
+    isClosed = true;
+  });
+  node->addServer(stalled, "engine", 1);
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    co_await submit(*node, submission("b1", 1));
+    co_await until([&] { return !stalled.requests().empty(); });
+    node->addServer(healthy, "engine", 1);
+    co_await untilResultCount(*node, "b1", 1);
+    const auto page = co_await readAll(*node, "b1", 0);
+    EXPECT_EQ(page["results"][0]["output"], "piece 1\npiece 2\npiece 3");
+    EXPECT_EQ(healthy.requests().at(0).header("Last-Event-Id"), "1");
+    co_await until([&] { return isClosed; });
+  });
+}
+
+// Guards against reading bytes without end from a server in trouble: the memory
+// of the process would be used up.
+TEST_F(BatchServiceTest, EventWithoutEndEndsTheRun)
+{
+  auto node = makeNode("a");
+  FakeServer endless(mIo, "s1");
+  FakeServer healthy(mIo, "s2");
+  std::size_t sent = 0;
+  bool isClosed = false;
+  endless.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+    co_await exchange.beginStream(200, "text/event-stream", headers);
+    const std::string piece(64UL * 1024, 'x');
+    while (!exchange.isClientDisconnected()) {
+      co_await exchange.write(piece);
+      sent += piece.size();
+    }
+    isClosed = true;
+  });
+  node->addServer(endless, "engine", 1);
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    co_await submit(*node, submission("b1", 1));
+    co_await until([&] { return !endless.requests().empty(); });
+    node->addServer(healthy, "engine", 1);
+    co_await untilResultCount(*node, "b1", 1);
+    co_await until([&] { return isClosed; });
+  });
+  // The buffers of the sockets may hold some megabytes more.
+  EXPECT_LT(sent, 32UL * 1024 * 1024);
+}
+
 } // namespace lentilrack::gateway
