--- a/src/core/replication_tree.cpp
+++ b/src/core/replication_tree.cpp
@@ -99,7 +99,7 @@
 ReplicationTree::source(TimePoint now) const
 {
   for (auto above = mOwnLevel; above > 0; --above) {
-    if (const auto chosen = chooseFrom(mLevels[above - 1], now)) {
+    if (auto chosen = chooseFrom(mLevels[above - 1], now)) {
       return chosen;
     }
   }
@@ -110,7 +110,7 @@
 ReplicationTree::sourceForCutReader(TimePoint now) const
 {
   for (const auto& candidates : mLevels | std::views::take(2)) {
-    if (const auto chosen = chooseFrom(candidates, now)) {
+    if (auto chosen = chooseFrom(candidates, now)) {
       return chosen;
     }
   }
