--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -426,10 +426,8 @@
     if (mMemberLease.id != 0 && !mIsRegistered) {
       mIsRegistered = co_await registerSelf();
     }
-    co_await net::sleepFor(mIsRegistered
-                             ? mMemberLease.timeToLive *
-                                 kRenewInterval.count() / kLeaseTtl.count()
-                             : kFailureRetryDelay);
+    co_await net::sleepFor(mIsRegistered ? renewInterval(mMemberLease)
+                                         : registrationRetryDelay());
   }
 }
 
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -184,7 +184,8 @@
     const auto now = Clock::now();
     const bool isCutReader = mTree.isReader() && !mIsStoreReachable &&
                              mirrorAge() > mTiming.maxMirrorAge;
-    const auto source = !isComplete() ? std::nullopt
+    const bool isOnTrial = now < mTrialUntil;
+    const auto source = !isComplete() || isOnTrial ? std::nullopt
                         : isCutReader ? mTree.sourceForCutReader(now)
                                       : mTree.source(now);
     // A reader goes on trying the store while another process supplies it.
