Read the store as soon as the own state is too old

The store turned away 88 of the 250 processes, readers among them. The bound on trials of the store, made to save calls in an outage, let the others wait for a source with current data for longer than config_ms. Ruled out: the age limit (2.2 s of 4 s) and lost deltas. A process whose state is older than the limit reads the store, whatever its sources answer. Test: ProcessWithOldStateReadsTheStoreItself.

--- a/src/core/replication_tree.cpp
+++ b/src/core/replication_tree.cpp
@@ -26,7 +26,6 @@
   std::ranges::sort(members, {}, [](const Member& member) {
     return std::pair(hashOf(member.name), member.name);
   });
-  mMemberCount = members.size();
   mLevels.clear();
   mOwnDomain.clear();
   auto width = members.size() > kLargeFleet ? kMaxReaders : kMinReaders;
@@ -49,17 +48,6 @@
   }
 }
 
-double
-ReplicationTree::trialProbability(Millis interval) const
-{
-  if (mMemberCount <= kSmallFleet) {
-    return 1;
-  }
-  const double seconds = std::chrono::duration<double>(interval).count();
-  return std::min(
-    1.0, kTrialsPerSecond * seconds / static_cast<double>(mMemberCount));
-}
-
 std::vector<std::string>
 ReplicationTree::level(std::size_t index) const
 {
--- a/src/core/replication_tree.h
+++ b/src/core/replication_tree.h
@@ -29,10 +29,6 @@
   /// A level has this many times the processes of the level above it. Serving
   /// this many followers takes a process about 1% of a processor core.
   static constexpr std::size_t kFanOut = 24;
-  /// Fleets of at most this many processes all read the store when their
-  /// sources have no current data.
-  static constexpr std::size_t kSmallFleet = 30;
-  static constexpr double kTrialsPerSecond = 10;
   /// How long a source that has failed is not asked again.
   static constexpr Millis kFailureAvoidTime{ 1'500 };
 
@@ -62,13 +58,6 @@
   {
     mAvoidUntil[source] = now + kFailureAvoidTime;
   }
-  /// Returns the probability with which a process whose sources all answer that
-  /// their data is too old tries to read the store itself, for each
-  /// `interval`. The store is probably down then, and calls from all processes
-  /// would only add to its load; the processes together make about
-  /// kTrialsPerSecond trials. A few are needed, because the store may turn away
-  /// just the readers.
-  double trialProbability(Millis interval) const;
   /// Whether this process reads the store itself.
   bool isReader() const { return mOwnLevel == 0; }
   /// Returns the level of this process. Readers have level 0.
@@ -83,7 +72,6 @@
   std::string mSelf;
   std::string mOwnDomain;
   std::vector<std::vector<Member>> mLevels;
-  std::size_t mMemberCount = 0;
   std::size_t mOwnLevel = 0;
   /// Time before which a source that has failed is not asked, by name.
   std::map<std::string, TimePoint> mAvoidUntil;
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -1,7 +1,6 @@
 #include "gateway/state_replicator.h"
 
 #include "core/decimal.h"
-#include "net/http_status.h"
 
 #include <nlohmann/json.hpp>
 
@@ -38,9 +37,6 @@
 /// Delay before the next source is asked, so that sources without current data
 /// are not asked in quick succession by all their followers.
 constexpr Millis kNextSourceDelay{ 20 };
-/// How long a process that tries the store because no source has current data
-/// keeps reading it. Meanwhile the sources find this process and follow it.
-constexpr Millis kTrialTime{ 3'000 };
 
 Json
 encodeDelta(const core::MirrorDelta& delta)
@@ -156,22 +152,6 @@
   mTree.setMembers(std::move(members));
 }
 
-bool
-StateReplicator::mayReadWithoutSource()
-{
-  const auto now = Clock::now();
-  const bool hasStaleSource =
-    now - mStaleAnswerAt < 2 * core::ReplicationTree::kFailureAvoidTime;
-  if (mTree.isReader() || !hasStaleSource || now < mTrialUntil) {
-    return true;
-  }
-  if (mContext.uniformRandom() >= mTree.trialProbability(kIdlePollInterval)) {
-    return false;
-  }
-  mTrialUntil = now + kTrialTime;
-  return true;
-}
-
 net::Awaitable<void>
 StateReplicator::followSource()
 {
@@ -182,15 +162,14 @@
     }
     updateTree();
     const auto now = Clock::now();
-    const bool isCutReader = mTree.isReader() && !mIsStoreReachable &&
-                             mirrorAge() > mTiming.maxMirrorAge;
-    const bool isOnTrial = now < mTrialUntil;
-    const auto source = !isComplete() || isOnTrial ? std::nullopt
+    const bool isStale = mirrorAge() > mTiming.maxMirrorAge;
+    const bool isCutReader = mTree.isReader() && !mIsStoreReachable && isStale;
+    const auto source = !isComplete() ? std::nullopt
                         : isCutReader ? mTree.sourceForCutReader(now)
                                       : mTree.source(now);
-    // A reader goes on trying the store while another process supplies it.
-    mReadsStoreDirectly =
-      isCutReader || (!source && mayReadWithoutSource()) || !isComplete();
+    // A process whose state is too old tries the store while it goes on asking
+    // the sources: the store may turn away just the processes that supply it.
+    mReadsStoreDirectly = !source || isStale;
     if (!source) {
       co_await net::sleepFor(kIdlePollInterval);
       continue;
@@ -241,9 +220,6 @@
     source, std::move(request), mTiming.followTimeout + kFollowTimeoutMargin);
   const auto elapsed =
     std::chrono::duration_cast<Millis>(Clock::now() - sentAt);
-  if (answer && answer->status == net::status::kUnavailable) {
-    mStaleAnswerAt = Clock::now();
-  }
   co_return answer && answer->status == 200 &&
     applySourceResponse(source.text(), answer->body, elapsed);
 }
--- a/src/gateway/state_replicator.h
+++ b/src/gateway/state_replicator.h
@@ -51,9 +51,6 @@
   bool mayAskSeeds() const;
   /// Tells the replication tree which processes are present.
   void updateTree();
-  /// Decides whether this process reads the store although it is no reader,
-  /// when no source has current data.
-  bool mayReadWithoutSource();
   net::Awaitable<void> followSource();
   net::Awaitable<void> fetchFromSeed();
   /// Requests the changes from the process and applies them. Returns false if
@@ -93,11 +90,6 @@
   /// confirmed.
   WaitList mWaitingFollowers;
   core::TimePoint mStartedAt{};
-  /// When a source last answered that its mirrors were not confirmed recently.
-  core::TimePoint mStaleAnswerAt{};
-  /// Until this time the process reads the store itself after a successful
-  /// trial.
-  core::TimePoint mTrialUntil{};
   /// Index of the seed to ask next, counted without wrapping around.
   std::size_t mNextSeed = 0;
   /// The process that was followed last, and its incarnation, an id that
--- a/tests/gateway/state_replicator_test.cpp
+++ b/tests/gateway/state_replicator_test.cpp
@@ -135,6 +135,41 @@
   });
 }
 
+// Guards against state that is never renewed although the store can be reached:
+// the store turns away the processes that supply this one, and these answer
+// that their state is too old. On a day of the large site a third of 250
+// processes were turned away, and others handled requests by a state that was
+// over 4 s old.
+TEST_F(StateReplicatorTest, ProcessWithOldStateReadsTheStoreItself)
+{
+  net::HttpServer outdated(
+    mIo, {}, [](net::HttpExchange& exchange) -> net::Awaitable<void> {
+      net::HttpResponse response;
+      response.status = 503;
+      co_await exchange.respond(std::move(response));
+    });
+  const auto endpoint = outdated.listen({ "127.0.0.1", 0 }).value();
+  std::vector<core::ReplicationTree::Member> members{ { "a", "" } };
+  for (int i = 0; i < 250; ++i) {
+    const auto name = fmt::format("peer-{}", i);
+    members.push_back({ name, "" });
+    mTable->put(keys::instance(name),
+                fmt::format(R"({{"peers":"{}"}})", endpoint.text()));
+  }
+  mTable->put(keys::instance("a"), R"({"peers":"127.0.0.1:1"})");
+  core::ReplicationTree tree("a");
+  tree.setMembers(std::move(members));
+  ASSERT_FALSE(tree.isReader());
+  auto node = makeNode("a");
+  run([&]() -> net::Awaitable<void> {
+    co_await untilReplicated(*node);
+    mTable->put("op/config", R"({"version":9,"routes":[],"services":[]})");
+    co_await until([&] {
+      return node->context.desired && node->context.desired->version() == 9;
+    });
+  });
+}
+
 // Guards against replacing the desired state by an older version or by a
 // malformed one.
 TEST_F(StateReplicatorTest, OlderDesiredStateIsIgnored)
