--- a/src/core/lease_timing.h
+++ b/src/core/lease_timing.h
@@ -20,9 +20,18 @@
   static constexpr Millis kLongestRenewal{ 3'000 };
 
   Millis renewInterval = kShortestRenewal;
-  /// Two renewals in a row may fail before the lease expires.
-  Millis timeToLive = kShortestRenewal * 10 / 3;
+  Millis timeToLive = timeToLiveOf(kShortestRenewal);
 
+  /// Two renewals in a row may fail before a lease expires.
+  static constexpr Millis timeToLiveOf(Millis renewInterval)
+  {
+    return renewInterval * 10 / 3;
+  }
+  /// Returns the renewal interval of a lease with this time to live.
+  static constexpr Millis renewIntervalOf(Millis timeToLive)
+  {
+    return timeToLive * 3 / 10;
+  }
   static LeaseTiming forProcesses(std::size_t count)
   {
     constexpr int kMillisPerSecond = 1'000;
@@ -30,7 +39,7 @@
       std::clamp(Millis(count * kMillisPerSecond / kRenewalsPerSecond),
                  kShortestRenewal,
                  kLongestRenewal);
-    return { interval, interval * 10 / 3 };
+    return { interval, timeToLiveOf(interval) };
   }
 
   /// Whether a lease with this time to live should be replaced by one with
--- a/src/core/replication_tree.cpp
+++ b/src/core/replication_tree.cpp
@@ -63,24 +63,18 @@
 ReplicationTree::chooseFrom(const std::vector<Member>& candidates,
                             TimePoint now) const
 {
-  std::vector<Member> usable;
-  std::ranges::copy_if(
-    candidates, std::back_inserter(usable), [&](const Member& member) {
-      const auto avoided = mAvoidUntil.find(member.name);
-      return member.name != mSelf &&
-             (avoided == mAvoidUntil.end() || now >= avoided->second);
+  const auto isUsable = [&](const Member& member) {
+    const auto avoided = mAvoidUntil.find(member.name);
+    return member.name != mSelf &&
+           (avoided == mAvoidUntil.end() || now >= avoided->second);
+  };
+  auto usable = candidates | std::views::filter(isUsable);
+  const auto chosen =
+    std::ranges::max_element(usable, {}, [&](const Member& member) {
+      return std::pair(member.failureDomain == mOwnDomain,
+                       hashOf(mSelf + "|" + member.name));
     });
-  if (usable.empty()) {
-    return std::nullopt;
-  }
-  return std::ranges::max_element(usable,
-                                  {},
-                                  [&](const Member& member) {
-                                    return std::pair(
-                                      member.failureDomain == mOwnDomain,
-                                      hashOf(mSelf + "|" + member.name));
-                                  })
-    ->name;
+  return chosen == usable.end() ? std::nullopt : std::optional(chosen->name);
 }
 
 std::optional<std::string>
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -16,7 +16,8 @@
 
 /// Runs a batch in the process that owns it: sends the items to backend
 /// servers, has the generated texts scored, and adds the results to the result
-/// log.
+/// log. batch_run_supervision.cpp moves items away from servers that are
+/// silent, slow or loading.
 class BatchRun : public std::enable_shared_from_this<BatchRun>
 {
 public:
@@ -43,6 +44,8 @@
   bool isStopped() const { return mIsStopped; }
   core::TimePoint stoppedAt() const { return mStoppedAt; }
   const core::BatchSpec& spec() const { return *mSpec; }
+  /// Returns an estimate of the memory that the items use, in bytes.
+  std::size_t memoryEstimate() const { return mMemoryEstimate; }
   const ResultLog& results() const { return mResults; }
   /// Returns which items are waiting, running or finished.
   const core::BatchProgress& progress() const { return mProgress; }
@@ -87,6 +90,8 @@
   /// generated.
   net::Awaitable<void> superviseRuns();
   net::Awaitable<void> writeResults();
+  /// Returns what an item requires of a server of the service.
+  core::ServerRequirements slotRequirements(std::string service) const;
   /// Starts the next waiting item. Returns false if no item is waiting or no
   /// server has a free slot.
   bool startNextItem();
@@ -129,6 +134,7 @@
   ClusterView& mCluster;
   Forwarder& mForwarder;
   std::shared_ptr<const core::BatchSpec> mSpec;
+  std::size_t mMemoryEstimate;
   core::Millis mSubmittedAt;
   core::BatchProgress mProgress;
   std::vector<ItemState> mItemStates;
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -1,5 +1,7 @@
 #include "gateway/batch_service.h"
 
+#include "net/http_status.h"
+
 #include <algorithm>
 
 namespace lentilrack::gateway {
@@ -43,17 +45,6 @@
 constexpr Millis kDeletionMargin{ 60'000 };
 constexpr std::size_t kMaxDeletesPerCommit = 32;
 
-std::size_t
-memoryOf(const core::BatchSpec& spec)
-{
-  constexpr std::size_t kItemOverhead = 1'000;
-  std::size_t bytes = 0;
-  for (const auto& item : spec.items) {
-    bytes += item.body.size() + kItemOverhead;
-  }
-  return bytes;
-}
-
 } // namespace
 
 BatchService::BatchService(Context& context,
@@ -138,7 +129,7 @@
 {
   std::size_t memory = 0;
   for (const auto& [id, run] : mRuns) {
-    memory += memoryOf(run->spec());
+    memory += run->memoryEstimate();
   }
   return memory;
 }
@@ -167,8 +158,7 @@
   request.body = body;
   auto answer =
     co_await mPeers.sendRequest(*home, std::move(request), kHomeTimeout);
-  constexpr int kAccepted = 202;
-  if (!answer || answer->status != kAccepted) {
+  if (!answer || answer->status != net::status::kAccepted) {
     // The other process may have stored the batch nevertheless. The condition
     // of the write then tells this process that the batch is stored.
     co_return std::nullopt;
--- /dev/null
+++ b/src/gateway/cluster_records.cpp
@@ -0,0 +1,171 @@
+#include "gateway/cluster_records.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Millis;
+using Json = nlohmann::json;
+
+std::optional<core::Endpoint>
+endpointOf(const Json& json, const char* name)
+{
+  return core::Endpoint::parse(json.value(name, ""));
+}
+
+} // namespace
+
+namespace keys {
+
+std::string
+prefix()
+{
+  return std::string(kPrefix);
+}
+
+std::string
+instance(const std::string& name)
+{
+  return std::string(kInstances) + name;
+}
+
+std::string
+batch(const std::string& id)
+{
+  return std::string(kBatches) + id;
+}
+
+std::string
+owner(const std::string& id)
+{
+  return std::string(kOwners) + id;
+}
+
+std::string
+leader()
+{
+  return std::string(kLeader);
+}
+
+std::string
+dataPrefix(const std::string& id)
+{
+  return "lentilrack-data/" + id + "/";
+}
+
+std::string
+bodyPart(const std::string& id, std::size_t index)
+{
+  return fmt::format("{}body/{:04}", dataPrefix(id), index);
+}
+
+std::string
+resultsPrefix(const std::string& id)
+{
+  return dataPrefix(id) + "results/";
+}
+
+std::string
+results(const std::string& id, std::size_t position)
+{
+  return fmt::format("{}{:08}", resultsPrefix(id), position);
+}
+
+} // namespace keys
+
+Millis
+unixNow()
+{
+  return std::chrono::duration_cast<Millis>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::string
+Peer::encode() const
+{
+  Json json = { { "failure_domain", failureDomain },
+                { "processor_share", processorShare },
+                { "leaving", isLeaving } };
+  if (callerEndpoint) {
+    json["callers"] = callerEndpoint->text();
+  }
+  if (peerEndpoint) {
+    json["peers"] = peerEndpoint->text();
+  }
+  return json.dump();
+}
+
+std::optional<Peer>
+Peer::decode(const core::MirroredItem& item)
+{
+  const auto json = Json::parse(item.value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  return Peer{ item.key.substr(keys::kInstances.size()),
+               json.value("failure_domain", ""),
+               endpointOf(json, "callers"),
+               endpointOf(json, "peers"),
+               json.value("processor_share", 0.0),
+               json.value("leaving", false) };
+}
+
+std::string
+BatchRecord::encode() const
+{
+  return Json{
+    { "host", host },
+    { "path", path },
+    { "total", total },
+    { "parts", bodyParts },
+    { "model", model },
+    { "work", estimatedTokens },
+    { "submitted_at", submittedAt.count() },
+    { "state", static_cast<int>(state) }
+  }.dump();
+}
+
+std::optional<BatchRecord>
+BatchRecord::decode(const StoreItem& item)
+{
+  const auto json = Json::parse(item.value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  BatchRecord record;
+  record.host = json.value("host", "");
+  record.path = json.value("path", "");
+  record.total = json.value("total", std::size_t{ 0 });
+  record.bodyParts = json.value("parts", std::size_t{ 0 });
+  record.model = json.value("model", "");
+  record.estimatedTokens = json.value("work", 0.0);
+  record.submittedAt = Millis(json.value("submitted_at", std::int64_t{ 0 }));
+  record.state = static_cast<BatchState>(json.value("state", 0));
+  record.revision = item.revision;
+  return record;
+}
+
+std::string
+Holder::encode() const
+{
+  return Json{ { "instance", instance }, { "lifetime", incarnation } }.dump();
+}
+
+std::optional<Holder>
+Holder::decode(const StoreItem& item)
+{
+  const auto json = Json::parse(item.value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  return Holder{ json.value("instance", ""),
+                 json.value("lifetime", ""),
+                 item.revision };
+}
+
+} // namespace lentilrack::gateway
--- /dev/null
+++ b/src/gateway/cluster_records.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/key_mirror.h"
+#include "core/time.h"
+#include "gateway/coordination_store.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lentilrack::gateway {
+
+/// A process of the cluster, as it describes itself in the store.
+struct Peer
+{
+  std::string instance;
+  std::string failureDomain;
+  std::optional<core::Endpoint> callerEndpoint;
+  std::optional<core::Endpoint> peerEndpoint;
+  /// Share of a processor core that the process may use.
+  double processorShare = 0;
+  bool isLeaving = false;
+
+  std::string encode() const;
+  static std::optional<Peer> decode(const core::MirroredItem& item);
+  /// Whether other processes may call this one and give it work.
+  bool isAvailable() const { return !isLeaving && peerEndpoint; }
+};
+
+enum class BatchState
+{
+  Open,
+  /// All items have results.
+  Finished,
+  /// The trainer has ended the batch.
+  Ended,
+};
+
+/// Record of a batch in the store, mirrored by every process.
+struct BatchRecord
+{
+  /// Host and path to which the batch was submitted.
+  std::string host;
+  std::string path;
+  /// Number of items of the batch.
+  std::size_t total = 0;
+  /// Number of keys over which the submitted body is split.
+  std::size_t bodyParts = 0;
+  std::string model;
+  /// Expected number of output tokens, summed over all items.
+  double estimatedTokens = 0;
+  /// Unix time of the submission.
+  core::Millis submittedAt{ 0 };
+  BatchState state = BatchState::Open;
+  std::int64_t revision = 0;
+
+  std::string encode() const;
+  static std::optional<BatchRecord> decode(const StoreItem& item);
+};
+
+/// A process that is the owner of a batch (the only process that may write its
+/// results) or the leader (the only process that may send orders to servers),
+/// as the store records it.
+struct Holder
+{
+  std::string instance;
+  /// Distinguishes the process from earlier ones of the same instance.
+  std::string incarnation;
+  std::int64_t revision = 0;
+
+  std::string encode() const;
+  static std::optional<Holder> decode(const StoreItem& item);
+};
+
+/// Keys and key prefixes of this system in the coordination store.
+namespace keys {
+/// Prefix of all keys that every process mirrors; the others are below it.
+inline constexpr std::string_view kPrefix = "lentilrack/";
+inline constexpr std::string_view kInstances = "lentilrack/instances/";
+inline constexpr std::string_view kBatches = "lentilrack/batches/";
+inline constexpr std::string_view kOwners = "lentilrack/owners/";
+inline constexpr std::string_view kLeader = "lentilrack/leader";
+
+/// Returns the prefix of all keys that every process mirrors.
+std::string
+prefix();
+/// Returns the key under which an instance registers itself.
+std::string
+instance(const std::string& name);
+/// Returns the key of the record of a batch.
+std::string
+batch(const std::string& id);
+/// Returns the key that names the owner of a batch.
+std::string
+owner(const std::string& id);
+/// Returns the key that names the leader.
+std::string
+leader();
+/// Returns the key of one part of the submitted body of a batch.
+std::string
+bodyPart(const std::string& id, std::size_t index);
+/// Returns the key of the result chunk (a stored group of results) whose first
+/// result has this position.
+std::string
+results(const std::string& id, std::size_t position);
+/// Returns the prefix of the data stored for a batch, apart from its record and
+/// its owner.
+std::string
+dataPrefix(const std::string& id);
+/// Returns the prefix of the result chunks of a batch.
+std::string
+resultsPrefix(const std::string& id);
+}
+
+/// Returns the Unix time. Used for times that must stay valid across processes.
+core::Millis
+unixNow();
+
+} // namespace lentilrack::gateway
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -1,14 +1,9 @@
 #include "gateway/cluster_view.h"
 
 #include "core/batch_home.h"
-#include "core/lease_timing.h"
 #include "core/takeover_order.h"
 
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
-#include <chrono>
 #include <ctime>
 
 namespace lentilrack::gateway {
@@ -16,7 +11,6 @@
 namespace {
 
 using core::Millis;
-using Json = nlohmann::json;
 
 constexpr Millis kFailureRetryDelay{ 100 };
 /// A process that has just started registers after this time even if it has not
@@ -30,12 +24,6 @@
 /// even without duties, since the next duty often comes soon.
 constexpr Millis kUnusedDutyLeaseTime{ 20'000 };
 
-constexpr std::string_view kPrefix = "lentilrack/";
-constexpr std::string_view kInstances = "lentilrack/instances/";
-constexpr std::string_view kBatches = "lentilrack/batches/";
-constexpr std::string_view kOwners = "lentilrack/owners/";
-constexpr std::string_view kLeader = "lentilrack/leader";
-
 /// Returns the time since the machine booted, including time in which it was
 /// suspended.
 Millis
@@ -48,146 +36,8 @@
   return Millis(now.tv_sec * kMillisPerSecond + now.tv_nsec / kNanosPerMilli);
 }
 
-std::optional<core::Endpoint>
-endpointOf(const Json& json, const char* name)
-{
-  return core::Endpoint::parse(json.value(name, ""));
-}
-
-std::optional<Peer>
-decodePeer(const core::MirroredItem& item)
-{
-  const auto json = Json::parse(item.value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  return Peer{
-    item.key.substr(kInstances.size()), json.value("failure_domain", ""),
-    endpointOf(json, "callers"),        endpointOf(json, "peers"),
-    json.value("processor_share", 0.0), json.value("leaving", false)
-  };
-}
-
 } // namespace
 
-namespace keys {
-
-std::string
-prefix()
-{
-  return std::string(kPrefix);
-}
-
-std::string
-instance(const std::string& name)
-{
-  return std::string(kInstances) + name;
-}
-
-std::string
-batch(const std::string& id)
-{
-  return std::string(kBatches) + id;
-}
-
-std::string
-owner(const std::string& id)
-{
-  return std::string(kOwners) + id;
-}
-
-std::string
-leader()
-{
-  return std::string(kLeader);
-}
-
-std::string
-dataPrefix(const std::string& id)
-{
-  return "lentilrack-data/" + id + "/";
-}
-
-std::string
-bodyPart(const std::string& id, std::size_t index)
-{
-  return fmt::format("{}body/{:04}", dataPrefix(id), index);
-}
-
-std::string
-resultsPrefix(const std::string& id)
-{
-  return dataPrefix(id) + "results/";
-}
-
-std::string
-results(const std::string& id, std::size_t position)
-{
-  return fmt::format("{}{:08}", resultsPrefix(id), position);
-}
-
-} // namespace keys
-
-Millis
-unixNow()
-{
-  return std::chrono::duration_cast<Millis>(
-    std::chrono::system_clock::now().time_since_epoch());
-}
-
-std::string
-BatchRecord::encode() const
-{
-  return Json{
-    { "host", host },
-    { "path", path },
-    { "total", total },
-    { "parts", bodyParts },
-    { "model", model },
-    { "work", estimatedTokens },
-    { "submitted_at", submittedAt.count() },
-    { "state", static_cast<int>(state) }
-  }.dump();
-}
-
-std::optional<BatchRecord>
-BatchRecord::decode(const StoreItem& item)
-{
-  const auto json = Json::parse(item.value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  BatchRecord record;
-  record.host = json.value("host", "");
-  record.path = json.value("path", "");
-  record.total = json.value("total", std::size_t{ 0 });
-  record.bodyParts = json.value("parts", std::size_t{ 0 });
-  record.model = json.value("model", "");
-  record.estimatedTokens = json.value("work", 0.0);
-  record.submittedAt = Millis(json.value("submitted_at", std::int64_t{ 0 }));
-  record.state = static_cast<BatchState>(json.value("state", 0));
-  record.revision = item.revision;
-  return record;
-}
-
-std::string
-Holder::encode() const
-{
-  return Json{ { "instance", instance }, { "lifetime", incarnation } }.dump();
-}
-
-std::optional<Holder>
-Holder::decode(const StoreItem& item)
-{
-  const auto json = Json::parse(item.value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  return Holder{ json.value("instance", ""),
-                 json.value("lifetime", ""),
-                 item.revision };
-}
-
 ClusterView::ClusterView(Context& context)
   : mContext(context)
 {
@@ -204,14 +54,18 @@
   net::spawn(mContext.io, keepDutyLease());
 }
 
+bool
+ClusterView::servesDuties() const
+{
+  return mSeparateDutyLease.id == 0 &&
+         mMemberLease.timeToLive <=
+           std::max(kLeaseTtl, mContext.settings.minLeaseTtl);
+}
+
 const ClusterView::Lease&
 ClusterView::dutyLease() const
 {
-  const bool isMemberLeaseShort =
-    mMemberLease.timeToLive <=
-    std::max(kLeaseTtl, mContext.settings.minLeaseTtl);
-  return mSeparateDutyLease.id == 0 && isMemberLeaseShort ? mMemberLease
-                                                          : mSeparateDutyLease;
+  return servesDuties() ? mMemberLease : mSeparateDutyLease;
 }
 
 net::Awaitable<std::int64_t>
@@ -273,7 +127,7 @@
 {
   std::vector<std::string> result;
   for (const auto& [name, peer] : mPeers) {
-    if (!peer.isLeaving && peer.peerEndpoint) {
+    if (peer.isAvailable()) {
       result.push_back(name);
     }
   }
@@ -285,7 +139,7 @@
 {
   std::vector<core::HomeCandidate> candidates;
   for (const auto& [name, peer] : mPeers) {
-    if (!peer.isLeaving && peer.peerEndpoint) {
+    if (peer.isAvailable()) {
       candidates.push_back({ name, peer.processorShare });
     }
   }
@@ -317,26 +171,27 @@
 ClusterView::applyItem(const core::MirroredItem& item)
 {
   const std::string_view key = item.key;
-  if (key.starts_with(kInstances)) {
-    if (auto peer = decodePeer(item)) {
+  if (key.starts_with(keys::kInstances)) {
+    if (auto peer = Peer::decode(item)) {
       mContext.log.info(
         "member",
         { { "instance", peer->instance },
           { "revision", item.revision },
           { "outcome", peer->isLeaving ? "leaving" : "present" } });
       mPeers[peer->instance] = std::move(*peer);
+      ++mPeersVersion;
       mLargestFleet = std::max(mLargestFleet, mPeers.size());
     }
-  } else if (key.starts_with(kBatches)) {
+  } else if (key.starts_with(keys::kBatches)) {
     if (auto record =
           BatchRecord::decode({ item.key, item.value, item.revision })) {
-      mBatches[item.key.substr(kBatches.size())] = std::move(*record);
+      mBatches[item.key.substr(keys::kBatches.size())] = std::move(*record);
     }
-  } else if (key.starts_with(kOwners)) {
+  } else if (key.starts_with(keys::kOwners)) {
     if (auto holder = Holder::decode({ item.key, item.value, item.revision })) {
-      mBatchOwners[item.key.substr(kOwners.size())] = std::move(*holder);
+      mBatchOwners[item.key.substr(keys::kOwners.size())] = std::move(*holder);
     }
-  } else if (key == kLeader) {
+  } else if (key == keys::kLeader) {
     mLeader = Holder::decode({ item.key, item.value, item.revision });
   }
   if (mOnChange) {
@@ -348,19 +203,20 @@
 ClusterView::applyRemoval(const std::string& removed, std::int64_t revision)
 {
   const std::string_view key = removed;
-  if (key.starts_with(kInstances)) {
-    const auto name = removed.substr(kInstances.size());
+  if (key.starts_with(keys::kInstances)) {
+    const auto name = removed.substr(keys::kInstances.size());
     mContext.log.info("member",
                       { { "instance", name },
                         { "revision", revision },
                         { "outcome", "gone" } });
     mPeers.erase(name);
+    ++mPeersVersion;
     mIsRegistered = mIsRegistered && name != mContext.settings.instance;
-  } else if (key.starts_with(kBatches)) {
-    mBatches.erase(removed.substr(kBatches.size()));
-  } else if (key.starts_with(kOwners)) {
-    mBatchOwners.erase(removed.substr(kOwners.size()));
-  } else if (key == kLeader) {
+  } else if (key.starts_with(keys::kBatches)) {
+    mBatches.erase(removed.substr(keys::kBatches.size()));
+  } else if (key.starts_with(keys::kOwners)) {
+    mBatchOwners.erase(removed.substr(keys::kOwners.size()));
+  } else if (key == keys::kLeader) {
     mLeader.reset();
   }
 }
@@ -371,6 +227,7 @@
   const auto found = mPeers.find(instance);
   if (found != mPeers.end()) {
     found->second.isLeaving = true;
+    ++mPeersVersion;
   }
 }
 
@@ -426,17 +283,12 @@
     if (mMemberLease.id != 0 && !mIsRegistered) {
       mIsRegistered = co_await registerSelf();
     }
-    co_await net::sleepFor(mIsRegistered ? renewInterval(mMemberLease)
+    co_await net::sleepFor(mIsRegistered ? core::LeaseTiming::renewIntervalOf(
+                                             mMemberLease.timeToLive)
                                          : registrationRetryDelay());
   }
 }
 
-Millis
-ClusterView::renewInterval(const Lease& lease)
-{
-  return lease.timeToLive * kRenewInterval.count() / kLeaseTtl.count();
-}
-
 Millis
 ClusterView::registrationRetryDelay()
 {
@@ -460,7 +312,7 @@
     co_return;
   }
   const auto previous = mMemberLease;
-  const bool isDutyLease = &dutyLease() == &mMemberLease;
+  const bool servedDuties = servesDuties();
   const bool isGranted = co_await grant(mMemberLease, wanted);
   if (!isGranted) {
     co_return;
@@ -468,7 +320,7 @@
   mMemberLeaseGrantedAt = core::Clock::now();
   mIsRegistered = false;
   // The keys of present duties stay bound to the previous lease.
-  if (isDutyLease && hasDuties()) {
+  if (servedDuties && hasDuties()) {
     mSeparateDutyLease = previous;
   }
   mContext.log.info("lease",
@@ -510,12 +362,12 @@
 void
 ClusterView::handleMemberLeaseLost()
 {
-  const bool isDutyLease = &dutyLease() == &mMemberLease;
+  const bool servedDuties = servesDuties();
   mContext.log.warning("lease",
                        { { "lease", mMemberLease.id }, { "outcome", "lost" } });
   mMemberLease = {};
   mIsRegistered = false;
-  if (isDutyLease) {
+  if (servedDuties) {
     handleDutyLeaseLost();
   }
 }
@@ -538,18 +390,12 @@
 ClusterView::registerSelf()
 {
   const auto& settings = mContext.settings;
-  Json json = { { "failure_domain", settings.failureDomain },
-                { "processor_share", settings.processorShare },
-                { "leaving", mContext.isLeaving } };
-  if (settings.callerAddress) {
-    json["callers"] = settings.callerAddress->text();
-  }
-  if (settings.peerAddress) {
-    json["peers"] = settings.peerAddress->text();
-  }
+  const Peer self{ settings.instance,       settings.failureDomain,
+                   settings.callerAddress,  settings.peerAddress,
+                   settings.processorShare, mContext.isLeaving };
   StoreTransaction transaction;
   transaction.writes = {
-    { keys::instance(settings.instance), json.dump(), mMemberLease.id }
+    { keys::instance(settings.instance), self.encode(), mMemberLease.id }
   };
   const auto commit = co_await mContext.store.commit(transaction);
   if (!commit.error) {
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/lease_timing.h"
+#include "gateway/cluster_records.h"
 #include "gateway/context.h"
 
 #include <functional>
@@ -10,100 +12,6 @@
 
 namespace lentilrack::gateway {
 
-/// A process of the cluster, as it describes itself in the store.
-struct Peer
-{
-  std::string instance;
-  std::string failureDomain;
-  std::optional<core::Endpoint> callerEndpoint;
-  std::optional<core::Endpoint> peerEndpoint;
-  /// Share of a processor core that the process may use.
-  double processorShare = 0;
-  bool isLeaving = false;
-};
-
-enum class BatchState
-{
-  Open,
-  /// All items have results.
-  Finished,
-  /// The trainer has ended the batch.
-  Ended,
-};
-
-/// Record of a batch in the store, mirrored by every process.
-struct BatchRecord
-{
-  /// Host and path to which the batch was submitted.
-  std::string host;
-  std::string path;
-  /// Number of items of the batch.
-  std::size_t total = 0;
-  /// Number of keys over which the submitted body is split.
-  std::size_t bodyParts = 0;
-  std::string model;
-  /// Expected number of output tokens, summed over all items.
-  double estimatedTokens = 0;
-  /// Unix time of the submission.
-  core::Millis submittedAt{ 0 };
-  BatchState state = BatchState::Open;
-  std::int64_t revision = 0;
-
-  std::string encode() const;
-  static std::optional<BatchRecord> decode(const StoreItem& item);
-};
-
-/// A process that is the owner of a batch (the only process that may write its
-/// results) or the leader (the only process that may send orders to servers),
-/// as the store records it.
-struct Holder
-{
-  std::string instance;
-  /// Distinguishes the process from earlier ones of the same instance.
-  std::string incarnation;
-  std::int64_t revision = 0;
-
-  std::string encode() const;
-  static std::optional<Holder> decode(const StoreItem& item);
-};
-
-/// Functions that return the keys of this system in the coordination store.
-namespace keys {
-/// Returns the prefix of all keys that every process mirrors.
-std::string
-prefix();
-/// Returns the key under which an instance registers itself.
-std::string
-instance(const std::string& name);
-/// Returns the key of the record of a batch.
-std::string
-batch(const std::string& id);
-/// Returns the key that names the owner of a batch.
-std::string
-owner(const std::string& id);
-/// Returns the key that names the leader.
-std::string
-leader();
-/// Returns the key of one part of the submitted body of a batch.
-std::string
-bodyPart(const std::string& id, std::size_t index);
-/// Returns the key of the result chunk (a stored group of results) whose first
-/// result has this position.
-std::string
-results(const std::string& id, std::size_t position);
-/// Returns the prefix of the data stored for a batch, apart from its record and
-/// its owner.
-std::string
-dataPrefix(const std::string& id);
-/// Returns the prefix of the result chunks of a batch.
-std::string
-resultsPrefix(const std::string& id);
-}
-
-/// Returns the Unix time. Used for times that must stay valid across processes.
-core::Millis
-unixNow();
-
 /// The shared state of the cluster: members, batches, batch owners and the
 /// leader. Keeps this process registered under a lease. The keys that make this
 /// process the owner of a batch or the leader (its duties) are bound to a lease
@@ -118,7 +26,8 @@
   /// take over the batches and the leadership. The lease is renewed every 0.6
   /// s, so two renewals in a row may fail before it expires.
   static constexpr core::Millis kLeaseTtl{ 2'000 };
-  static constexpr core::Millis kRenewInterval{ 600 };
+  static constexpr core::Millis kRenewInterval =
+    core::LeaseTiming::renewIntervalOf(kLeaseTtl);
 
   explicit ClusterView(Context& context);
 
@@ -143,6 +52,8 @@
   bool isSynced() const { return mContext.mirrors.cluster.isComplete(); }
 
   const std::map<std::string, Peer>& peers() const { return mPeers; }
+  /// Returns a number that changes with each change of the peers.
+  std::uint64_t peersVersion() const { return mPeersVersion; }
   const std::map<std::string, BatchRecord>& batches() const { return mBatches; }
   /// Returns the owner of a batch, or null.
   const Holder* ownerOf(const std::string& batch) const;
@@ -186,11 +97,12 @@
     core::Millis renewedAt{ 0 };
   };
 
+  /// Whether the lease of the registration is also the duty lease.
+  bool servesDuties() const;
   const Lease& dutyLease() const;
   net::Awaitable<bool> grant(Lease& lease, core::Millis timeToLive);
   /// Renews the lease. Returns false if the store does not know it any more.
   net::Awaitable<bool> renew(Lease& lease);
-  static core::Millis renewInterval(const Lease& lease);
   /// Returns the delay before the next try to register.
   core::Millis registrationRetryDelay();
   net::Awaitable<void> keepRegistered();
@@ -211,6 +123,7 @@
   Context& mContext;
   std::function<void()> mOnChange;
   std::map<std::string, Peer> mPeers;
+  std::uint64_t mPeersVersion = 0;
   std::map<std::string, BatchRecord> mBatches;
   /// Owner of each batch that has one, by batch id.
   std::map<std::string, Holder> mBatchOwners;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -36,7 +36,6 @@
 constexpr Millis kMinRemainingTime{ 5 };
 /// Value of the Retry-After header when no server has executed the request.
 constexpr Millis kRetryAfter{ 200 };
-constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
 
 Millis
 timeUntil(TimePoint time)
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -11,6 +11,9 @@
 
 namespace lentilrack::gateway {
 
+/// Maximum size of the response of a server that is no stream of events.
+inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
+
 /// A request to a service, with its limits and the rules for retrying it.
 struct ServiceCall
 {
--- a/src/gateway/peer_client.cpp
+++ b/src/gateway/peer_client.cpp
@@ -56,27 +56,23 @@
                    const std::string& body)
 {
   for (const auto& name : instances) {
-    const auto peer = mCluster.peers().find(name);
-    const bool isReachable = peer != mCluster.peers().end() &&
-                             name != mContext.settings.instance &&
-                             peer->second.peerEndpoint;
-    if (isReachable) {
-      net::HttpRequest request;
-      request.method = "POST";
-      request.target = path;
-      request.body = body;
-      net::spawn(mContext.io,
-                 notifyPeer(*peer->second.peerEndpoint, std::move(request)));
+    if (name == mContext.settings.instance) {
+      continue;
     }
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = path;
+    request.body = body;
+    net::spawn(mContext.io, notifyPeer(name, std::move(request)));
   }
 }
 
 net::Awaitable<void>
-PeerClient::notifyPeer(core::Endpoint endpoint, net::HttpRequest request)
+PeerClient::notifyPeer(std::string instance, net::HttpRequest request)
 {
   // The message may be lost. A peer that misses it learns the same from the
   // store later.
-  co_await sendRequest(endpoint, std::move(request), kNotifyTimeout);
+  co_await sendRequest(std::move(instance), std::move(request), kNotifyTimeout);
 }
 
 } // namespace lentilrack::gateway
--- a/src/gateway/peer_client.h
+++ b/src/gateway/peer_client.h
@@ -43,15 +43,15 @@
     core::Endpoint endpoint,
     net::HttpRequest request,
     core::Millis timeout);
-  /// Sends a message to the instances without waiting for the responses. A
-  /// message may be lost.
+  /// Sends a message to the instances, but not to this process, without waiting
+  /// for the responses. A message may be lost.
   void notify(const std::vector<std::string>& instances,
               const std::string& path,
               const std::string& body);
 
 private:
   /// Sends a message to one process and ignores the response.
-  net::Awaitable<void> notifyPeer(core::Endpoint endpoint,
+  net::Awaitable<void> notifyPeer(std::string instance,
                                   net::HttpRequest request);
 
   Context& mContext;
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -143,9 +143,13 @@
 void
 StateReplicator::updateTree()
 {
+  if (mTreeVersion == mCluster.peersVersion()) {
+    return;
+  }
+  mTreeVersion = mCluster.peersVersion();
   std::vector<core::ReplicationTree::Member> members;
   for (const auto& [name, peer] : mCluster.peers()) {
-    if (!peer.isLeaving && peer.peerEndpoint) {
+    if (peer.isAvailable()) {
       members.push_back({ name, peer.failureDomain });
     }
   }
--- a/src/gateway/state_replicator.h
+++ b/src/gateway/state_replicator.h
@@ -13,8 +13,9 @@
 /// the load on the store, only a few processes (the readers) read the store;
 /// the others fetch the changes from a process above them in the replication
 /// tree. A process that has just started first asks the seeds. A process that
-/// finds no working source reads the store itself, and a reader that the store
-/// rejects fetches the changes from another process.
+/// finds no working source, or whose state is too old, reads the store itself,
+/// and a reader that the store rejects fetches the changes from another
+/// process.
 class StateReplicator
 {
 public:
@@ -49,7 +50,8 @@
   /// Whether this process may still wait for the state of a seed instead of
   /// reading the store. False for the seeds themselves.
   bool mayAskSeeds() const;
-  /// Tells the replication tree which processes are present.
+  /// Tells the replication tree which processes are present, if that has
+  /// changed.
   void updateTree();
   net::Awaitable<void> followSource();
   net::Awaitable<void> fetchFromSeed();
@@ -80,6 +82,8 @@
   PeerClient& mPeers;
   core::ReplicationTiming mTiming;
   core::ReplicationTree mTree;
+  /// Version of the peers with which the tree was built.
+  std::uint64_t mTreeVersion = 0;
   /// Keys that the operator writes.
   Replica mOperatorKeys;
   /// Entries of the backend servers.
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -16,8 +16,6 @@
 using core::Millis;
 
 constexpr Millis kConnectTimeout{ 250 };
-/// Maximum size of a response that is no stream of events.
-constexpr std::size_t kMaxFailureBytes = 16UL * 1024 * 1024;
 /// A resumable stream is moved to another server if it receives no data for
 /// this time. The limit is below the 2 s after which callers abandon a stream.
 constexpr Millis kMaxSilence{ 1'200 };
@@ -172,7 +170,7 @@
     if (!attempt->isStream) {
       attempt->lastActivity = Clock::now();
       attempt->head.body.append(bytes);
-      if (attempt->head.body.size() > kMaxFailureBytes) {
+      if (attempt->head.body.size() > kMaxResponseBytes) {
         attempt->cancel->cancel();
       }
       return;
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -340,16 +340,8 @@
     json["orders"] = *update.orderCount;
   }
   const bool isSendScheduled = !mCollectedUpdates.empty();
-  auto users = mCluster.ownersOfModel(order.model);
-  if (auto home = mCluster.homeOf(order.model)) {
-    users.push_back(std::move(*home));
-  }
-  const auto recipients =
-    mAudience.recipients(mCluster.presentPeers(), std::move(users));
-  for (const auto& recipient : recipients) {
-    mCollectedUpdates[recipient].push_back(json);
-  }
-  if (!isSendScheduled && !mCollectedUpdates.empty()) {
+  mCollectedUpdates[order.model].push_back(std::move(json));
+  if (!isSendScheduled) {
     net::spawn(mContext.io, sendCollectedUpdates());
   }
 }
@@ -358,9 +350,22 @@
 WeightLeader::sendCollectedUpdates()
 {
   co_await net::sleepFor(kUpdateCollectionTime);
-  const auto updates = std::exchange(mCollectedUpdates, {});
-  for (const auto& [recipient, list] : updates) {
-    mPeers.notify({ recipient }, peer_paths::kWeights, Json(list).dump());
+  const auto collected = std::exchange(mCollectedUpdates, {});
+  const auto members = mCluster.presentPeers();
+  std::map<std::string, std::vector<Json>> updatesByRecipient;
+  for (const auto& [model, updates] : collected) {
+    auto users = mCluster.ownersOfModel(model);
+    if (auto home = mCluster.homeOf(model)) {
+      users.push_back(std::move(*home));
+    }
+    for (const auto& recipient :
+         mAudience.recipients(members, std::move(users))) {
+      std::ranges::copy(updates,
+                        std::back_inserter(updatesByRecipient[recipient]));
+    }
+  }
+  for (const auto& [recipient, updates] : updatesByRecipient) {
+    mPeers.notify({ recipient }, peer_paths::kWeights, Json(updates).dump());
   }
 }
 
--- a/src/gateway/weight_leader.h
+++ b/src/gateway/weight_leader.h
@@ -84,7 +84,7 @@
   /// Delays orders after a takeover until the former leader can send no more.
   core::HandoverDelay mHandoverDelay;
   core::OrderAudience mAudience;
-  /// Updates that have not been sent yet, by recipient.
+  /// Updates that have not been sent yet, by model.
   std::map<std::string, std::vector<nlohmann::json>> mCollectedUpdates;
   std::function<net::Awaitable<void>()> mMaintenanceTask;
   /// Revision of the leader key that this process holds; 0 if it holds none.
--- a/tests/gateway/cluster_lease_test.cpp
+++ b/tests/gateway/cluster_lease_test.cpp
@@ -20,14 +20,6 @@
     }
   }
 
-  net::Awaitable<void> join(TestNode& node)
-  {
-    node.replicator.start();
-    node.cluster.start();
-    node.leader.start();
-    co_await until([&] { return node.cluster.isRegistered(); });
-  }
-
   Millis longestLease() const
   {
     const auto now = core::Clock::now();
@@ -49,7 +41,7 @@
   addPeers(250);
   auto node = makeNode("a");
   run([&]() -> net::Awaitable<void> {
-    co_await join(*node);
+    co_await joinElection(*node);
     EXPECT_GT(longestLease(), Millis(6'000));
     EXPECT_EQ(mTable->leases.size(), 1U);
     EXPECT_EQ(node->cluster.lease(), 0);
@@ -63,7 +55,7 @@
   addPeers(250);
   auto node = makeNode("a");
   run([&]() -> net::Awaitable<void> {
-    co_await join(*node);
+    co_await joinElection(*node);
     const auto lease = co_await node->cluster.acquireLease();
     EXPECT_NE(lease, 0);
     EXPECT_EQ(node->cluster.lease(), lease);
@@ -86,7 +78,7 @@
   addPeers(250);
   auto node = makeNode("a");
   run([&]() -> net::Awaitable<void> {
-    co_await join(*node);
+    co_await joinElection(*node);
     const auto lease = co_await node->cluster.acquireLease();
     const auto self = node->cluster.self();
     mTable->put(keys::owner("b1"), self.encode(), lease);
@@ -105,7 +97,7 @@
   addPeers(6);
   auto node = makeNode("a");
   run([&]() -> net::Awaitable<void> {
-    co_await join(*node);
+    co_await joinElection(*node);
     EXPECT_NE(co_await node->cluster.acquireLease(), 0);
     EXPECT_EQ(mTable->leases.size(), 1U);
     EXPECT_LE(longestLease(), ClusterView::kLeaseTtl);
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -119,6 +119,15 @@
   return request;
 }
 
+net::Awaitable<void>
+GatewayTest::joinElection(TestNode& node)
+{
+  node.replicator.start();
+  node.cluster.start();
+  node.leader.start();
+  co_await until([&] { return node.cluster.isRegistered(); });
+}
+
 std::unique_ptr<TestNode>
 GatewayTest::makeNode(const std::string& instance)
 {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -114,6 +114,9 @@
   static net::HttpRequest submission(const std::string& id, int items);
 
   std::unique_ptr<TestNode> makeNode(const std::string& instance);
+  /// Starts all of the node that takes part in the election of a leader, and
+  /// waits until the node is registered.
+  static net::Awaitable<void> joinElection(TestNode& node);
 
   std::shared_ptr<FakeStoreTable> mTable = std::make_shared<FakeStoreTable>();
 };
--- a/tests/gateway/weight_leader_test.cpp
+++ b/tests/gateway/weight_leader_test.cpp
@@ -6,17 +6,7 @@
 
 using core::Millis;
 
-class WeightLeaderTest : public GatewayTest
-{
-protected:
-  static net::Awaitable<void> join(TestNode& node)
-  {
-    node.replicator.start();
-    node.cluster.start();
-    node.leader.start();
-    co_await until([&] { return node.cluster.isRegistered(); });
-  }
-};
+using WeightLeaderTest = GatewayTest;
 
 } // namespace
 
@@ -27,7 +17,7 @@
 {
   auto first = makeNode("a");
   run([&]() -> net::Awaitable<void> {
-    co_await join(*first);
+    co_await joinElection(*first);
     co_await until([&] { return first->leader.isLeading(); });
     const auto lease = first->cluster.lease();
     first->store.isWatchSilent = true;
@@ -51,9 +41,9 @@
   auto first = makeNode("a");
   auto second = makeNode("b");
   run([&]() -> net::Awaitable<void> {
-    co_await join(*first);
+    co_await joinElection(*first);
     co_await until([&] { return first->leader.isLeading(); });
-    co_await join(*second);
+    co_await joinElection(*second);
     co_await net::sleepFor(Millis(500));
     EXPECT_TRUE(first->leader.isLeading());
     EXPECT_FALSE(second->leader.isLeading());
