Make the hash of the linter's cache complete

Cause: read once more. pipefail does not hold in the shells in which the check of a source runs, so a preprocessor that failed gave the hash of a part of its text; with -fdirectives-only it failed on the header of the benchmark library, and for bench/ a change could have gone unchecked. The option that keeps macros without that fault is -dD. The time of the compilation, which a header contains, is fixed. Tried: a bad name, a macro without parentheses and a missing header each fail after a pass was remembered; an unchanged bench source is checked once (9.8 s, then from the cache). All remembered results are void, since the script is hashed.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,6 +11,9 @@
 # Prints a hash of all that the result of the check of a source depends on.
 # Comments belong to it, since they can switch checks off.
 lint_key() {
+  # The functions run in shells of their own, which do not inherit this option.
+  # Without it a failed preprocessor would yield the hash of a part of its text.
+  set -o pipefail
   local flags
   flags=$(jq -r --arg file "$PWD/$1" '.[] | select(.file == $file) | .command' \
     build/debug/compile_commands.json | head -n 1 |
@@ -22,7 +25,8 @@
     cat .clang-tidy scripts/lint.sh
     clang-tidy-16 --version
     printf '%s\n' "${flags//$PWD/}"
-    g++ $flags -fdirectives-only -E -P -C "$1" | sed "s|$PWD||g"
+    # Headers may contain the time of the compilation.
+    SOURCE_DATE_EPOCH=0 g++ $flags -E -dD -P -C "$1" | sed "s|$PWD||g"
   } | sha256sum | cut -d' ' -f1
 }
 
