Log and count the request rates that servers state

Cause: the logs could not tell which requests reach a server that limits its rate, nor since when an instance knows of it. ServerClient now sends all requests to backend servers; it reads the stated rate into the registry, logs its changes, and counts requests by purpose. No decision uses the rate yet.

--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -272,6 +272,21 @@
   }
 }
 
+bool
+ServerRegistry::recordStatedRate(const ServerEntry& server,
+                                 std::optional<double> rate,
+                                 TimePoint now)
+{
+  auto* state = find(server.id, server.startedAt);
+  if (state == nullptr || now < state->rateStatedAt) {
+    return false;
+  }
+  state->rateStatedAt = now;
+  const bool isChanged = state->statedRate != rate;
+  state->statedRate = rate;
+  return isChanged;
+}
+
 void
 ServerRegistry::markLoading(const std::string& id,
                             std::int64_t startedAt,
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -55,6 +55,11 @@
   bool leaving = false;
   /// Until this time the server is expected to be loading weights.
   TimePoint loadingUntil{};
+  /// Requests per second that the server takes from all instances together;
+  /// empty if it states no limit.
+  std::optional<double> statedRate;
+  /// When the newest response that determined `statedRate` arrived.
+  TimePoint rateStatedAt{};
 };
 
 /// What a request requires and prefers of its server.
@@ -124,6 +129,12 @@
   void recordVersion(const ServerEntry& server,
                      const std::string& model,
                      std::int64_t version);
+  /// Records the request rate that a response of the server states, or that a
+  /// response states none. Returns true if this changes what is known. Ignored
+  /// if a newer response is known.
+  bool recordStatedRate(const ServerEntry& server,
+                        std::optional<double> rate,
+                        TimePoint now);
   /// Records that the server is loading weights until the given time.
   void markLoading(const std::string& id,
                    std::int64_t startedAt,
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -325,7 +325,8 @@
   run->server = server;
   run->lastEvent = Clock::now();
   auto call = prepareCall(item, server, run);
-  auto result = co_await mContext.http.call(std::move(call));
+  auto result = co_await mContext.servers.call(
+    server, std::move(call), ServerRequestKind::Item);
   mContext.registry.requestEnded(server);
   mItemStates[item].isGenerating = false;
   mWorkChanged.notify();
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -13,6 +13,7 @@
   , store(coordinationStore)
   , log(decisionLog)
   , http(context)
+  , servers(*this)
   , incarnation(std::to_string(random()))
 {
 }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -5,8 +5,8 @@
 #include "core/server_registry.h"
 #include "gateway/coordination_store.h"
 #include "gateway/decision_log.h"
+#include "gateway/server_client.h"
 #include "gateway/wire_format.h"
-#include "net/http_client.h"
 #include "net/metrics.h"
 
 #include <pcg_random.hpp>
@@ -40,6 +40,7 @@
   net::Metrics metrics;
   net::HttpClient http;
   core::ServerRegistry registry;
+  ServerClient servers;
   Mirrors mirrors;
   /// The desired state in force; null until the first one is received.
   std::shared_ptr<const core::DesiredState> desired;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -213,7 +213,8 @@
     http.request.headers.emplace_back(names.expectedServer, server.id);
     const auto start = Clock::now();
     mContext.registry.requestStarted(server);
-    auto result = co_await mContext.http.call(std::move(http));
+    auto result =
+      co_await mContext.servers.call(server, std::move(http), mCall.kind);
     mContext.registry.requestEnded(server);
     --mRunningAttempts;
     if (!mIsDone && !mIsCancelled) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -31,6 +31,7 @@
   /// True if the request is also sent to another server when the first one is
   /// slow to respond (hedging).
   bool allowsHedging = false;
+  ServerRequestKind kind = ServerRequestKind::Forward;
   core::TimePoint deadline;
   std::shared_ptr<net::CancelSignal> cancel;
 };
--- a/src/gateway/item_score.cpp
+++ b/src/gateway/item_score.cpp
@@ -36,6 +36,7 @@
   call.isRepeatable = true;
   call.retriesServerErrors = false;
   call.allowsHedging = true;
+  call.kind = ServerRequestKind::Reward;
   call.deadline = Clock::now() + route.timeout;
   call.cancel = request.cancel;
   return call;
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -187,7 +187,8 @@
     }
     mChanged.notify();
   };
-  attempt->result = co_await mContext.http.call(std::move(call));
+  attempt->result = co_await mContext.servers.call(
+    attempt->server, std::move(call), ServerRequestKind::Stream);
   mContext.registry.requestEnded(attempt->server);
   attempt->isEnded = true;
   mChanged.notify();
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -241,7 +241,8 @@
   call.beforeFirstByte = [this, fencingToken = mFencingToken] {
     return canSendOrders() && mFencingToken == fencingToken;
   };
-  auto result = co_await mContext.http.call(std::move(call));
+  auto result = co_await mContext.servers.call(
+    order.server, std::move(call), ServerRequestKind::WeightOrder);
   const auto now = Clock::now();
   const auto status = result.response.status;
   mContext.log.info(
@@ -292,7 +293,8 @@
   call.request = mContext.format.encodeReportRequest(order.server);
   call.connectTimeout = kConnectTimeout;
   call.timeout = kOrderTimeout;
-  auto result = co_await mContext.http.call(std::move(call));
+  auto result = co_await mContext.servers.call(
+    order.server, std::move(call), ServerRequestKind::Report);
   mServersWithPendingCall.erase(id);
   const auto now = Clock::now();
   auto report = mContext.format.decodeReport(result.response.body);
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -38,6 +38,9 @@
   std::string lastEvent;
   /// How long a response may be delayed while there is nothing to report.
   std::string wait;
+  /// Requests per second that the server takes from all instances together. A
+  /// server states it in its responses while it needs to limit its load.
+  std::string statedRate;
 };
 
 /// Reads the results of a batch from position `after` on. If there are none
