Keep requests to limited servers within the stated rate, over all instances

What callers saw: nothing; a backend server that stated a limit went on getting its usual share, up to 30 requests in 4 s where 11 were allowed. Cause: the stated rate was no input of any decision. Each instance chose servers by load and speed alone, so that the sum over all instances exceeded the rate. Ruled out before: retries (3 of 53 requests) and reward calls alone as the excess. One instance, the first in takeover order among the present ones, grants the permits of a server, so that the sum does not depend on the fleet's size, and what one instance leaves is there for the others. An allocator whose registration may have expired grants only while most of the next instances confirm it; a new one starts without permits. The allocator publishes the rates in the store, so that instances learn them before their first request. ServerClient, through which every request to a server goes, asks for the permit. Other servers come first; hedges and moves do not use permits; a request that no server takes soon is rejected at once with the time of the next permit.

--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -27,6 +27,13 @@
 /// requests.
 constexpr double kMinRelativeTime = 0.5;
 constexpr double kMaxRelativeTime = 20;
+/// No further question for a permit of a server is asked for this time, unless
+/// the first one is answered earlier.
+constexpr Millis kPermitQuestionTime{ 250 };
+/// A server that states a request rate is used like others again if it has not
+/// responded for this time, since only a response tells that the limit has
+/// ended.
+constexpr Millis kStatedRateRecheckTime{ 2'000 };
 
 } // namespace
 
@@ -107,6 +114,14 @@
          now >= server.loadingUntil;
 }
 
+bool
+ServerRegistry::isFirstChoice(const RegisteredServer& server, TimePoint now)
+{
+  const bool isOutdated = now - server.rateStatedAt >= kStatedRateRecheckTime;
+  return now >= server.avoidUntil && server.running < server.entry.slots &&
+         (!server.statedRate || isOutdated);
+}
+
 double
 ServerRegistry::cost(const RegisteredServer& server,
                      const ServerRequirements& requirements,
@@ -131,13 +146,41 @@
 {
   std::vector<RegisteredServer*> candidates;
   for (auto& [id, server] : mServers) {
-    if (canServe(server, requirements, now)) {
+    const bool hasPermit =
+      !server.statedRate ||
+      (!requirements.excludesRateLimited &&
+       now >= server.nextPermitAt(requirements.permitPriority));
+    if (hasPermit && canServe(server, requirements, now)) {
       candidates.push_back(&server);
     }
   }
   if (candidates.empty()) {
     return nullptr;
   }
+  const bool hasFirstChoice =
+    std::ranges::any_of(candidates, [&](const RegisteredServer* s) {
+      return isFirstChoice(*s, now);
+    });
+  if (hasFirstChoice) {
+    std::erase_if(candidates, [&](const RegisteredServer* s) {
+      return s->statedRate && !isFirstChoice(*s, now);
+    });
+  }
+  auto* chosen =
+    chooseCandidate(std::move(candidates), requirements, now, random);
+  if (chosen->statedRate) {
+    chosen->nextPermitAt(requirements.permitPriority) =
+      now + kPermitQuestionTime;
+  }
+  return chosen;
+}
+
+RegisteredServer*
+ServerRegistry::chooseCandidate(std::vector<RegisteredServer*> candidates,
+                                const ServerRequirements& requirements,
+                                TimePoint now,
+                                double random) const
+{
   const auto preferred =
     std::ranges::find_if(candidates, [&](const RegisteredServer* server) {
       return server->entry.id == requirements.preferredServer;
@@ -273,20 +316,46 @@
 }
 
 bool
-ServerRegistry::recordStatedRate(const ServerEntry& server,
+ServerRegistry::recordStatedRate(const std::string& id,
+                                 std::int64_t startedAt,
                                  std::optional<double> rate,
-                                 TimePoint now)
+                                 TimePoint respondedAt)
 {
-  auto* state = find(server.id, server.startedAt);
-  if (state == nullptr || now < state->rateStatedAt) {
+  auto* state = find(id, startedAt);
+  if (state == nullptr || respondedAt < state->rateStatedAt) {
     return false;
   }
-  state->rateStatedAt = now;
+  state->rateStatedAt = respondedAt;
   const bool isChanged = state->statedRate != rate;
   state->statedRate = rate;
   return isChanged;
 }
 
+std::optional<TimePoint>
+ServerRegistry::nextPermitTime(const ServerRequirements& requirements,
+                               TimePoint now) const
+{
+  std::optional<TimePoint> earliest;
+  for (const auto& [id, server] : mServers) {
+    if (server.statedRate && canServe(server, requirements, now)) {
+      const auto at = server.nextPermitAt(requirements.permitPriority);
+      earliest = earliest ? std::min(*earliest, at) : at;
+    }
+  }
+  return earliest;
+}
+
+void
+ServerRegistry::recordPermitDecision(const ServerEntry& server,
+                                     const PermitDecision& decision,
+                                     TimePoint now)
+{
+  if (auto* state = find(server.id, server.startedAt)) {
+    state->nextInteractivePermitAt = now + decision.nextInteractive;
+    state->nextBackgroundPermitAt = now + decision.nextBackground;
+  }
+}
+
 void
 ServerRegistry::markLoading(const std::string& id,
                             std::int64_t startedAt,
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/request_rate.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -60,6 +61,21 @@
   std::optional<double> statedRate;
   /// When the newest response that determined `statedRate` arrived.
   TimePoint rateStatedAt{};
+  /// When this process may ask for the next permit, if the server states a
+  /// rate, for each priority.
+  TimePoint nextInteractivePermitAt{};
+  TimePoint nextBackgroundPermitAt{};
+
+  TimePoint& nextPermitAt(PermitPriority priority)
+  {
+    return priority == PermitPriority::Interactive ? nextInteractivePermitAt
+                                                   : nextBackgroundPermitAt;
+  }
+  TimePoint nextPermitAt(PermitPriority priority) const
+  {
+    return priority == PermitPriority::Interactive ? nextInteractivePermitAt
+                                                   : nextBackgroundPermitAt;
+  }
 };
 
 /// What a request requires and prefers of its server.
@@ -76,6 +92,10 @@
   /// Server that has the prompt in its cache. It is chosen whenever it meets
   /// the requirements and is not being avoided.
   std::string preferredServer;
+  PermitPriority permitPriority = PermitPriority::Interactive;
+  /// Whether servers that state a request rate are excluded. Set for requests
+  /// that are not needed, such as hedges.
+  bool excludesRateLimited = false;
 };
 
 /// The backend servers listed in the directory, together with this process's
@@ -95,10 +115,22 @@
   void recordDirectoryFailure(TimePoint now) { mLastFailure = now; }
 
   /// Returns the best server for the request, or null if there is none.
-  /// `random` is in [0, 1) and selects among equally good servers.
+  /// `random` is in [0, 1) and selects among equally good servers. A server
+  /// that states a request rate needs a permit; it is chosen only if no other
+  /// server has a free slot. Until the answer to the question for the permit
+  /// is recorded, further requests of this priority choose other servers.
   RegisteredServer* choose(const ServerRequirements& requirements,
                            TimePoint now,
                            double random);
+  /// Returns when the next permit for a server that could serve the request is
+  /// expected, or nothing if no server states a request rate.
+  std::optional<TimePoint> nextPermitTime(
+    const ServerRequirements& requirements,
+    TimePoint now) const;
+  /// Records the answer to a question for a permit.
+  void recordPermitDecision(const ServerEntry& server,
+                            const PermitDecision& decision,
+                            TimePoint now);
   /// Returns the server process that started at `startedAt` (Unix
   /// milliseconds), or null if it is unknown or was replaced by a restart.
   RegisteredServer* find(const std::string& id, std::int64_t startedAt);
@@ -132,9 +164,10 @@
   /// Records the request rate that a response of the server states, or that a
   /// response states none. Returns true if this changes what is known. Ignored
   /// if a newer response is known.
-  bool recordStatedRate(const ServerEntry& server,
+  bool recordStatedRate(const std::string& id,
+                        std::int64_t startedAt,
                         std::optional<double> rate,
-                        TimePoint now);
+                        TimePoint respondedAt);
   /// Records that the server is loading weights until the given time.
   void markLoading(const std::string& id,
                    std::int64_t startedAt,
@@ -147,6 +180,14 @@
   bool canServe(const RegisteredServer& server,
                 const ServerRequirements& requirements,
                 TimePoint now) const;
+  /// Returns true if the server has a free slot and states no request rate, or
+  /// stated it too long ago.
+  static bool isFirstChoice(const RegisteredServer& server, TimePoint now);
+  /// Returns the best of the candidates.
+  RegisteredServer* chooseCandidate(std::vector<RegisteredServer*> candidates,
+                                    const ServerRequirements& requirements,
+                                    TimePoint now,
+                                    double random) const;
   double cost(const RegisteredServer& server,
               const ServerRequirements& requirements,
               double medianMillisPerUnit) const;
--- a/src/gateway/attempt_outcome.cpp
+++ b/src/gateway/attempt_outcome.cpp
@@ -12,6 +12,9 @@
   if (result.error == net::NetError::Cancelled) {
     return AttemptOutcome::Cancelled;
   }
+  if (result.error == net::NetError::RateLimited) {
+    return AttemptOutcome::RateLimited;
+  }
   if (result.error) {
     const bool isIdleClose = result.reusedConnection && response.status == 0 &&
                              result.error == net::NetError::ConnectionLost;
@@ -32,7 +35,8 @@
 {
   return outcome == AttemptOutcome::Refused ||
          outcome == AttemptOutcome::Misdirected ||
-         outcome == AttemptOutcome::NotSent;
+         outcome == AttemptOutcome::NotSent ||
+         outcome == AttemptOutcome::RateLimited;
 }
 
 void
@@ -53,6 +57,7 @@
     case AttemptOutcome::Misdirected:
       registry.markLeaving(server);
       break;
+    case AttemptOutcome::RateLimited:
     case AttemptOutcome::ClosedWhenIdle:
     case AttemptOutcome::Cancelled:
       break;
--- a/src/gateway/attempt_outcome.h
+++ b/src/gateway/attempt_outcome.h
@@ -19,6 +19,9 @@
   Misdirected,
   /// No byte of the request was written.
   NotSent,
+  /// The request was not sent, because the server states a request rate and
+  /// there is no permit.
+  RateLimited,
   /// A kept-alive connection ended before any response. The server may have
   /// closed the connection as idle while the request was on its way, which says
   /// nothing about the health of the server.
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -185,6 +185,7 @@
   requirements.model = mSpec->model;
   requirements.minVersion = mSpec->minVersion;
   requirements.freeSlotOnly = true;
+  requirements.permitPriority = core::PermitPriority::Background;
   return requirements;
 }
 
@@ -367,6 +368,9 @@
     reason = "events_out_of_order";
     mContext.registry.failed(server, now);
     requeue(item, kFailureRetryDelay);
+  } else if (attemptOutcome == AttemptOutcome::RateLimited) {
+    // The registry knows when the server takes the next request.
+    requeue(item, kRefusalRetryDelay);
   } else if (attemptOutcome != AttemptOutcome::Answered) {
     reason = result.error ? result.error.message() : "refused";
     recordFailedAttempt(mContext.registry, server, attemptOutcome, now);
--- a/src/gateway/batch_run_supervision.cpp
+++ b/src/gateway/batch_run_supervision.cpp
@@ -84,6 +84,8 @@
 {
   auto requirements = slotRequirements(server.service);
   requirements.exclude = { server.id };
+  // A move uses a permit that another item needs.
+  requirements.excludesRateLimited = true;
   return mContext.registry.choose(requirements, now, mContext.uniformRandom());
 }
 
--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <ctime>
 
 namespace lentilrack::gateway {
 
@@ -46,6 +47,12 @@
   return std::string(kOwners) + id;
 }
 
+std::string
+rate(const std::string& server)
+{
+  return std::string(kRates) + server;
+}
+
 std::string
 leader()
 {
@@ -85,6 +92,34 @@
     std::chrono::system_clock::now().time_since_epoch());
 }
 
+Millis
+bootTime()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr std::int64_t kMillisPerSecond = 1000;
+  constexpr std::int64_t kNanosPerMilli = 1'000'000;
+  return Millis(now.tv_sec * kMillisPerSecond + now.tv_nsec / kNanosPerMilli);
+}
+
+std::string
+StatedRate::encode() const
+{
+  return Json{ { "started", startedAt }, { "per_s", perSecond } }.dump();
+}
+
+std::optional<StatedRate>
+StatedRate::decode(const core::MirroredItem& item)
+{
+  const auto json = Json::parse(item.value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  return StatedRate{ json.value("started", std::int64_t{ 0 }),
+                     json.value("per_s", 0.0),
+                     item.revision };
+}
+
 std::string
 Peer::encode() const
 {
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -74,6 +74,19 @@
   static std::optional<Holder> decode(const StoreItem& item);
 };
 
+/// The request rate that a backend server states, as the allocator of its
+/// permits has published it.
+struct StatedRate
+{
+  /// Start time of the server process in Unix milliseconds.
+  std::int64_t startedAt = 0;
+  double perSecond = 0;
+  std::int64_t revision = 0;
+
+  std::string encode() const;
+  static std::optional<StatedRate> decode(const core::MirroredItem& item);
+};
+
 /// Keys and key prefixes of this system in the coordination store.
 namespace keys {
 /// Prefix of all keys that every process mirrors; the others are below it.
@@ -82,6 +95,7 @@
 inline constexpr std::string_view kBatches = "lentilrack/batches/";
 inline constexpr std::string_view kOwners = "lentilrack/owners/";
 inline constexpr std::string_view kLeader = "lentilrack/leader";
+inline constexpr std::string_view kRates = "lentilrack/rates/";
 
 /// Returns the prefix of all keys that every process mirrors.
 std::string
@@ -95,6 +109,9 @@
 /// Returns the key that names the owner of a batch.
 std::string
 owner(const std::string& id);
+/// Returns the key of the request rate that a backend server states.
+std::string
+rate(const std::string& server);
 /// Returns the key that names the leader.
 std::string
 leader();
@@ -118,4 +135,9 @@
 core::Millis
 unixNow();
 
+/// Returns the time since the machine booted, including time in which it was
+/// suspended.
+core::Millis
+bootTime();
+
 } // namespace lentilrack::gateway
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -4,7 +4,6 @@
 #include "core/takeover_order.h"
 
 #include <algorithm>
-#include <ctime>
 
 namespace lentilrack::gateway {
 
@@ -24,18 +23,6 @@
 /// even without duties, since the next duty often comes soon.
 constexpr Millis kUnusedDutyLeaseTime{ 20'000 };
 
-/// Returns the time since the machine booted, including time in which it was
-/// suspended.
-Millis
-bootTime()
-{
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  constexpr std::int64_t kMillisPerSecond = 1000;
-  constexpr std::int64_t kNanosPerMilli = 1'000'000;
-  return Millis(now.tv_sec * kMillisPerSecond + now.tv_nsec / kNanosPerMilli);
-}
-
 } // namespace
 
 ClusterView::ClusterView(Context& context)
@@ -146,6 +133,39 @@
   return core::chooseBatchHome(std::move(candidates), model);
 }
 
+std::vector<std::string>
+ClusterView::rateAllocators(const std::string& server, std::size_t count) const
+{
+  auto instances = presentPeers();
+  if (mContext.isLeaving) {
+    std::erase(instances, mContext.settings.instance);
+  }
+  return core::firstInTakeoverOrder(
+    std::move(instances), keys::rate(server), count);
+}
+
+std::string
+ClusterView::rateAllocatorOf(const std::string& server)
+{
+  if (mAllocatorsVersion != mPeersVersion || mContext.isLeaving) {
+    mAllocators.clear();
+    mAllocatorsVersion = mPeersVersion;
+  }
+  const auto [found, isNew] = mAllocators.try_emplace(server);
+  if (isNew) {
+    const auto first = rateAllocators(server, 1);
+    found->second = first.empty() ? "" : first.front();
+  }
+  return found->second;
+}
+
+bool
+ClusterView::isMembershipCurrent() const
+{
+  return mIsRegistered && mMemberLease.id != 0 &&
+         bootTime() < mMemberLease.renewedAt + mMemberLease.timeToLive;
+}
+
 std::vector<std::string>
 ClusterView::ownersOfModel(const std::string& model) const
 {
@@ -191,6 +211,13 @@
     if (auto holder = Holder::decode({ item.key, item.value, item.revision })) {
       mBatchOwners[item.key.substr(keys::kOwners.size())] = std::move(*holder);
     }
+  } else if (key.starts_with(keys::kRates)) {
+    if (const auto rate = StatedRate::decode(item)) {
+      const auto server = item.key.substr(keys::kRates.size());
+      mStatedRates[server] = *rate;
+      mContext.registry.recordStatedRate(
+        server, rate->startedAt, rate->perSecond, core::Clock::now());
+    }
   } else if (key == keys::kLeader) {
     mLeader = Holder::decode({ item.key, item.value, item.revision });
   }
@@ -216,6 +243,12 @@
     mBatches.erase(removed.substr(keys::kBatches.size()));
   } else if (key.starts_with(keys::kOwners)) {
     mBatchOwners.erase(removed.substr(keys::kOwners.size()));
+  } else if (key.starts_with(keys::kRates)) {
+    const auto server = removed.substr(keys::kRates.size());
+    if (const auto rate = mStatedRates.extract(server)) {
+      mContext.registry.recordStatedRate(
+        server, rate.mapped().startedAt, std::nullopt, core::Clock::now());
+    }
   } else if (key == keys::kLeader) {
     mLeader.reset();
   }
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lentilrack::gateway {
@@ -79,6 +80,23 @@
   /// several of them is listed several times.
   std::vector<std::string> ownersOfModel(const std::string& model) const;
 
+  /// Returns the first `count` of the present instances in the order in which
+  /// they become the allocator of the server's request rate.
+  std::vector<std::string> rateAllocators(const std::string& server,
+                                          std::size_t count) const;
+  /// Returns the instance that grants the permits for requests to the server;
+  /// empty if no process is present.
+  std::string rateAllocatorOf(const std::string& server);
+  /// Returns true if other processes must still list this process as a member:
+  /// its registration cannot have expired. Time in which the machine was
+  /// suspended counts as elapsed.
+  bool isMembershipCurrent() const;
+  /// Returns the published request rates of servers, by server id.
+  const std::map<std::string, StatedRate>& statedRates() const
+  {
+    return mStatedRates;
+  }
+
   /// Updates the mirror with an item that this process has just read or written
   /// itself, without waiting for the watch.
   void recordItem(const StoreItem& item);
@@ -128,6 +146,10 @@
   /// Owner of each batch that has one, by batch id.
   std::map<std::string, Holder> mBatchOwners;
   std::optional<Holder> mLeader;
+  std::map<std::string, StatedRate> mStatedRates;
+  /// Results of rateAllocatorOf() for the peers of this version.
+  std::unordered_map<std::string, std::string> mAllocators;
+  std::uint64_t mAllocatorsVersion = 0;
   /// Lease of the registration.
   Lease mMemberLease;
   /// Lease of the duties, if the lease of the registration has a longer time to
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -122,7 +122,12 @@
       if (mRunningAttempts == 0 || startsHedge) {
         const bool isStarted = startAttempt();
         if (!isStarted && mRunningAttempts == 0) {
-          co_return;
+          const auto permitWait = waitForPermit();
+          if (!permitWait) {
+            co_return;
+          }
+          co_await mChanged.wait(*permitWait);
+          continue;
         }
       }
       co_await mChanged.wait(waitTime());
@@ -147,6 +152,34 @@
     return std::clamp(timeUntil(mHedgeAt), Millis(1), left);
   }
 
+  /// Returns how long to wait for a permit of a server that states a request
+  /// rate. Returns nothing if the request must be rejected now.
+  std::optional<Millis> waitForPermit()
+  {
+    const auto now = Clock::now();
+    const auto next = mContext.registry.nextPermitTime(requirements(), now);
+    if (!next || !canRetry()) {
+      return std::nullopt;
+    }
+    const auto wait =
+      core::waitForPermit(*next, mStartedAt, mCall.deadline, now);
+    if (!wait) {
+      mOutcome.retryAfter = timeUntil(*next);
+      recordNoResponse("request_rate");
+    }
+    return wait;
+  }
+
+  core::ServerRequirements requirements() const
+  {
+    core::ServerRequirements requirements;
+    requirements.service = mCall.service;
+    requirements.preferredDomain = mContext.settings.failureDomain;
+    requirements.permitPriority = permitPriority(mCall.kind);
+    requirements.excludesRateLimited = mRunningAttempts > 0;
+    return requirements;
+  }
+
   /// Returns true if the request may be sent to another server.
   bool canRetry() const
   {
@@ -159,18 +192,16 @@
   /// there is no server.
   bool startAttempt()
   {
-    core::ServerRequirements requirements;
-    requirements.service = mCall.service;
-    requirements.exclude = mTriedServers;
-    requirements.preferredDomain = mContext.settings.failureDomain;
+    auto required = requirements();
+    required.exclude = mTriedServers;
     auto* server = mContext.registry.choose(
-      requirements, Clock::now(), mContext.uniformRandom());
+      required, Clock::now(), mContext.uniformRandom());
     if (server == nullptr && mRunningAttempts == 0 && !mTriedServers.empty()) {
       // All servers were tried. Another attempt at one of them may still
       // succeed.
-      requirements.exclude.clear();
+      required.exclude.clear();
       server = mContext.registry.choose(
-        requirements, Clock::now(), mContext.uniformRandom());
+        required, Clock::now(), mContext.uniformRandom());
     }
     if (server == nullptr) {
       mHasNoOtherServer = true;
@@ -238,6 +269,13 @@
     if (attemptOutcome != AttemptOutcome::Answered) {
       recordFailedAttempt(mContext.registry, server, attemptOutcome, now);
       mMayHaveExecuted = mMayHaveExecuted || !provesNotExecuted(attemptOutcome);
+      if (attemptOutcome == AttemptOutcome::RateLimited) {
+        // The registry knows when the server takes the next request.
+        --mAttempts;
+        mTriedServers.erase(server.id);
+        recordNoResponse("request_rate");
+        return;
+      }
       const bool isIdleClose = attemptOutcome == AttemptOutcome::ClosedWhenIdle;
       if (isIdleClose || provesNotExecuted(attemptOutcome)) {
         // The server has not executed the request or has closed an idle
@@ -304,6 +342,7 @@
   /// Notified when an attempt ends or the call is cancelled.
   net::Notifier mChanged;
   CallOutcome mOutcome;
+  TimePoint mStartedAt = Clock::now();
   std::set<std::string> mTriedServers;
   /// When the request may also be sent to another server, if hedging is
   /// allowed.
@@ -422,7 +461,8 @@
       response = std::move(outcome.response);
       break;
     case CallConclusion::NotExecuted:
-      response = refusalResponse(503, outcome.reason, kRetryAfter);
+      response = refusalResponse(
+        503, outcome.reason, std::max(kRetryAfter, outcome.retryAfter));
       break;
     case CallConclusion::Unknown:
       response = errorResponse(outcome.reason == "out_of_time" ? 504 : 502,
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -55,6 +55,9 @@
   net::HttpResponse response;
   /// Why there is no response, for the log.
   std::string reason;
+  /// When the caller should try again, if servers that state a request rate
+  /// take no request before.
+  core::Millis retryAfter{ 0 };
   /// Id of the last server that responded or failed.
   std::string server;
   int attempts = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,8 @@
   : mContext(context)
   , mCluster(context)
   , mPeers(context, mCluster)
+  , mPermits(context, mCluster, mPeers)
+  , mRates(context, mCluster)
   , mStateApplier(context)
   , mReplicator(context, mCluster, mPeers)
   , mForwarder(context)
@@ -118,6 +120,7 @@
   if (isBound) {
     mReplicator.start();
     mCluster.start();
+    mRates.start();
     mBatches.start();
     mLeader.start();
   }
@@ -300,6 +303,12 @@
       co_await mBatches.acceptForPeer(after(peer_paths::kSubmit), request);
   } else if (path == peer_paths::kState) {
     response = co_await mReplicator.serveFollower(request);
+  } else if (path == peer_paths::kPermit) {
+    response = co_await mPermits.answerQuestion(request);
+  } else if (path == peer_paths::kRate) {
+    mPermits.applyPeerRate(request.body);
+  } else if (path.starts_with(peer_paths::kAllocator)) {
+    response = mPermits.nameAllocator(after(peer_paths::kAllocator));
   } else if (path == peer_paths::kWeights) {
     mLeader.applyWeightUpdates(request.body);
   } else if (path.starts_with(peer_paths::kLeaving)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gateway/batch_service.h"
+#include "gateway/rate_permits.h"
+#include "gateway/rate_publisher.h"
 #include "gateway/state_applier.h"
 #include "gateway/state_replicator.h"
 #include "gateway/weight_leader.h"
@@ -51,6 +53,8 @@
   Context& mContext;
   ClusterView mCluster;
   PeerClient mPeers;
+  RatePermits mPermits;
+  RatePublisher mRates;
   StateApplier mStateApplier;
   StateReplicator mReplicator;
   Forwarder mForwarder;
--- a/src/gateway/item_score.cpp
+++ b/src/gateway/item_score.cpp
@@ -2,6 +2,8 @@
 
 #include "net/http_status.h"
 
+#include <algorithm>
+
 namespace lentilrack::gateway {
 
 namespace {
@@ -69,6 +71,11 @@
     if (outcome.conclusion == CallConclusion::Cancelled) {
       break;
     }
+    if (outcome.retryAfter > Millis(0)) {
+      // All servers state request rates that are used up.
+      co_await net::sleepFor(std::max(kRetryDelay, outcome.retryAfter));
+      continue;
+    }
     context.log.info("reward_call",
                      { { "batch", request.batch },
                        { "item", request.item },
--- a/src/gateway/peer_client.h
+++ b/src/gateway/peer_client.h
@@ -17,6 +17,9 @@
 inline constexpr const char* kWeights = "/peer/weights";
 inline constexpr const char* kLeaving = "/peer/leaving/";
 inline constexpr const char* kState = "/peer/state";
+inline constexpr const char* kPermit = "/peer/permit";
+inline constexpr const char* kRate = "/peer/rate";
+inline constexpr const char* kAllocator = "/peer/allocator/";
 inline constexpr const char* kSubmit = "/peer/submit/";
 }
 
--- a/src/gateway/server_client.cpp
+++ b/src/gateway/server_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/decimal.h"
 #include "gateway/context.h"
+#include "net/error.h"
 
 #include <fmt/format.h>
 
@@ -35,6 +36,15 @@
 
 } // namespace
 
+core::PermitPriority
+permitPriority(ServerRequestKind kind)
+{
+  const bool isBackground =
+    kind == ServerRequestKind::Item || kind == ServerRequestKind::Reward;
+  return isBackground ? core::PermitPriority::Background
+                      : core::PermitPriority::Interactive;
+}
+
 ServerClient::ServerClient(Context& context)
   : mContext(context)
 {
@@ -46,10 +56,22 @@
                    ServerRequestKind kind)
 {
   const auto* state = mContext.registry.find(server.id, server.startedAt);
+  const bool needsPermit = state != nullptr && state->statedRate;
+  if (needsPermit) {
+    const bool hasPermit =
+      mAcquire && co_await mAcquire(server, permitPriority(kind));
+    if (!hasPermit) {
+      mContext.metrics.increment(
+        fmt::format("permits_refused_total{{kind=\"{}\"}}", textOf(kind)));
+      net::HttpResult refused;
+      refused.error = net::NetError::RateLimited;
+      co_return refused;
+    }
+  }
   mContext.metrics.increment(
     fmt::format("server_requests_total{{kind=\"{}\",rate_limited=\"{}\"}}",
                 textOf(kind),
-                state != nullptr && state->statedRate ? "yes" : "no"));
+                needsPermit ? "yes" : "no"));
   call.acceptHeader = [this, server, accept = std::move(call.acceptHeader)](
                         const net::HttpResponse& response) {
     const bool isAccepted = !accept || accept(response);
@@ -74,12 +96,16 @@
                          { { "server", server.id }, { "malformed", text } });
     return;
   }
-  if (mContext.registry.recordStatedRate(server, rate, Clock::now())) {
+  if (mContext.registry.recordStatedRate(
+        server.id, server.startedAt, rate, Clock::now())) {
     mContext.log.info("server_rate",
                       { { "server", server.id },
                         { "service", server.service },
                         { "per_s", rate.value_or(0) },
                         { "outcome", rate ? "stated" : "ended" } });
+    if (mOnRateChange) {
+      mOnRateChange(server);
+    }
   }
 }
 
--- a/src/gateway/server_client.h
+++ b/src/gateway/server_client.h
@@ -3,6 +3,8 @@
 #include "core/server_registry.h"
 #include "net/http_client.h"
 
+#include <functional>
+
 namespace lentilrack::gateway {
 
 struct Context;
@@ -24,14 +26,33 @@
   Report,
 };
 
+/// Returns the priority with which a request of this kind gets a permit.
+core::PermitPriority
+permitPriority(ServerRequestKind kind);
+
 /// Sends all requests of this process to backend servers, and records the
-/// request rate that each server states.
+/// request rate that each server states. A server that states a rate gets a
+/// request only if there is a permit for it.
 class ServerClient
 {
 public:
+  /// Obtains a permit for a request to a server that states a rate. Returns
+  /// false if there is none.
+  using PermitSource =
+    std::function<net::Awaitable<bool>(core::ServerEntry,
+                                       core::PermitPriority)>;
+  /// Called when a response has changed what is known of the server's rate.
+  using RateHook = std::function<void(const core::ServerEntry&)>;
+
   explicit ServerClient(Context& context);
 
-  /// Sends the request to the server and returns the response or the error.
+  /// Sets the source of permits. Without one, servers that state a rate get no
+  /// request.
+  void setPermitSource(PermitSource source) { mAcquire = std::move(source); }
+  void onRateChange(RateHook hook) { mOnRateChange = std::move(hook); }
+
+  /// Sends the request to the server and returns the response or the error. The
+  /// error is RateLimited if there is no permit.
   net::Awaitable<net::HttpResult> call(core::ServerEntry server,
                                        net::HttpCall call,
                                        ServerRequestKind kind);
@@ -42,6 +63,8 @@
                         const net::HttpResponse& response);
 
   Context& mContext;
+  PermitSource mAcquire;
+  RateHook mOnRateChange;
 };
 
 } // namespace lentilrack::gateway
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -76,7 +76,12 @@
   while (!mIsDone && !mIsCallerGone && timeLeft() > Millis(0) && canRetry()) {
     const auto attempt = startAttempt();
     if (!attempt) {
-      break;
+      const auto permitWait = waitForPermit(start);
+      if (!permitWait) {
+        break;
+      }
+      co_await mChanged.wait(*permitWait);
+      continue;
     }
     co_await relayEvents(attempt);
     attempt->cancel->cancel();
@@ -104,20 +109,42 @@
   mContext.metrics.increment("streams_total");
 }
 
-std::shared_ptr<StreamForward::Attempt>
-StreamForward::startAttempt()
+core::ServerRequirements
+StreamForward::requirements() const
 {
-  const auto now = Clock::now();
   core::ServerRequirements requirements;
   requirements.service = mService;
-  requirements.exclude = mTriedServers;
   requirements.preferredDomain = mContext.settings.failureDomain;
+  return requirements;
+}
+
+std::optional<Millis>
+StreamForward::waitForPermit(core::TimePoint start)
+{
+  const auto now = Clock::now();
+  const auto next = mContext.registry.nextPermitTime(requirements(), now);
+  if (!next) {
+    return std::nullopt;
+  }
+  const auto wait = core::waitForPermit(*next, start, mDeadline, now);
+  if (!wait) {
+    mReason = "request_rate";
+    mRetryAfter = std::chrono::duration_cast<Millis>(*next - now);
+  }
+  return wait;
+}
+
+std::shared_ptr<StreamForward::Attempt>
+StreamForward::startAttempt()
+{
+  const auto now = Clock::now();
+  auto required = requirements();
+  required.exclude = mTriedServers;
   auto* server =
-    mContext.registry.choose(requirements, now, mContext.uniformRandom());
+    mContext.registry.choose(required, now, mContext.uniformRandom());
   if (server == nullptr && !mTriedServers.empty()) {
-    requirements.exclude.clear();
-    server =
-      mContext.registry.choose(requirements, now, mContext.uniformRandom());
+    required.exclude.clear();
+    server = mContext.registry.choose(required, now, mContext.uniformRandom());
   }
   if (server == nullptr) {
     mReason = "no_server";
@@ -289,7 +316,10 @@
   const auto attemptOutcome =
     classifyAttempt(attempt.result, mContext.format.headers());
   recordFailedAttempt(mContext.registry, attempt.server, attemptOutcome, now);
-  if (provesNotExecuted(attemptOutcome)) {
+  if (attemptOutcome == AttemptOutcome::RateLimited) {
+    --mAttempts;
+    mTriedServers.erase(attempt.server.id);
+  } else if (provesNotExecuted(attemptOutcome)) {
     --mAttempts;
     ++mRefusals;
   }
@@ -307,7 +337,7 @@
   auto response =
     mMayHaveExecuted
       ? errorResponse(timeLeft() <= Millis(0) ? 504 : 502, mReason)
-      : refusalResponse(503, mReason, kRetryAfter);
+      : refusalResponse(503, mReason, std::max(kRetryAfter, mRetryAfter));
   co_await mExchange.respond(std::move(response));
 }
 
--- a/src/gateway/stream_forward.h
+++ b/src/gateway/stream_forward.h
@@ -61,8 +61,10 @@
   /// Chooses a server and starts an attempt. Returns null if there is no
   /// server.
   std::shared_ptr<Attempt> startAttempt();
-  /// Responds with a complete response instead of a stream. Not defined.
-  net::Awaitable<void> answerWhole(net::HttpResponse response);
+  core::ServerRequirements requirements() const;
+  /// Returns how long to wait for a permit of a server that states a request
+  /// rate. Returns nothing if the stream must be rejected now.
+  std::optional<core::Millis> waitForPermit(core::TimePoint start);
   /// Responds with an error, or aborts the connection if the stream has begun.
   net::Awaitable<void> endWithError();
   /// Returns the time until the deadline.
@@ -94,6 +96,8 @@
   /// Number of attempts, without the refused ones.
   int mAttempts = 0;
   int mRefusals = 0;
+  /// When a server that states a request rate takes the next request.
+  core::Millis mRetryAfter{ 0 };
   /// True once the response to the caller has begun.
   bool mHasStarted = false;
   /// True once a server may have executed the request.
--- a/src/net/error.cpp
+++ b/src/net/error.cpp
@@ -32,6 +32,8 @@
         return "rejected by the peer";
       case NetError::AddressInUse:
         return "address cannot be bound";
+      case NetError::RateLimited:
+        return "no permit for the server's request rate";
     }
     return "unknown error";
   }
--- a/src/net/error.h
+++ b/src/net/error.h
@@ -22,6 +22,9 @@
   /// message type.
   Rejected,
   AddressInUse,
+  /// The call was not started, because the server takes no further request at
+  /// present.
+  RateLimited,
 };
 
 const std::error_category&
--- a/tests/core/server_registry_test.cpp
+++ b/tests/core/server_registry_test.cpp
@@ -162,4 +162,70 @@
   EXPECT_EQ(registry.choose(wanted, kNow, 0)->entry.id, "a");
 }
 
+// Guards against work for servers that limit their load while others have free
+// slots, and against idle limited servers while all others are full.
+TEST(ServerRegistryTest, RateLimitedServersAreUsedOnlyWhenOthersAreFull)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a"), entry("b") }, kNow);
+  registry.recordStatedRate("a", 1, 5.0, kNow);
+  for (int i = 0; i < entry("b").slots; ++i) {
+    auto* chosen = registry.choose(need(), kNow, 0);
+    EXPECT_EQ(chosen->entry.id, "b");
+    registry.requestStarted(chosen->entry);
+  }
+  EXPECT_EQ(registry.choose(need(), kNow, 0)->entry.id, "a");
+  // The answer to the question for a permit is pending.
+  EXPECT_EQ(registry.choose(need(), kNow, 0)->entry.id, "b");
+}
+
+// Guards against a prompt cache that draws all items of a group to a server
+// which limits its load.
+TEST(ServerRegistryTest, PreferredServerIsLeftWhenItStatesARate)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a"), entry("b") }, kNow);
+  registry.recordStatedRate("a", 1, 5.0, kNow);
+  auto requirements = need();
+  requirements.preferredServer = "a";
+  EXPECT_EQ(registry.choose(requirements, kNow, 0)->entry.id, "b");
+}
+
+// Guards against a server that gets no work for good: only a response shows
+// that its limit has ended.
+TEST(ServerRegistryTest, RateLimitedServerIsTriedAgainAfterAWhile)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a"), entry("b") }, kNow);
+  registry.recordStatedRate("a", 1, 5.0, kNow);
+  registry.requestStarted(entry("b"));
+  const auto later = kNow + std::chrono::seconds(10);
+  EXPECT_EQ(registry.choose(need(), later, 0)->entry.id, "a");
+}
+
+// Guards against moves and hedges that use the permits of requests which have
+// no server yet.
+TEST(ServerRegistryTest, ExcludedRateLimitedServersAreNotChosen)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a") }, kNow);
+  registry.recordStatedRate("a", 1, 5.0, kNow);
+  auto requirements = need();
+  requirements.excludesRateLimited = true;
+  EXPECT_EQ(registry.choose(requirements, kNow, 0), nullptr);
+}
+
+// Guards against a late response of a server that brings back a limit which has
+// ended since.
+TEST(ServerRegistryTest, OlderResponseDoesNotChangeTheStatedRate)
+{
+  ServerRegistry registry;
+  registry.apply({ entry("a") }, kNow);
+  EXPECT_TRUE(registry.recordStatedRate("a", 1, 5.0, kNow));
+  EXPECT_TRUE(
+    registry.recordStatedRate("a", 1, std::nullopt, kNow + Millis(20)));
+  EXPECT_FALSE(registry.recordStatedRate("a", 1, 5.0, kNow + Millis(10)));
+  EXPECT_FALSE(registry.find("a", 1)->statedRate.has_value());
+}
+
 } // namespace lentilrack::core
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -27,6 +27,8 @@
   , context(io, settingsOf(instance), format, store, log)
   , cluster(context)
   , peers(context, cluster)
+  , permits(context, cluster, peers)
+  , rates(context, cluster)
   , stateApplier(context)
   , replicator(context, cluster, peers)
   , forwarder(context)
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -3,6 +3,8 @@
 #include "fake_server.h"
 #include "fake_store.h"
 #include "gateway/batch_service.h"
+#include "gateway/rate_permits.h"
+#include "gateway/rate_publisher.h"
 #include "gateway/state_applier.h"
 #include "gateway/state_replicator.h"
 #include "gateway/weight_leader.h"
@@ -33,6 +35,8 @@
   Context context;
   ClusterView cluster;
   PeerClient peers;
+  RatePermits permits;
+  RatePublisher rates;
   StateApplier stateApplier;
   StateReplicator replicator;
   Forwarder forwarder;
