Limit reward calls to a server by what the server accepts

Ruled out: the permits, which are not asked for by a server without a stated rate. Change: core::ConcurrencyWindow limits the reward calls of a process to each server: slow start, a halved limit after a refusal, and a pause that doubles while even one call at a time is refused. Reward calls are marked as deferrable; orders are not limited.

--- a/src/core/request_rate.h
+++ b/src/core/request_rate.h
@@ -8,6 +8,17 @@
 
 namespace lentilrack::core {
 
+/// A server that states a request rate is used like others again if it has not
+/// responded for this time, since only a response tells that the limit has
+/// ended.
+inline constexpr Millis kStatedRateRecheckTime{ 2'000 };
+/// A permit must be used within this time after the question. A process that
+/// was paused in between asks again.
+inline constexpr Millis kPermitLifetime{ 500 };
+/// Delay before the next question if the allocator is unknown, unreachable, or
+/// takes another instance for the allocator.
+inline constexpr Millis kPermitUnavailableDelay{ 150 };
+
 /// Which requests get the permits of a server when there are too few of them.
 enum class PermitPriority
 {
--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -30,10 +30,6 @@
 /// No further question for a permit of a server is asked for this time, unless
 /// the first one is answered earlier.
 constexpr Millis kPermitQuestionTime{ 250 };
-/// A server that states a request rate is used like others again if it has not
-/// responded for this time, since only a response tells that the limit has
-/// ended.
-constexpr Millis kStatedRateRecheckTime{ 2'000 };
 
 } // namespace
 
@@ -150,7 +146,9 @@
       !server.statedRate ||
       (!requirements.excludesRateLimited &&
        now >= server.nextPermitAt(requirements.permitPriority));
-    if (hasPermit && canServe(server, requirements, now)) {
+    const bool hasRoom =
+      !requirements.isDeferrable || server.deferrable.hasRoom(now);
+    if (hasPermit && hasRoom && canServe(server, requirements, now)) {
       candidates.push_back(&server);
     }
   }
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/concurrency_window.h"
 #include "core/endpoint.h"
 #include "core/request_rate.h"
 #include "core/time.h"
@@ -66,6 +67,9 @@
   TimePoint nextInteractivePermitAt{};
   TimePoint nextBackgroundPermitAt{};
 
+  /// Limits the deferrable requests of this process to the server.
+  ConcurrencyWindow deferrable;
+
   TimePoint& nextPermitAt(PermitPriority priority)
   {
     return priority == PermitPriority::Interactive ? nextInteractivePermitAt
@@ -96,6 +100,10 @@
   /// Whether servers that state a request rate are excluded. Set for requests
   /// that are not needed, such as hedges.
   bool excludesRateLimited = false;
+  /// Whether the request can wait. Such requests leave a server alone for a
+  /// while after it has refused one of them, so that they do not take the slots
+  /// of requests that cannot wait.
+  bool isDeferrable = false;
 };
 
 /// The backend servers listed in the directory, together with this process's
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -158,7 +158,7 @@
   {
     const auto now = Clock::now();
     const auto next = mContext.registry.nextPermitTime(requirements(), now);
-    if (!next || !canRetry()) {
+    if (!next || !canRetry() || mCall.isDeferrable) {
       return std::nullopt;
     }
     const auto wait =
@@ -177,9 +177,33 @@
     requirements.preferredDomain = mContext.settings.failureDomain;
     requirements.permitPriority = permitPriority(mCall.kind);
     requirements.excludesRateLimited = mRunningAttempts > 0;
+    requirements.isDeferrable = mCall.isDeferrable;
     return requirements;
   }
 
+  /// Returns the window that limits this call on the server; null if the call
+  /// cannot wait or the server is unknown.
+  core::ConcurrencyWindow* deferrableWindow(const core::ServerEntry& server)
+  {
+    auto* state = mContext.registry.find(server.id, server.startedAt);
+    return mCall.isDeferrable && state != nullptr ? &state->deferrable
+                                                  : nullptr;
+  }
+
+  /// Records whether the server had capacity for an attempt. A full server also
+  /// resets new connections.
+  static void recordCapacity(core::ConcurrencyWindow& window,
+                             AttemptOutcome outcome)
+  {
+    if (outcome == AttemptOutcome::Answered) {
+      window.accepted();
+    } else if (outcome == AttemptOutcome::Refused ||
+               outcome == AttemptOutcome::NotSent ||
+               outcome == AttemptOutcome::Incomplete) {
+      window.refused(Clock::now());
+    }
+  }
+
   /// Returns true if the request may be sent to another server.
   bool canRetry() const
   {
@@ -244,9 +268,16 @@
     http.request.headers.emplace_back(names.expectedServer, server.id);
     const auto start = Clock::now();
     mContext.registry.requestStarted(server);
+    if (auto* window = deferrableWindow(server)) {
+      window->started();
+    }
     auto result =
       co_await mContext.servers.call(server, std::move(http), mCall.kind);
     mContext.registry.requestEnded(server);
+    if (auto* window = deferrableWindow(server)) {
+      window->ended();
+      recordCapacity(*window, classifyAttempt(result, names));
+    }
     --mRunningAttempts;
     if (!mIsDone && !mIsCancelled) {
       handleResult(server, std::move(result), start);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -32,6 +32,9 @@
   /// slow to respond (hedging).
   bool allowsHedging = false;
   ServerRequestKind kind = ServerRequestKind::Forward;
+  /// True if the caller repeats the request later when no server takes it now;
+  /// see core::ServerRequirements::isDeferrable.
+  bool isDeferrable = false;
   core::TimePoint deadline;
   std::shared_ptr<net::CancelSignal> cancel;
 };
--- a/src/gateway/item_score.cpp
+++ b/src/gateway/item_score.cpp
@@ -11,8 +11,10 @@
 using core::Clock;
 using core::Millis;
 
-/// Delay before the call is repeated if it yielded no score.
+/// Delays before the call is repeated if it yielded no score. The delay doubles
+/// up to the maximum while no server takes the call.
 constexpr Millis kRetryDelay{ 20 };
+constexpr Millis kMaxRetryDelay{ 40 };
 /// Delay before the route of the call is looked up again if the desired state
 /// has none.
 constexpr Millis kRouteRetryDelay{ 50 };
@@ -39,6 +41,7 @@
   call.retriesServerErrors = false;
   call.allowsHedging = true;
   call.kind = ServerRequestKind::Reward;
+  call.isDeferrable = true;
   call.deadline = Clock::now() + route.timeout;
   call.cancel = request.cancel;
   return call;
@@ -49,6 +52,7 @@
 net::Awaitable<ItemScore>
 scoreItem(Context& context, Forwarder& forwarder, ScoreRequest request)
 {
+  auto delay = kRetryDelay;
   while (!request.cancel->isCancelRequested()) {
     const auto desired = context.desired;
     const auto* route =
@@ -71,11 +75,15 @@
     if (outcome.conclusion == CallConclusion::Cancelled) {
       break;
     }
-    if (outcome.retryAfter > Millis(0)) {
-      // All servers state request rates that are used up.
-      co_await net::sleepFor(std::max(kRetryDelay, outcome.retryAfter));
+    if (outcome.conclusion == CallConclusion::NotExecuted) {
+      // All servers are full or have used up the request rates that they state.
+      context.metrics.increment("reward_calls_deferred_total");
+      const auto part = 0.5 + 0.5 * context.uniformRandom();
+      co_await net::sleepFor(std::chrono::duration_cast<Millis>(part * delay));
+      delay = std::min(2 * delay, kMaxRetryDelay);
       continue;
     }
+    delay = kRetryDelay;
     context.log.info("reward_call",
                      { { "batch", request.batch },
                        { "item", request.item },
--- a/src/gateway/rate_permits.cpp
+++ b/src/gateway/rate_permits.cpp
@@ -18,12 +18,6 @@
 
 /// Time-out of questions to peers. Peers answer within a few milliseconds.
 constexpr Millis kPeerTimeout{ 200 };
-/// A permit must be used within this time after the question. A process that
-/// was paused in between asks again.
-constexpr Millis kPermitLifetime{ 500 };
-/// Delay before the next question if the allocator is unknown, unreachable, or
-/// takes another instance for the allocator.
-constexpr Millis kUnavailableDelay{ 150 };
 /// Number of instances that confirm an allocator, and how long a confirmation
 /// holds.
 constexpr std::size_t kWitnesses = 3;
@@ -179,14 +173,14 @@
       co_return true;
     case Outcome::NotAllocator:
       mContext.registry.recordPermitDecision(
-        server, refusal(kUnavailableDelay), now);
+        server, refusal(core::kPermitUnavailableDelay), now);
       co_return false;
     case Outcome::Granted:
     case Outcome::Refused:
       break;
   }
   mContext.registry.recordPermitDecision(server, received.decision, now);
-  const bool isCurrent = bootTime() - askedAt <= kPermitLifetime;
+  const bool isCurrent = bootTime() - askedAt <= core::kPermitLifetime;
   co_return received.decision.isGranted&& isCurrent;
 }
 
