Keep entry and dispatch within the rates that backend servers state

Cause: lentilrack-entry and lentilrack-dispatch did not read a stated rate either. Change: a response header states the rate (backends/stated_rate.h); the stand-ins gain the control stated_rate. The dispatcher that owns an engine or plain service grants its permits (core::RateAllocator in ServerSet) to jobs, load reports, cache events, weight loads and cancellations alike. Entries call the scorers of trainers, which have no owner: the first live entry in takeover order grants the permits of a scorer to all (entry/scorer_rates), and grants none while it is isolated. Servers without a rate are used first; one that has not responded for 2 s is tried like the others again. Work that the rates leave no time for is refused at once as not run, with the time until it would fit. Not covered: the weight store, whose limit of reads has its own protocol (429).

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -49,7 +49,7 @@
       servers.applyReport(id, report);
       for (std::int64_t slot = 0; slot < kSlots; ++slot) {
         if (fill(100) < static_cast<std::uint32_t>(busyPercent)) {
-          servers.started(id, false);
+          servers.started(id, false, now);
         }
       }
     }
--- a/src/backends/engine_client.cpp
+++ b/src/backends/engine_client.cpp
@@ -141,11 +141,19 @@
 
 } // namespace
 
-EngineClient::EngineClient(net::HttpClient& http)
+EngineClient::EngineClient(net::HttpClient& http, RateHook onRate)
   : mHttp(http)
+  , mOnRate(std::move(onRate))
 {
 }
 
+net::Awaitable<net::HttpResult>
+EngineClient::send(net::HttpCall call)
+{
+  reportStatedRate(call, mOnRate);
+  co_return co_await mHttp.call(std::move(call));
+}
+
 net::Awaitable<core::Outcome>
 EngineClient::generate(core::Endpoint engine, GenerateCall call)
 {
@@ -162,7 +170,7 @@
     hook = call.cancel->addCallback(
       [abortSignal = state.abortSignal] { abortSignal->cancel(); });
   }
-  const auto result = co_await mHttp.call(std::move(exchange));
+  const auto result = co_await send(std::move(exchange));
   if (call.cancel) {
     call.cancel->removeCallback(hook);
   }
@@ -177,7 +185,7 @@
 {
   const wire::Json body = { { "attempt", std::move(attempt) } };
   auto call = jsonCall(std::move(engine), "/v1/cancel", body, kControlTimeout);
-  const auto result = co_await mHttp.call(std::move(call));
+  const auto result = co_await send(std::move(call));
   co_return responseError(result);
 }
 
@@ -192,7 +200,7 @@
                             { "version", version },
                             { "source", source.text() } };
   auto call = jsonCall(std::move(engine), "/v1/load", body, timeout);
-  const auto result = co_await mHttp.call(std::move(call));
+  const auto result = co_await send(std::move(call));
   // The engine's protocol uses status 500 for weights that could not be loaded.
   const bool hasFailed = !result.error && result.response.status == 500;
   co_return hasFailed ? make_error_code(BackendError::Refused)
@@ -204,7 +212,7 @@
 {
   auto call = callWithoutBody(
     std::move(engine), "GET", "/v1/load_report", kControlTimeout);
-  const auto result = co_await mHttp.call(std::move(call));
+  const auto result = co_await send(std::move(call));
   if (const auto error = responseError(result)) {
     co_return error;
   }
@@ -218,7 +226,7 @@
                               "GET",
                               "/v1/cache_events?after=" + std::to_string(after),
                               kControlTimeout);
-  const auto result = co_await mHttp.call(std::move(call));
+  const auto result = co_await send(std::move(call));
   if (const auto error = responseError(result)) {
     co_return error;
   }
--- a/src/backends/engine_client.h
+++ b/src/backends/engine_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backends/stated_rate.h"
 #include "core/endpoint.h"
 #include "core/result.h"
 #include "core/work.h"
@@ -86,7 +87,8 @@
 class EngineClient
 {
 public:
-  explicit EngineClient(net::HttpClient& http);
+  /// `onRate` is called with the request rates that the engines state.
+  explicit EngineClient(net::HttpClient& http, RateHook onRate = {});
 
   /// Sends a request and returns its outcome. The verdict is
   /// - Done if the complete answer was received; the outcome then contains the
@@ -119,7 +121,10 @@
                                                         std::int64_t after);
 
 private:
+  net::Awaitable<net::HttpResult> send(net::HttpCall call);
+
   net::HttpClient& mHttp;
+  RateHook mOnRate;
 };
 
 } // namespace lentilrack::backends
--- a/src/backends/scorer_client.cpp
+++ b/src/backends/scorer_client.cpp
@@ -4,8 +4,9 @@
 
 namespace lentilrack::backends {
 
-ScorerClient::ScorerClient(net::HttpClient& http)
+ScorerClient::ScorerClient(net::HttpClient& http, RateHook onRate)
   : mHttp(http)
+  , mOnRate(std::move(onRate))
 {
 }
 
@@ -20,6 +21,7 @@
   }
   const wire::Json body = { { "samples", std::move(samples) } };
   auto call = jsonCall(std::move(scorer), "/score", body, timeout);
+  reportStatedRate(call, mOnRate);
   const auto result = co_await mHttp.call(std::move(call));
   if (const auto error = responseError(result)) {
     co_return error;
--- a/src/backends/scorer_client.h
+++ b/src/backends/scorer_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backends/stated_rate.h"
 #include "core/endpoint.h"
 #include "core/result.h"
 #include "net/http_client.h"
@@ -20,7 +21,8 @@
 class ScorerClient
 {
 public:
-  explicit ScorerClient(net::HttpClient& http);
+  /// `onRate` is called with the request rates that the scorers state.
+  explicit ScorerClient(net::HttpClient& http, RateHook onRate = {});
 
   /// Returns one score for each item, in the same order. Errors: Unavailable,
   /// BadResponse, Refused.
@@ -31,6 +33,7 @@
 
 private:
   net::HttpClient& mHttp;
+  RateHook mOnRate;
 };
 
 } // namespace lentilrack::backends
--- a/src/backends/service_client.cpp
+++ b/src/backends/service_client.cpp
@@ -30,8 +30,9 @@
 
 } // namespace
 
-ServiceClient::ServiceClient(net::HttpClient& http)
+ServiceClient::ServiceClient(net::HttpClient& http, RateHook onRate)
   : mHttp(http)
+  , mOnRate(std::move(onRate))
 {
 }
 
@@ -62,6 +63,7 @@
       call.onChunk({ std::string(data), 0, std::nullopt });
     }
   };
+  reportStatedRate(exchange, mOnRate);
   const auto result = co_await mHttp.call(std::move(exchange));
   if (result.error) {
     co_return failedOutcome(result);
--- a/src/backends/service_client.h
+++ b/src/backends/service_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backends/stated_rate.h"
 #include "core/endpoint.h"
 #include "core/work.h"
 #include "net/http_client.h"
@@ -30,7 +31,8 @@
 class ServiceClient
 {
 public:
-  explicit ServiceClient(net::HttpClient& http);
+  /// `onRate` is called with the request rates that the services state.
+  explicit ServiceClient(net::HttpClient& http, RateHook onRate = {});
 
   /// Sends a call and returns its outcome. The verdict is Done for any complete
   /// response, also with an error status; the outcome then contains the status
@@ -41,6 +43,7 @@
 
 private:
   net::HttpClient& mHttp;
+  RateHook mOnRate;
 };
 
 } // namespace lentilrack::backends
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -146,6 +146,12 @@
   if (mJobs.size() >= mOptions.maxJobs) {
     return refuse(notRun("overload", Millis(1000)));
   }
+  const auto queue = mQueueByTarget.find(target);
+  const auto queued = queue == mQueueByTarget.end() ? 0 : queue->second.size();
+  const auto rateWait = mServers.rateWait(target, queued + 1, now);
+  if (rateWait >= remaining) {
+    return refuse(notRun("request_rate", rateWait));
+  }
   const auto cost = mCosts.estimate(work);
   const auto wait = mHooks.admissionWait(estimatedWait(submission, cost, now));
   const auto run = runTime(submission, cost);
@@ -273,7 +279,7 @@
   job.producedTokens = 0;
   job.server = server.id;
   ++job.runs;
-  mServers.started(server.id, job.isLong);
+  mServers.started(server.id, job.isLong, now);
   mHealth.started(server.id, now);
   mPrefixes.recordAssignment(server.id, job.submission.work.prefix);
   return { id,
--- a/src/core/server_choice.cpp
+++ b/src/core/server_choice.cpp
@@ -172,10 +172,19 @@
                  pcg32& random,
                  const ServerChoiceOptions& options)
 {
-  const auto candidates = findCandidates(request, view, random, options);
+  auto candidates = findCandidates(request, view, random, options);
   if (candidates.empty()) {
     return std::nullopt;
   }
+  // Servers that state a request rate are used only if no other one has a slot.
+  const auto isLimited = [&](std::size_t index) {
+    const auto& server = view.servers.at(index);
+    return server.statedRate &&
+           view.now - server.rateStatedAt < kStatedRateRecheckTime;
+  };
+  if (!std::ranges::all_of(candidates, isLimited)) {
+    std::erase_if(candidates, isLimited);
+  }
   double running = 0;
   for (const auto index : candidates) {
     running += view.servers.slots(index).running;
--- a/src/core/server_set.cpp
+++ b/src/core/server_set.cpp
@@ -67,6 +67,8 @@
       state->reportedLeaving = false;
       state->report.reset();
       state->versions.clear();
+      state->statedRate.reset();
+      state->nextPermitAt = {};
     }
     state->server = server;
     state->server.slots = std::max<std::int64_t>(server.slots, 1);
@@ -153,10 +155,83 @@
   }
 }
 
+bool
+ServerSet::requestPermit(ServerState& state,
+                         PermitPriority priority,
+                         TimePoint now)
+{
+  const auto decision = mRates.request(
+    state.server.id, state.statedRate.value_or(0), "", priority, now);
+  state.nextPermitAt = now + decision.nextInteractive;
+  updateSlotState(state);
+  return decision.isGranted;
+}
+
+void
+ServerSet::recordStatedRate(const Endpoint& endpoint,
+                            std::optional<double> rate,
+                            TimePoint now)
+{
+  auto* state = findMutable(endpoint);
+  if (state == nullptr) {
+    return;
+  }
+  const bool isNew = rate && !state->statedRate;
+  state->statedRate = rate;
+  state->rateStatedAt = now;
+  if (isNew) {
+    // Starts the allocation. The request that has just been answered counts as
+    // its first one.
+    requestPermit(*state, PermitPriority::Interactive, now);
+  } else if (!rate) {
+    mRates.remove(state->server.id);
+    state->nextPermitAt = {};
+    updateSlotState(*state);
+  }
+}
+
+bool
+ServerSet::takePermit(const Endpoint& endpoint, TimePoint now)
+{
+  auto* state = findMutable(endpoint);
+  return state == nullptr || !state->statedRate ||
+         requestPermit(*state, PermitPriority::Background, now);
+}
+
+Millis
+ServerSet::rateWait(const std::string& target,
+                    std::size_t requests,
+                    TimePoint now) const
+{
+  double rate = 0;
+  auto first = TimePoint::max();
+  for (const auto index : serving(target)) {
+    const auto& state = at(index);
+    if (!state.isOpen(now)) {
+      continue;
+    }
+    if (!state.statedRate) {
+      return Millis(0);
+    }
+    rate += *state.statedRate;
+    first = std::min(first, state.nextPermitAt);
+  }
+  if (first == TimePoint::max() || rate <= 0) {
+    return Millis(0);
+  }
+  const std::chrono::duration<double> queue(static_cast<double>(requests - 1) /
+                                            rate);
+  return std::chrono::duration_cast<Millis>(
+    std::max(first, now) - now + std::chrono::duration_cast<Millis>(queue));
+}
+
 void
-ServerSet::started(const std::string& id, bool isLong)
+ServerSet::started(const std::string& id, bool isLong, TimePoint now)
 {
   if (auto* state = findMutable(id)) {
+    if (state->statedRate) {
+      requestPermit(*state, PermitPriority::Interactive, now);
+    }
     ++state->running;
     state->runningLong += isLong ? 1 : 0;
     updateSlotState(*state);
@@ -233,6 +308,7 @@
   const auto index = static_cast<std::size_t>(&state - mServers.data());
   auto& slots = mSlots[index];
   slots.refusedUntil = state.refusedUntil;
+  slots.nextPermitAt = state.nextPermitAt;
   slots.limit = static_cast<std::int32_t>(state.limit());
   slots.running = static_cast<std::int32_t>(state.running);
   slots.runningLong = static_cast<std::int32_t>(state.runningLong);
@@ -255,6 +331,16 @@
   return found == mIndex.end() ? nullptr : &mServers[found->second];
 }
 
+ServerState*
+ServerSet::findMutable(const Endpoint& endpoint)
+{
+  const auto found =
+    std::ranges::find_if(mServers, [&](const ServerState& state) {
+      return state.server.endpoint == endpoint;
+    });
+  return found == mServers.end() ? nullptr : &*found;
+}
+
 const ServerState*
 ServerSet::find(const std::string& id) const
 {
--- a/src/core/server_set.h
+++ b/src/core/server_set.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/backend_server.h"
+#include "core/request_rate.h"
 #include "core/time.h"
 
 #include <functional>
@@ -55,6 +56,13 @@
   double slowStartLimit = 1;
   TimePoint ownedSince;
   std::optional<ServerReport> report;
+  /// Requests per second that the server takes from all processes together, as
+  /// its newest response states; empty if that one states none.
+  std::optional<double> statedRate;
+  /// When the response that stated the rate arrived.
+  TimePoint rateStatedAt;
+  /// When the server takes the next request, if it states a rate.
+  TimePoint nextPermitAt;
 
   /// Returns how many jobs may run at a time: the number of slots or
   /// `slowStartLimit`, whichever is smaller.
@@ -76,6 +84,8 @@
 struct SlotState
 {
   TimePoint refusedUntil;
+  /// When the server takes the next request, if it states a rate.
+  TimePoint nextPermitAt;
   std::int32_t limit = 0;
   std::int32_t running = 0;
   std::int32_t runningLong = 0;
@@ -86,7 +96,8 @@
   /// Whether the server may get new work now and has a slot for it.
   bool hasFreeSlot(TimePoint now) const
   {
-    return usable && running < limit && refusedUntil <= now;
+    return usable && running < limit && refusedUntil <= now &&
+           nextPermitAt <= now;
   }
 };
 
@@ -141,8 +152,24 @@
   /// calls are undone.
   void release(const std::string& id);
 
+  /// Records the request rate that a response from the endpoint states, or that
+  /// it states none.
+  void recordStatedRate(const Endpoint& endpoint,
+                        std::optional<double> rate,
+                        TimePoint now);
+  /// Takes a permit for a request that is no job, such as one for a load
+  /// report. Returns false if the server states a rate and takes no such
+  /// request now.
+  bool takePermit(const Endpoint& endpoint, TimePoint now);
+  /// Returns the time until the servers of a model or service take `requests`
+  /// further requests, if all that may get new work state rates; otherwise
+  /// zero.
+  Millis rateWait(const std::string& target,
+                  std::size_t requests,
+                  TimePoint now) const;
+
   /// Counts a started job.
-  void started(const std::string& id, bool isLong);
+  void started(const std::string& id, bool isLong, TimePoint now);
   /// Counts a running job as long although it was started as short.
   void markRunLong(const std::string& id);
   /// Records that a job has ended. A success also raises the slow-start limit
@@ -175,6 +202,10 @@
 
 private:
   ServerState* findMutable(const std::string& id);
+  ServerState* findMutable(const Endpoint& endpoint);
+  bool requestPermit(ServerState& state,
+                     PermitPriority priority,
+                     TimePoint now);
   void rebuildIndexes();
   void updateSlotState(const ServerState& state);
 
@@ -186,6 +217,9 @@
   /// Indexes of the servers of each model or service.
   std::map<std::string, std::vector<std::size_t>> mServing;
   std::uint64_t mGeneration = 0;
+  /// This dispatcher alone sends requests to the servers that it owns, so that
+  /// it also grants the permits.
+  RateAllocator mRates;
 };
 
 } // namespace lentilrack::core
--- a/src/dispatch/dispatch_app.cpp
+++ b/src/dispatch/dispatch_app.cpp
@@ -48,7 +48,7 @@
                      [this](const std::string& server) {
                        mServerMonitor.raiseFencing(server);
                      })
-  , mEngineClient(node.http())
+  , mEngineClient(node.http(), rateHook(mScheduler))
   , mWeightUpdater(
       std::make_shared<WeightUpdater>(node.io(),
                                       node.http(),
@@ -196,6 +196,9 @@
                          std::int64_t version,
                          core::Endpoint source)
 {
+  if (!servers().takePermit(engine.endpoint, core::Clock::now())) {
+    co_return false;
+  }
   const auto error = co_await mEngineClient.load(
     engine.endpoint, model, version, std::move(source), kLoadTimeout);
   if (!error) {
--- a/src/dispatch/dispatch_service.cpp
+++ b/src/dispatch/dispatch_service.cpp
@@ -59,6 +59,15 @@
 
 } // namespace
 
+backends::RateHook
+rateHook(core::Scheduler& scheduler)
+{
+  return
+    [&scheduler](const core::Endpoint& server, std::optional<double> rate) {
+      scheduler.servers().recordStatedRate(server, rate, Clock::now());
+    };
+}
+
 DispatchService::DispatchService(node::Node& node,
                                  core::Scheduler& scheduler,
                                  Fencing& fencing,
@@ -67,8 +76,8 @@
   , mScheduler(scheduler)
   , mFencing(fencing)
   , mOnStaleFencing(std::move(onStaleFencing))
-  , mEngineClient(node.http())
-  , mServiceClient(node.http())
+  , mEngineClient(node.http(), rateHook(scheduler))
+  , mServiceClient(node.http(), rateHook(scheduler))
 {
 }
 
@@ -343,6 +352,10 @@
 Awaitable<void>
 DispatchService::cancelAtEngine(core::Endpoint engine, std::string attempt)
 {
+  // Without a permit, the engine stops the run when its connection closes.
+  if (!mScheduler.servers().takePermit(engine, Clock::now())) {
+    co_return;
+  }
   co_await mEngineClient.cancel(std::move(engine), std::move(attempt));
 }
 
--- a/src/dispatch/dispatch_service.h
+++ b/src/dispatch/dispatch_service.h
@@ -17,6 +17,10 @@
 
 namespace lentilrack::dispatch {
 
+/// Returns a hook that records the request rates which the servers state.
+backends::RateHook
+rateHook(core::Scheduler& scheduler);
+
 /// Handles the link requests "dispatch" and "bar". A dispatch request submits
 /// work, which becomes a job: the scheduler decides when the job runs on a
 /// backend server, and the answer is streamed back to the entry process that
--- a/src/dispatch/server_monitor.cpp
+++ b/src/dispatch/server_monitor.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/server_monitor.h"
 
 #include "core/ownership.h"
+#include "dispatch/dispatch_service.h"
 
 #include <algorithm>
 
@@ -17,7 +18,7 @@
   , mScheduler(scheduler)
   , mFencing(fencing)
   , mOptions(options)
-  , mEngineClient(node.http())
+  , mEngineClient(node.http(), rateHook(scheduler))
 {
 }
 
@@ -118,6 +119,9 @@
     co_return;
   }
   const auto endpoint = state->server.endpoint;
+  if (!mScheduler.servers().takePermit(endpoint, Clock::now())) {
+    co_return;
+  }
   // The time at which the engine wrote the report is not known, but it is after
   // the request. The age of the report is therefore counted from the request,
   // so that `observedAt` is never too late.
@@ -151,6 +155,9 @@
     co_return;
   }
   const auto endpoint = state->server.endpoint;
+  if (!mScheduler.servers().takePermit(endpoint, Clock::now())) {
+    co_return;
+  }
   auto& prefixes = mScheduler.prefixes();
   const auto after = prefixes.lastSequence(server);
   const auto events = co_await mEngineClient.cacheEvents(endpoint, after);
--- a/src/entry/entry_app.h
+++ b/src/entry/entry_app.h
@@ -51,6 +51,7 @@
 
   DispatchClient& dispatchClient() { return mDispatchClient; }
   OrderService& orderService() { return *mOrderService; }
+  TrainerApi& trainerApi() { return mTrainerApi; }
 
 private:
   RetryHooks retryHooks();
--- a/src/entry/sample_scorer.cpp
+++ b/src/entry/sample_scorer.cpp
@@ -3,17 +3,27 @@
 #include "backends/error.h"
 #include "net/random.h"
 
+#include <algorithm>
+
 namespace lentilrack::entry {
 
 using net::Awaitable;
 
+namespace {
+
+/// Maximum time until another scorer is tried while all of them have used up
+/// the request rates that they state.
+constexpr core::Millis kMaxPermitDelay{ 100 };
+
+} // namespace
+
 SampleScorer::SampleScorer(net::asio::io_context& io,
                            net::HttpClient& http,
                            net::Metrics& metrics,
                            net::Logger log,
                            SampleScorerOptions options)
   : mIo(io)
-  , mScorerClient(http)
+  , mScorerClient(http, options.onRate)
   , mMetrics(metrics)
   , mLog(std::move(log))
   , mOptions(std::move(options))
@@ -72,6 +82,15 @@
   return endpoints[mNextEndpoint++ % endpoints.size()];
 }
 
+Awaitable<core::Millis>
+SampleScorer::permitDelay(core::Endpoint scorer)
+{
+  if (!mOptions.takePermit) {
+    co_return core::Millis(0);
+  }
+  co_return co_await mOptions.takePermit(std::move(scorer));
+}
+
 Awaitable<void>
 SampleScorer::scoreBatch(std::vector<ScoreJob> jobs)
 {
@@ -84,6 +103,11 @@
     std::error_code error = backends::BackendError::Unavailable;
     const auto endpoint = nextEndpoint();
     if (endpoint) {
+      const auto delay = co_await permitDelay(*endpoint);
+      if (delay > core::Millis(0)) {
+        co_await net::sleepFor(std::min(delay, kMaxPermitDelay));
+        continue;
+      }
       std::vector<backends::ScoreItem> items;
       for (const auto& job : jobs) {
         items.push_back({ job.prompt, job.text });
--- a/src/entry/sample_scorer.h
+++ b/src/entry/sample_scorer.h
@@ -33,6 +33,11 @@
 {
   /// Returns the scorers that can be used; called before each attempt.
   std::function<std::vector<core::Endpoint>()> endpoints;
+  /// Called before each call. Returns zero if the call may be sent now,
+  /// otherwise the time after which to try again.
+  std::function<net::Awaitable<core::Millis>(core::Endpoint)> takePermit;
+  /// Called with the request rates that the scorers state.
+  backends::RateHook onRate;
   std::function<core::Millis(std::int64_t failures, double random)> backoff =
     core::stepBackoff;
   /// Time limit of one call to a scorer.
@@ -65,6 +70,8 @@
   void startCalls();
   std::vector<ScoreJob> takeBatch();
   net::Awaitable<void> scoreBatch(std::vector<ScoreJob> jobs);
+  /// Returns the time until the scorer takes a call; zero if it does now.
+  net::Awaitable<core::Millis> permitDelay(core::Endpoint scorer);
   void requeue(std::vector<ScoreJob> jobs);
   std::optional<core::Endpoint> nextEndpoint();
 
--- a/src/entry/trainer_api.cpp
+++ b/src/entry/trainer_api.cpp
@@ -338,6 +338,12 @@
 
 TrainerApi::~TrainerApi() = default;
 
+ScorerRates&
+TrainerApi::scorerRates()
+{
+  return *mState->scorerRates;
+}
+
 void
 TrainerApi::addRoutes(net::HttpRouter& router)
 {
--- a/src/entry/trainer_api.h
+++ b/src/entry/trainer_api.h
@@ -2,6 +2,7 @@
 
 #include "entry/dispatch_client.h"
 #include "entry/sample_scorer.h"
+#include "entry/scorer_rates.h"
 #include "net/http_router.h"
 #include "node/node.h"
 
@@ -39,6 +40,8 @@
   /// sent a message in the last 30 s.
   std::int64_t activeSteps() const;
 
+  ScorerRates& scorerRates();
+
 private:
   struct State;
   std::shared_ptr<State> mState;
--- a/src/entry/trainer_state.cpp
+++ b/src/entry/trainer_state.cpp
@@ -30,10 +30,19 @@
   , log(owner.log().child("steps"))
   , weightStore(owner.http())
   , versions(std::make_shared<core::VersionTracker>())
+  , scorerRates(std::make_shared<ScorerRates>(owner))
   , services(std::make_shared<StepServices>())
 {
+  scorerRates->addHandler();
   SampleScorerOptions options;
   options.endpoints = [this] { return scorerEndpoints(); };
+  options.takePermit = [rates = scorerRates](core::Endpoint scorer) {
+    return rates->takePermit(std::move(scorer));
+  };
+  options.onRate = [rates = scorerRates](const core::Endpoint& scorer,
+                                         std::optional<double> rate) {
+    rates->recordStatedRate(scorer, rate);
+  };
   services->io = &owner.io();
   services->metrics = &owner.metrics();
   services->scorer = std::make_shared<SampleScorer>(owner.io(),
@@ -80,7 +89,8 @@
       (server.leaving ? leaving : live).push_back(server.endpoint);
     }
   }
-  return live.empty() ? leaving : live;
+  return scorerRates->preferred(live.empty() ? std::move(leaving)
+                                             : std::move(live));
 }
 
 Json
--- a/src/entry/trainer_state.h
+++ b/src/entry/trainer_state.h
@@ -59,6 +59,7 @@
   net::Logger log;
   backends::WeightStoreClient weightStore;
   std::shared_ptr<core::VersionTracker> versions;
+  std::shared_ptr<ScorerRates> scorerRates;
   std::shared_ptr<StepServices> services;
   std::map<StepKey, std::shared_ptr<StepRunner>> steps;
   /// The opening number at which a trainer closed each step. A delayed message
--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -197,7 +197,8 @@
   stream.isSilent = isSilent;
   if (!isSilent) {
     co_await mServer.simulateNetworkDelay();
-    co_await exchange.beginStream(200, "application/x-ndjson");
+    co_await exchange.beginStream(
+      200, "application/x-ndjson", mServer.responseHeaders());
   }
   runRecord.finished = co_await produceTokens(stream);
   if (!runRecord.finished || isSilent) {
--- a/src/standins/standin_server.cpp
+++ b/src/standins/standin_server.cpp
@@ -1,7 +1,13 @@
 #include "standins/standin_server.h"
 
+#include "backends/stated_rate.h"
 #include "core/decimal.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <stdexcept>
 
 namespace lentilrack::standins {
@@ -103,9 +109,21 @@
 StandinServer::reply(net::HttpExchange& exchange, net::HttpResponse response)
 {
   co_await simulateNetworkDelay();
+  std::ranges::copy(responseHeaders(), std::back_inserter(response.headers));
   co_await exchange.respond(std::move(response));
 }
 
+net::Headers
+StandinServer::responseHeaders() const
+{
+  net::Headers headers;
+  if (mFaults.statedRate > 0) {
+    headers.emplace_back(backends::kStatedRateHeader,
+                         fmt::format("{}", mFaults.statedRate));
+  }
+  return headers;
+}
+
 net::Awaitable<void>
 StandinServer::replyJson(net::HttpExchange& exchange,
                          int status,
@@ -220,6 +238,10 @@
   faults.loseReplies =
     reader.integerOr("lose_replies", 0, kMaxLostReplies, faults.loseReplies);
   faults.leaving = reader.optional("leaving", faults.leaving);
+  faults.statedRate = reader.optional("stated_rate", faults.statedRate);
+  if (!std::isfinite(faults.statedRate) || faults.statedRate < 0) {
+    reader.fail("stated_rate", "must be 0 or more");
+  }
   const bool isCrash = reader.optional("crash", false);
   const auto closed = core::Millis(
     reader.integerOr("refuse_connections_ms", 0, kMaxDurationMs, 0));
--- a/src/standins/standin_server.h
+++ b/src/standins/standin_server.h
@@ -30,6 +30,9 @@
   /// Number of further replies to lose after their requests took effect.
   std::int64_t loseReplies = 0;
   bool leaving = false;
+  /// Requests per second that each response states as the server's limit; 0 if
+  /// responses state none. The server does not enforce it.
+  double statedRate = 0;
 };
 
 /// HTTP server of one stand-in. Simulates its faults and network delay, and
@@ -95,6 +98,8 @@
   /// Returns true if the reply to the current request is to be lost, and then
   /// decrements the number of replies to lose.
   bool consumeReplyLoss();
+  /// Returns the headers that every response has.
+  net::Headers responseHeaders() const;
   /// Suspends for the network delay. Needed only before a streamed answer,
   /// because reply() includes the delay.
   net::Awaitable<void> simulateNetworkDelay();
--- a/tests/core/server_choice_test.cpp
+++ b/tests/core/server_choice_test.cpp
@@ -76,8 +76,8 @@
 {
   add(3);
   for (int i = 0; i < 4; ++i) {
-    mServers.started(name(0), false);
-    mServers.started(name(2), false);
+    mServers.started(name(0), false, kStart);
+    mServers.started(name(2), false, kStart);
   }
   EXPECT_EQ(choose(request()), name(1));
 }
@@ -127,7 +127,7 @@
   std::map<std::string, int> counts;
   for (int i = 0; i < 24; ++i) {
     const auto server = choose(choiceRequest);
-    mServers.started(server, false);
+    mServers.started(server, false, kStart);
     ++counts[server];
   }
   EXPECT_LE(counts[name(2)], 8);
@@ -139,7 +139,7 @@
 TEST_F(ChoiceTest, LateReportsCountLess)
 {
   add(2);
-  mServers.started(name(1), false);
+  mServers.started(name(1), false, kStart);
   mServers.applyReport(name(0), reportOf(8, Millis(0)));
   EXPECT_EQ(choose(request()), name(1));
   mServers.applyReport(name(1), reportOf(0, Millis(0)));
@@ -163,7 +163,7 @@
 {
   add(1);
   for (int i = 0; i < 6; ++i) {
-    mServers.started(name(0), true);
+    mServers.started(name(0), true, kStart);
   }
   auto choiceRequest = request();
   EXPECT_EQ(choose(choiceRequest), name(0));
@@ -177,7 +177,7 @@
   add(500);
   for (int i = 0; i < 500; ++i) {
     for (int slot = 0; slot < 8 && i != 321; ++slot) {
-      mServers.started(name(i), false);
+      mServers.started(name(i), false, kStart);
     }
   }
   EXPECT_EQ(choose(request()), name(321));
@@ -186,7 +186,7 @@
   EXPECT_EQ(mServers.at(*index).server.id, name(321));
   EXPECT_TRUE(canPlaceAnywhere(request(), view()));
   for (int slot = 0; slot < 8; ++slot) {
-    mServers.started(name(321), false);
+    mServers.started(name(321), false, kStart);
   }
   EXPECT_EQ(choose(request()), "");
   EXPECT_FALSE(canPlaceAnywhere(request(), view()));
--- a/tests/core/server_set_test.cpp
+++ b/tests/core/server_set_test.cpp
@@ -104,7 +104,7 @@
 {
   ServerSet set;
   set.update({ engine("a") }, all, kStart);
-  set.started("a", false);
+  set.started("a", false, kStart);
   set.update({ engine("a") }, none, kStart);
   ASSERT_NE(set.find("a"), nullptr);
   EXPECT_FALSE(set.find("a")->isOpen(kStart));
@@ -117,7 +117,7 @@
 {
   ServerSet set;
   set.update({ engine("a"), engine("b") }, all, kStart);
-  set.started("a", false);
+  set.started("a", false, kStart);
   set.update({ engine("b") }, all, kStart);
   EXPECT_FALSE(set.find("a")->isOpen(kStart));
   EXPECT_EQ(set.owned().size(), 1U);
@@ -130,7 +130,7 @@
   ServerSet set;
   set.update({ engine("a") }, all, kStart);
   EXPECT_EQ(set.find("a")->freeSlots(), 1);
-  set.started("a", false);
+  set.started("a", false, kStart);
   EXPECT_EQ(set.find("a")->freeSlots(), 0);
   set.finished("a", false, true);
   EXPECT_EQ(set.find("a")->freeSlots(), 2);
@@ -165,4 +165,47 @@
   EXPECT_EQ(set.find("a")->versions.at("m"), 5);
 }
 
+// Guards against work that exceeds the rate which a server states, and against
+// a server that stays without work after its limit has ended.
+TEST(ServerSet, ServerThatStatesARateTakesWorkAtThatRate)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  const auto endpoint = set.find("a")->server.endpoint;
+  const auto index = *set.indexOf("a");
+  constexpr double kRate = 2;
+  set.recordStatedRate(endpoint, kRate, kStart);
+  int started = 0;
+  constexpr Millis kDuration{ 10'000 };
+  for (auto now = kStart; now < kStart + kDuration; now += Millis(10)) {
+    if (set.slots(index).hasFreeSlot(now)) {
+      set.started("a", false, now);
+      set.finished("a", false, true);
+      ++started;
+    }
+  }
+  // Half more than the rate, and 5, is what operators allow at most.
+  EXPECT_LE(started, 1.5 * kRate * 10 + 5);
+  EXPECT_GE(started, 0.8 * kRate * 10);
+  set.recordStatedRate(endpoint, std::nullopt, kStart + kDuration);
+  EXPECT_TRUE(set.slots(index).hasFreeSlot(kStart + kDuration));
+}
+
+// Guards against work that waits in the queue although the stated rates leave
+// no time for it.
+TEST(ServerSet, RateWaitGrowsWithTheQueue)
+{
+  ServerSet set;
+  auto first = engine("a");
+  first.endpoint = { "127.0.0.1", 1 };
+  auto second = engine("b");
+  second.endpoint = { "127.0.0.1", 2 };
+  set.update({ first, second }, all, kStart);
+  EXPECT_EQ(set.rateWait("m", 10, kStart), Millis(0));
+  set.recordStatedRate(first.endpoint, 1.0, kStart);
+  EXPECT_EQ(set.rateWait("m", 10, kStart), Millis(0));
+  set.recordStatedRate(second.endpoint, 1.0, kStart);
+  EXPECT_GE(set.rateWait("m", 21, kStart), Millis(10'000));
+}
+
 } // namespace lentilrack::core
--- a/tests/dispatch/dispatch_service_test.cpp
+++ b/tests/dispatch/dispatch_service_test.cpp
@@ -3,6 +3,8 @@
 
 #include "standins/answer_text.h"
 
+#include <algorithm>
+
 namespace lentilrack::dispatch {
 
 namespace {
@@ -281,4 +283,79 @@
   });
 }
 
+// Guards against work and load reports that together exceed the rate which an
+// engine states.
+TEST_F(DispatchServiceTest, AllRequestsToAnEngineKeepToItsStatedRate)
+{
+  run([&]() -> Awaitable<void> {
+    constexpr double kRate = 2;
+    const wire::Json limit = { { "stated_rate", kRate } };
+    auto& limited = mFleet.engines()[0]->server();
+    auto& other = mFleet.engines()[1]->server();
+    co_await control(limited, limit);
+    co_await control(other, limit);
+    co_await waitUntil([&] {
+      return std::ranges::all_of(mApp->servers().owned(), [](const auto* s) {
+        return s->server.role != core::ServerRole::Engine ||
+               s->statedRate.has_value();
+      });
+    });
+    const auto start = core::Clock::now();
+    const auto before = limited.requests();
+    for (int i = 0; i < 20; ++i) {
+      auto request = order("r" + std::to_string(i), 1);
+      net::spawn(mIo, sendIgnoringOutcome(std::move(request)));
+    }
+    co_await waitForOutcomes(6);
+    const std::chrono::duration<double> elapsed = core::Clock::now() - start;
+    // Half more than the rate, and 5, is what operators allow at most.
+    EXPECT_LE(static_cast<double>(limited.requests() - before),
+              1.5 * kRate * elapsed.count() + 5);
+  });
+}
+
+// Guards against work that is sent to a limited engine although another one has
+// a free slot.
+TEST_F(DispatchServiceTest, EngineWithoutAStatedRateIsUsedFirst)
+{
+  run([&]() -> Awaitable<void> {
+    const wire::Json limit = { { "stated_rate", 2 } };
+    co_await control(mFleet.engines()[0]->server(), limit);
+    co_await waitUntil([&] {
+      return std::ranges::any_of(mApp->servers().owned(), [](const auto* s) {
+        return s->statedRate.has_value();
+      });
+    });
+    for (int i = 0; i < 10; ++i) {
+      auto request = order("r" + std::to_string(i), 1);
+      const auto outcome = co_await send(std::move(request));
+      EXPECT_EQ(outcome.verdict, Verdict::Done);
+    }
+    EXPECT_TRUE(mFleet.engines()[0]->runs().empty());
+  });
+}
+
+// Guards against work that waits until its deadline although the stated rates
+// leave no time for it.
+TEST_F(DispatchServiceTest, WorkBeyondTheStatedRatesIsRejectedAtOnce)
+{
+  run([&]() -> Awaitable<void> {
+    const wire::Json limit = { { "stated_rate", 0.2 } };
+    co_await control(mFleet.engines()[0]->server(), limit);
+    co_await control(mFleet.engines()[1]->server(), limit);
+    co_await waitUntil([&] {
+      return std::ranges::all_of(mApp->servers().owned(), [](const auto* s) {
+        return s->server.role != core::ServerRole::Engine ||
+               s->statedRate.has_value();
+      });
+    });
+    auto request = order("r", 1);
+    request.remaining = core::Millis(1'000);
+    const auto outcome = co_await send(std::move(request));
+    EXPECT_EQ(outcome.verdict, Verdict::NotRun);
+    EXPECT_EQ(outcome.reason, "request_rate");
+    EXPECT_GT(outcome.retryAfter, core::Millis(1'000));
+  });
+}
+
 } // namespace lentilrack::dispatch
--- a/tests/entry/trainer_fixture.h
+++ b/tests/entry/trainer_fixture.h
@@ -26,6 +26,8 @@
   core::Endpoint endpoint;
   bool isDown = false;
   int calls = 0;
+  /// Requests per second that each response states as the limit; 0 for none.
+  double statedRate = 0;
   /// A call is refused if one of its samples has this text.
   std::string refusedText = "-";
 
@@ -43,6 +45,10 @@
     }
     response.status = isDown ? 503 : response.status;
     response.body = wire::Json{ { "scores", scores } }.dump();
+    if (statedRate > 0) {
+      response.headers.emplace_back(backends::kStatedRateHeader,
+                                    std::to_string(statedRate));
+    }
     co_await exchange.respond(std::move(response));
   }
 
