Let a load report end the pause after a single refusal

What callers saw: with an engine that refuses requests larger than its memory, one such order kept every engine that it was sent to closed for 3 s, and others waited. Cause: a refusal closes a server for 3 s, long enough for its load report to show that it is leaving; a report without a reason did not end the pause. Change: if a report from after the first refusal does not show that the server is leaving, the refusal concerned only that work, and the server is used again. A server that refuses twice without having completed work in between stays closed as before. Test: ReportAfterASingleRefusalEndsThePause fails before and passes.

--- a/src/core/server_set.cpp
+++ b/src/core/server_set.cpp
@@ -98,6 +98,11 @@
   if (report.observedAt >= state->versionsSetAt) {
     state->versions = report.models;
   }
+  const bool isUnexplained =
+    !report.leaving && report.observedAt > state->refusedAt;
+  if (isUnexplained && state->refusals == 1) {
+    state->refusedUntil = {};
+  }
   state->report = std::move(report);
   updateSlotState(*state);
 }
@@ -106,6 +111,8 @@
 ServerSet::recordRefusal(const std::string& id, TimePoint now)
 {
   if (auto* state = findMutable(id)) {
+    ++state->refusals;
+    state->refusedAt = now;
     state->refusedUntil = now + mOptions.refusalBackoff;
     updateSlotState(*state);
   }
@@ -260,6 +267,7 @@
   }
   if (succeeded) {
     state->slowStartLimit += 1;
+    state->refusals = 0;
   }
   updateSlotState(*state);
 }
--- a/src/core/server_set.h
+++ b/src/core/server_set.h
@@ -40,6 +40,9 @@
   bool reportedLeaving = false;
   /// The server gets no new work before this time, because it refused work.
   TimePoint refusedUntil;
+  TimePoint refusedAt;
+  /// Number of refusals since the server last completed work.
+  int refusals = 0;
   /// Number of calls of ServerSet::hold() that have not been released. New work
   /// is kept off the server unless this is 0.
   int holdCount = 0;
@@ -104,7 +107,9 @@
 struct ServerSetOptions
 {
   /// How long a server gets no new work after it refused work. This is long
-  /// enough for its next load report to show the cause.
+  /// enough for its next load report to show the cause. If the report shows
+  /// none, the first refusal concerned only the work that was refused, for
+  /// example because it is larger than the server's memory, and the pause ends.
   Millis refusalBackoff{ 3000 };
   /// Initial ServerState::slowStartLimit of a server that this dispatcher has
   /// just taken over. It is small because the previous owner may still have
--- a/tests/core/server_set_test.cpp
+++ b/tests/core/server_set_test.cpp
@@ -74,6 +74,28 @@
   EXPECT_TRUE(set.find("a")->isOpen(kStart + Millis(3000)));
 }
 
+// Guards against a single request that no engine can run, such as one larger
+// than its memory, and that closes each server it is sent to for seconds.
+TEST(ServerSet, ReportAfterASingleRefusalEndsThePause)
+{
+  ServerSet set;
+  set.update({ engine("a") }, all, kStart);
+  set.recordRefusal("a", kStart);
+  set.applyReport("a", reportAt(kStart - Millis(1), false));
+  EXPECT_FALSE(set.find("a")->isOpen(kStart + Millis(10)));
+  set.applyReport("a", reportAt(kStart + Millis(1), false));
+  EXPECT_TRUE(set.find("a")->isOpen(kStart + Millis(10)));
+  // A server that refuses again without having run anything stays closed.
+  set.recordRefusal("a", kStart + Millis(20));
+  set.applyReport("a", reportAt(kStart + Millis(30), false));
+  EXPECT_FALSE(set.find("a")->isOpen(kStart + Millis(40)));
+  set.started("a", false, kStart + Millis(4'000));
+  set.finished("a", false, true);
+  set.recordRefusal("a", kStart + Millis(5'000));
+  set.applyReport("a", reportAt(kStart + Millis(5'010), false));
+  EXPECT_TRUE(set.find("a")->isOpen(kStart + Millis(5'020)));
+}
+
 // Guards against sending work to a leaving server because an older report, from
 // before it was leaving, arrives after the newer one.
 TEST(ServerSet, OlderReportDoesNotReplaceANewerOne)
