Let the engine stand-in process its requests in batches

Cause: the stand-in gave each request a fixed rate and a prefill of its own, so our programs never met slower tokens under load, memory shared by requests and cached prefixes, preemption in the middle of a stream, or a request that no memory holds.

--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -23,6 +23,9 @@
 /// floating-point errors.
 constexpr double kRoundingTolerance = 1e-6;
 constexpr std::int64_t kCharactersPerToken = 4;
+/// Steps of a batch are simulated ahead for about this time, since a timer for
+/// each step would take too much processor time.
+constexpr core::Millis kBatchInterval{ 5 };
 constexpr int kChunkAttempts = 20;
 constexpr core::Millis kChunkRetryDelay{ 100 };
 constexpr std::int64_t kMaxFailedLoads = 1'000'000'000;
@@ -84,6 +87,8 @@
   /// True if the reply is to be lost: tokens are generated but not sent to the
   /// client.
   bool isSilent = false;
+  /// Identifies the request in the batch, if there is one.
+  EngineBatch::Id batchId = 0;
 };
 
 EngineStandin::EngineStandin(net::asio::io_context& io,
@@ -94,6 +99,7 @@
   , mWeights(http)
   , mSlots(mOptions.slots)
   , mCache(mOptions.cachePrefixes, mOptions.reportLag)
+  , mBatch(mOptions.batch)
   , mModels{ { mOptions.model, mOptions.version } }
   , mReport(mOptions.reportLag, report())
 {
@@ -133,7 +139,8 @@
   const auto control = std::make_shared<RunControl>(mServer.io());
   exchange.onClientDisconnect([control] { control->stop(); });
   const auto place = mControls.emplace(request.attempt, control);
-  const bool isAdmitted = co_await mSlots.acquire(request.priority, control);
+  const auto priority = usesBatches() ? 0 : request.priority;
+  const bool isAdmitted = co_await mSlots.acquire(priority, control);
   updateLoadReport();
   // While it waited for a slot, the request may have been stopped, or its
   // weight version may have been replaced. It is then refused, which tells the
@@ -159,7 +166,9 @@
   if (isStale) {
     return "stale_fencing";
   }
-  if (mRefusesRequests || mServer.faults().leaving || !hasVersion(body)) {
+  const bool isTooLarge = usesBatches() && !mBatch.fits(batchRequest(body));
+  if (mRefusesRequests || mServer.faults().leaving || !hasVersion(body) ||
+      isTooLarge) {
     return "refused";
   }
   mHighestFencing = std::max(mHighestFencing, body.fencing);
@@ -192,15 +201,26 @@
   runRecord.prompt = body.prompt;
   runRecord.offset = body.offset;
   const bool isSilent = mServer.consumeReplyLoss();
-  co_await prefill(body, control);
+  if (!usesBatches()) {
+    co_await prefill(body, control);
+  }
   Stream stream(exchange, body, control, runRecord);
   stream.isSilent = isSilent;
+  if (usesBatches()) {
+    mCache.touch(body.prefix, Clock::now());
+    stream.batchId = mBatch.submit(batchRequest(body));
+    if (!mIsBatchRunning) {
+      mIsBatchRunning = true;
+      net::spawn(mServer.io(), runBatch());
+    }
+  }
   if (!isSilent) {
     co_await mServer.simulateNetworkDelay();
     co_await exchange.beginStream(
       200, "application/x-ndjson", mServer.responseHeaders());
   }
   runRecord.finished = co_await produceTokens(stream);
+  mBatch.remove(stream.batchId);
   if (!runRecord.finished || isSilent) {
     exchange.abort();
     co_return;
@@ -236,21 +256,79 @@
 {
   stream.last = Clock::now();
   while (stream.next < stream.end) {
+    co_await waitForTokens(stream);
+    const bool canContinue = co_await produceDueTokens(stream);
+    if (!canContinue) {
+      co_return false;
+    }
+  }
+  co_return !stream.control->isStopped();
+}
+
+net::Awaitable<void>
+EngineStandin::waitForTokens(const Stream& stream)
+{
+  auto wait = kMaxWait;
+  if (!usesBatches()) {
     const auto rate = mOptions.tokenRate / mServer.faults().slowFactor;
     const auto wanted =
       std::clamp<double>(std::round(kChunkInterval.count() * rate),
                          1,
                          static_cast<double>(stream.end - stream.next));
-    const auto wait = std::clamp(
+    wait = std::clamp(
       Seconds((wanted - stream.dueTokens) / rate), Seconds(0), kMaxWait);
-    co_await stream.control->wait(
-      std::chrono::duration_cast<Clock::duration>(wait));
-    const bool canContinue = co_await produceDueTokens(stream);
-    if (!canContinue) {
-      co_return false;
+  }
+  co_await stream.control->wait(
+    std::chrono::duration_cast<Clock::duration>(wait));
+}
+
+void
+EngineStandin::updateDueTokens(Stream& stream) const
+{
+  if (usesBatches()) {
+    const auto due = mBatch.produced(stream.batchId) - stream.run.tokens;
+    const bool isEvent =
+      due >= mOptions.batch.tokensPerEvent || due >= stream.end - stream.next;
+    stream.dueTokens = isEvent ? static_cast<double>(due) : 0;
+    return;
+  }
+  const auto now = Clock::now();
+  const Seconds elapsed = now - stream.last;
+  stream.last = now;
+  stream.dueTokens +=
+    elapsed.count() * mOptions.tokenRate / mServer.faults().slowFactor;
+}
+
+net::Awaitable<void>
+EngineStandin::runBatch()
+{
+  while (mBatch.hasRequests()) {
+    Microseconds time{ 0 };
+    while (time < kBatchInterval) {
+      time += mBatch.runStep();
+    }
+    co_await pauseFor(std::chrono::duration_cast<Microseconds>(
+      time * mServer.faults().slowFactor));
+    for (const auto& [attempt, control] : mControls) {
+      control->wake();
     }
   }
-  co_return !stream.control->isStopped();
+  mIsBatchRunning = false;
+}
+
+EngineBatch::Request
+EngineStandin::batchRequest(const GenerateRequest& body) const
+{
+  const auto length = static_cast<std::int64_t>(body.prompt.size());
+  const auto prefixLength = body.prompt.starts_with(body.prefix)
+                              ? static_cast<std::int64_t>(body.prefix.size())
+                              : 0;
+  const auto end =
+    std::max(answerLength(body.prompt, body.maxTokens), body.offset);
+  return { prefixLength > 0 ? body.prefix : "",
+           prefixLength / kCharactersPerToken,
+           (length - prefixLength) / kCharactersPerToken + body.offset,
+           end - body.offset };
 }
 
 net::Awaitable<bool>
@@ -261,11 +339,7 @@
   if (stream.control->isStopped() || !hasVersion(stream.body)) {
     co_return false;
   }
-  const auto now = Clock::now();
-  const Seconds elapsed = now - stream.last;
-  stream.last = now;
-  stream.dueTokens +=
-    elapsed.count() * mOptions.tokenRate / mServer.faults().slowFactor;
+  updateDueTokens(stream);
   const auto from = stream.next;
   auto count =
     std::min(static_cast<std::int64_t>(stream.dueTokens + kRoundingTolerance),
@@ -414,6 +488,7 @@
   for (const auto& [attempt, control] : mControls) {
     control->stop();
   }
+  mBatch.clear();
   mCache.clear(Clock::now());
   mHighestFencing = 0;
 }
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -2,6 +2,7 @@
 
 #include "backends/weight_store_client.h"
 #include "net/http_client.h"
+#include "standins/engine_batch.h"
 #include "standins/engine_run.h"
 #include "standins/lagged_value.h"
 #include "standins/prefix_cache.h"
@@ -15,6 +16,7 @@
 
 /// Stand-in of a model engine: generates deterministic answers at a set rate,
 /// with slots, a prefix cache, weight loading and faults that tests switch on.
+/// With `Options::batch`, the rate follows from a simulation of the batches.
 class EngineStandin
 {
 public:
@@ -33,6 +35,9 @@
     Microseconds prefillPerCharacter{ 10 };
     std::int64_t cachePrefixes = 16;
     Microseconds networkDelay{ 0 };
+    /// If it has memory, it replaces `tokenRate` and `prefillPerCharacter`, and
+    /// requests are admitted in order of arrival whatever their priority.
+    EngineBatchOptions batch;
   };
 
   /// Reads weights with `http`.
@@ -46,6 +51,7 @@
   /// Returns the current state of the slots. The load report shows it only
   /// after its lag.
   const EngineSlots& slots() const { return mSlots; }
+  const EngineBatch& batch() const { return mBatch; }
 
 private:
   struct Stream;
@@ -64,6 +70,11 @@
   net::Awaitable<void> run(net::HttpExchange& exchange,
                            const GenerateRequest& body,
                            std::shared_ptr<RunControl> control);
+  bool usesBatches() const { return mOptions.batch.memoryTokens > 0; }
+  /// Returns the request as one of the batch.
+  EngineBatch::Request batchRequest(const GenerateRequest& body) const;
+  /// Runs the steps of the batch, in their time, while there are requests.
+  net::Awaitable<void> runBatch();
   net::Awaitable<void> prefill(const GenerateRequest& body,
                                std::shared_ptr<RunControl> control);
   /// Generates all tokens. Returns false if the stream must be aborted before
@@ -72,6 +83,9 @@
   /// Generates and sends the tokens that are due by now. Returns false if the
   /// stream must be aborted.
   net::Awaitable<bool> produceDueTokens(Stream& stream);
+  /// Waits until tokens are due.
+  net::Awaitable<void> waitForTokens(const Stream& stream);
+  void updateDueTokens(Stream& stream) const;
   net::Awaitable<bool> fetchWeights(std::string model,
                                     std::int64_t version,
                                     core::Endpoint source);
@@ -90,6 +104,8 @@
   backends::WeightStoreClient mWeights;
   EngineSlots mSlots;
   PrefixCache mCache;
+  EngineBatch mBatch;
+  bool mIsBatchRunning = false;
   std::map<std::string, std::int64_t> mModels;
   std::multimap<std::string, std::shared_ptr<RunControl>> mControls;
   /// A deque, because streams keep references to their records while it grows.
--- a/src/standins/fleet_config.cpp
+++ b/src/standins/fleet_config.cpp
@@ -7,6 +7,7 @@
 constexpr std::int64_t kMaxMillis = 3'600'000;
 constexpr std::int64_t kMaxMicros = 60'000'000;
 constexpr std::int64_t kMaxServers = 2'400;
+constexpr std::int64_t kMaxTokens = 10'000'000;
 constexpr std::int64_t kMaxItems = 1'000'000;
 constexpr std::int64_t kMaxChunkBytes = 64L * 1024 * 1024;
 
@@ -49,6 +50,30 @@
   }
 }
 
+EngineBatchOptions
+readBatch(wire::ObjectReader& reader)
+{
+  EngineBatchOptions options;
+  options.memoryTokens =
+    reader.integerOr("memory_tokens", 0, kMaxTokens, options.memoryTokens);
+  options.stepTime = micros(reader, "step_us", options.stepTime);
+  if (options.stepTime <= Microseconds(0)) {
+    reader.fail("step_us", "must be above 0");
+  }
+  options.stepTimePerRequest =
+    micros(reader, "step_us_per_request", options.stepTimePerRequest);
+  options.prefillTokensPerStep = reader.integerOr(
+    "prefill_tokens_per_step", 1, kMaxTokens, options.prefillTokensPerStep);
+  options.prefillTokensPerMilli =
+    reader.optional("prefill_tokens_per_ms", options.prefillTokensPerMilli);
+  if (options.prefillTokensPerMilli <= 0) {
+    reader.fail("prefill_tokens_per_ms", "must be above 0");
+  }
+  options.tokensPerEvent =
+    reader.integerOr("tokens_per_event", 1, kMaxTokens, options.tokensPerEvent);
+  return options;
+}
+
 StandinGroup<EngineStandin::Options>
 readEngines(wire::ObjectReader& reader)
 {
@@ -70,6 +95,7 @@
     micros(reader, "prefill_us_per_char", options.prefillPerCharacter);
   options.cachePrefixes =
     reader.integerOr("cache_prefixes", 0, kMaxItems, options.cachePrefixes);
+  options.batch = readBatch(reader);
   return group;
 }
 
--- a/tests/dispatch/dispatch_service_test.cpp
+++ b/tests/dispatch/dispatch_service_test.cpp
@@ -39,6 +39,24 @@
   }
 };
 
+/// Tests with an engine whose memory does not suffice for two orders.
+class BatchEngineTest : public DispatchFixture
+{
+protected:
+  BatchEngineTest()
+    : DispatchFixture(config())
+  {
+  }
+
+private:
+  static standins::FleetConfig config()
+  {
+    auto config = configOf(1, 4, false);
+    config.engines[0].options.batch.memoryTokens = 150;
+    return config;
+  }
+};
+
 class FencingTest : public DispatchFixture
 {
 protected:
@@ -336,6 +354,44 @@
   });
 }
 
+// Guards against an answer that loses or repeats tokens when the engine has
+// preempted its request in the middle of the stream.
+TEST_F(BatchEngineTest, AnswersOfPreemptedRequestsAreComplete)
+{
+  run([&]() -> Awaitable<void> {
+    constexpr std::int64_t kTokens = 100;
+    std::size_t expected = 0;
+    for (const std::string prompt : { "first", "second", "third" }) {
+      auto request = order(prompt, kTokens);
+      request.work.prompt = prompt;
+      expected += standins::AnswerText(prompt).text(0, kTokens).size();
+      net::spawn(mIo, sendIgnoringOutcome(std::move(request)));
+    }
+    co_await waitForOutcomes(3);
+    for (const auto& outcome : mOutcomes) {
+      EXPECT_EQ(outcome.verdict, Verdict::Done) << outcome.reason;
+      EXPECT_EQ(outcome.totalTokens, kTokens);
+    }
+    EXPECT_EQ(mAnswerText.size(), expected);
+    EXPECT_GT(mFleet.engines()[0]->batch().preemptions(), 0);
+  });
+}
+
+// Guards against work that is larger than the memory of any engine and blocks
+// other work, or that is reported as possibly run.
+TEST_F(BatchEngineTest, RequestLargerThanTheMemoryIsNotRun)
+{
+  run([&]() -> Awaitable<void> {
+    auto large = order("large", 10'000);
+    large.remaining = core::Millis(1'000);
+    const auto outcome = co_await send(std::move(large));
+    EXPECT_EQ(outcome.verdict, Verdict::NotRun) << outcome.reason;
+    auto small = order("small", 10);
+    const auto next = co_await send(std::move(small));
+    EXPECT_EQ(next.verdict, Verdict::Done) << next.reason;
+  });
+}
+
 // Guards against work that waits until its deadline although the stated rates
 // leave no time for it.
 TEST_F(DispatchServiceTest, WorkBeyondTheStatedRatesIsRejectedAtOnce)
--- a/tests/standins/standins_test.cpp
+++ b/tests/standins/standins_test.cpp
@@ -105,7 +105,10 @@
     "kv": { "latency_ms": 3 }, "instance_list": { "lag_ms": 50 },
     "engines": [{ "model": "m", "count": 12, "slots": 4, "token_rate": 100,
                   "checks_fencing": true, "load_ms": 20, "report_lag_ms": 5,
-                  "prefill_us_per_char": 2, "cache_prefixes": 3 }],
+                  "prefill_us_per_char": 2, "cache_prefixes": 3,
+                  "memory_tokens": 900, "step_us": 7,
+                  "step_us_per_request": 3, "prefill_tokens_per_step": 30,
+                  "prefill_tokens_per_ms": 500, "tokens_per_event": 2 }],
     "services": [{ "name": "stock", "count": 2, "work_ms": 9 }],
     "weights": { "models": { "m": 7 }, "chunks": 2, "chunk_bytes": 10,
                  "reads_per_second": 5 },
@@ -115,6 +118,12 @@
   EXPECT_EQ(engines.count, 12);
   EXPECT_EQ(engines.options.reportLag, Millis(5));
   EXPECT_TRUE(engines.options.checksFencing);
+  EXPECT_EQ(engines.options.batch.memoryTokens, 900);
+  EXPECT_EQ(engines.options.batch.stepTime, Microseconds(7));
+  EXPECT_EQ(engines.options.batch.stepTimePerRequest, Microseconds(3));
+  EXPECT_EQ(engines.options.batch.prefillTokensPerStep, 30);
+  EXPECT_EQ(engines.options.batch.prefillTokensPerMilli, 500);
+  EXPECT_EQ(engines.options.batch.tokensPerEvent, 2);
   EXPECT_EQ(config.value().services.at(0).options.workTime, Millis(9));
   EXPECT_EQ(config.value().weights.models.at("m"), 7);
   EXPECT_EQ(config.value().scorers.count, 3);
