Send each call to a scorer on a connection of its own

What trainers saw: nothing yet; with a scorer that sends a second copy of a response, late, when the next request has arrived on the connection, the next batch of the same size got the scores of the one before. Cause: the response does not name its request, and connections were used again. Test: LateCopyOfScoresIsNotTakenForTheNext, with a server that repeats its responses; before, the second batch got score 1 instead of 2.

--- a/src/backends/scorer_client.cpp
+++ b/src/backends/scorer_client.cpp
@@ -21,6 +21,9 @@
   }
   const wire::Json body = { { "samples", std::move(samples) } };
   auto call = jsonCall(std::move(scorer), "/score", body, timeout);
+  // A response does not name its request. On a connection that is used again, a
+  // late second copy of a response would be taken for the next one.
+  call.useNewConnection = true;
   reportStatedRate(call, mOnRate);
   const auto result = co_await mHttp.call(std::move(call));
   if (const auto error = responseError(result)) {
--- a/tests/backends/service_clients_test.cpp
+++ b/tests/backends/service_clients_test.cpp
@@ -5,6 +5,7 @@
 #include "backends/service_client.h"
 #include "backends/weight_store_client.h"
 #include "standins/fleet.h"
+#include "support/repeating_server.h"
 
 namespace lentilrack::backends {
 
@@ -286,4 +287,23 @@
   });
 }
 
+// Guards against scores of one batch for the answers of another: a scorer that
+// sent a second copy of its response, late, caused that.
+TEST_F(ServiceClientsTest, LateCopyOfScoresIsNotTakenForTheNext)
+{
+  testing::RepeatingServer scorer(mIo, [](int request) {
+    return std::pair(std::string(),
+                     "{\"scores\":[" + std::to_string(request) + "]}");
+  });
+  run([&]() -> Awaitable<void> {
+    for (int i = 1; i <= 3; ++i) {
+      std::vector<ScoreItem> items{ { "prompt", "text" } };
+      const auto scores = co_await mScorers.score(
+        scorer.endpoint(), std::move(items), Millis(1'000));
+      EXPECT_TRUE(scores);
+      EXPECT_EQ(scores.value().at(0), i);
+    }
+  });
+}
+
 } // namespace lentilrack::backends
