Refuse responses of other requests for all requests to servers

What callers saw: nothing yet; an order of weights or a request for a report could take a late second copy of another request's response for its own, since only forwarded requests, streams and items compared the request that a response names. A leader would then believe that a server had loaded weights that it had not. Change: ServerClient, through which all requests to servers go, compares it; the three copies of the check are gone. Tests: LateCopyIsNotTakenForTheResponseToAnOrder fails before; the same for the next request of a caller and UntrustedResponsesAreNotForwarded fail without the new check.

--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -252,9 +252,6 @@
   call.request.body = spec.body;
   call.acceptHeader = [this, item, run](const net::HttpResponse& response) {
     const auto& header = mContext.format.headers();
-    if (!isResponseTo(response, header, mSpec->items[item].id)) {
-      return false;
-    }
     if (response.status != net::status::kOk) {
       return true;
     }
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -258,10 +258,6 @@
     http.bodyLimit = kMaxResponseBytes;
     http.useNewConnection = !mCall.isRepeatable;
     http.cancel = mCancelAttempts;
-    http.acceptHeader = [&](const net::HttpResponse& response) {
-      return isResponseTo(
-        response, names, mCall.request.header(names.requestId));
-    };
     // Tell the server how much time remains until the deadline of the call.
     http.request.headers.emplace_back(
       names.timeLeft, std::to_string(timeUntil(mCall.deadline).count()));
--- a/src/gateway/server_client.cpp
+++ b/src/gateway/server_client.cpp
@@ -1,6 +1,7 @@
 #include "gateway/server_client.h"
 
 #include "core/decimal.h"
+#include "gateway/attempt_outcome.h"
 #include "gateway/context.h"
 #include "net/error.h"
 
@@ -72,14 +73,20 @@
     fmt::format("server_requests_total{{kind=\"{}\",rate_limited=\"{}\"}}",
                 textOf(kind),
                 needsPermit ? "yes" : "no"));
-  call.acceptHeader = [this, server, accept = std::move(call.acceptHeader)](
-                        const net::HttpResponse& response) {
-    const bool isAccepted = !accept || accept(response);
-    if (isAccepted) {
-      recordStatedRate(server, response);
-    }
-    return isAccepted;
-  };
+  const auto& names = mContext.format.headers();
+  call.acceptHeader =
+    [this,
+     server,
+     &names,
+     id = call.request.header(names.requestId),
+     accept = std::move(call.acceptHeader)](const net::HttpResponse& response) {
+      const bool isAccepted =
+        isResponseTo(response, names, id) && (!accept || accept(response));
+      if (isAccepted) {
+        recordStatedRate(server, response);
+      }
+      return isAccepted;
+    };
   co_return co_await mContext.http.call(std::move(call));
 }
 
--- a/src/gateway/server_client.h
+++ b/src/gateway/server_client.h
@@ -52,7 +52,9 @@
   void onRateChange(RateHook hook) { mOnRateChange = std::move(hook); }
 
   /// Sends the request to the server and returns the response or the error. The
-  /// error is RateLimited if there is no permit.
+  /// error is RateLimited if there is no permit. A response that names another
+  /// request is not accepted: a server may send a second copy of a response,
+  /// late, on a connection that is in use again.
   net::Awaitable<net::HttpResult> call(core::ServerEntry server,
                                        net::HttpCall call,
                                        ServerRequestKind kind);
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -184,9 +184,6 @@
   }
   call.acceptHeader = [this, attempt](const net::HttpResponse& response) {
     const auto& header = mContext.format.headers();
-    if (!isResponseTo(response, header, mRequestId)) {
-      return false;
-    }
     attempt->isStream =
       response.status == net::status::kOk &&
       !net::headerValue(response.headers, header.stamp).empty();
