Answer requests that arrive while a process stops

What callers saw: during a planned stop, a request that had just arrived on a kept connection got no answer. Cause: closing the idle connections shut down those on which a request had arrived that was not read yet, and a process could end while a request was arriving, since only requests that had arrived completely counted as active. Change: connections with unread bytes stay open, and an exchange counts from its first byte; the process waits for it within the time that it has for stopping. Not covered: a request that arrives after the last look at the connections.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <set>
+#include <utility>
 
 namespace lentilrack::net {
 
@@ -47,7 +48,8 @@
   std::set<beast::tcp_stream*> streams;
   /// The members of `streams` that have received no byte of a request yet.
   std::set<beast::tcp_stream*> idleStreams;
-  /// Number of exchanges whose handler has not returned yet.
+  /// Number of exchanges whose request has begun to arrive and whose handler
+  /// has not returned yet.
   std::size_t runningExchanges = 0;
 
   void onAccept(tcp::socket socket);
@@ -61,6 +63,30 @@
 
 namespace {
 
+/// Counts an exchange as running until it ends.
+class RunningExchange
+{
+public:
+  explicit RunningExchange(std::size_t& count)
+    : mCount(&count)
+  {
+    ++count;
+  }
+  RunningExchange(const RunningExchange&) = delete;
+  RunningExchange& operator=(const RunningExchange&) = delete;
+  ~RunningExchange() { end(); }
+
+  void end()
+  {
+    if (mCount != nullptr) {
+      --*std::exchange(mCount, nullptr);
+    }
+  }
+
+private:
+  std::size_t* mCount;
+};
+
 /// Detects that the client disconnects while its request is being handled.
 class DisconnectMonitor : public std::enable_shared_from_this<DisconnectMonitor>
 {
@@ -337,6 +363,7 @@
       co_return false;
     }
   }
+  RunningExchange running(runningExchanges);
   stream->expires_after(bounds.readTimeout);
   co_await http::async_read(
     *stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
@@ -357,7 +384,6 @@
   stream->expires_never();
   ServerExchange exchange(
     fromBeast(parser.release()), stream, limits, keepAlive);
-  ++runningExchanges;
   bool hasFailed = false;
   try {
     co_await handler(exchange);
@@ -367,7 +393,7 @@
       onFailure(failure.what());
     }
   }
-  --runningExchanges;
+  running.end();
   if (hasFailed && exchange.hasStarted() && !exchange.hasEnded()) {
     // Closes the connection, so that the client does not take the response for
     // complete.
@@ -465,7 +491,10 @@
 {
   for (auto* stream : mState->idleStreams) {
     boost::system::error_code ignored;
-    stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+    // A request that has arrived but has not been read yet is still answered.
+    if (stream->socket().available(ignored) == 0) {
+      stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
   }
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -97,11 +97,12 @@
   core::Result<core::Endpoint> listen(const core::Endpoint& endpoint);
   /// Stops accepting connections; exchanges in progress continue.
   void stopAccepting();
-  /// Closes the connections that have no request in progress.
+  /// Closes the connections on which no byte of a request has arrived.
   void closeIdleConnections();
   /// Closes all connections, including those with a request in progress.
   void closeAllConnections();
-  /// Returns the number of exchanges whose handler is still running.
+  /// Returns the number of exchanges whose request has begun to arrive and
+  /// whose handler has not returned.
   std::size_t activeExchanges() const;
 
 private:
