Bound the reading of a rejected request

Cause: after the rejection of a head that is too long, the server reads the rest so that the client gets the response. The time-out of the stream ends reads that wait; if bytes are always there, whether it fires is a matter of luck. A caller that never stops sending could keep the server reading. Change: the loop has an end of its own, after the same second.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,6 +13,9 @@
 
 using asio::ip::tcp;
 
+/// How long the rest of a rejected request is read.
+constexpr core::Millis kRejectedReadTime{ 1'000 };
+
 } // namespace
 
 std::string
@@ -428,9 +431,12 @@
   // reset the connection, and the client could lose the response.
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   std::array<char, 4096> rest{};
-  stream.expires_after(std::chrono::seconds(1));
+  stream.expires_after(kRejectedReadTime);
+  // The time-out of the stream ends only reads that wait. A client that sends
+  // without end would be read for ever.
+  const auto end = core::Clock::now() + kRejectedReadTime;
   boost::system::error_code error;
-  while (!error) {
+  while (!error && core::Clock::now() < end) {
     co_await stream.async_read_some(
       asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
   }
