--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -27,6 +27,25 @@
       co_return;
     };
   }
+
+  /// Forwards a resumable stream whose first server answers as the handler
+  /// does, and expects that another server completes it.
+  void expectStreamToContinueElsewhere(FakeServer::Handler handler)
+  {
+    auto node = makeNode("a");
+    FakeServer broken(mIo, "s1");
+    FakeServer healthy(mIo, "s2");
+    broken.onRequest(std::move(handler));
+    node->addServer(broken, "desk", 8);
+    node->addServer(healthy, "desk", 1);
+    TestExchange exchange(request("r1"));
+    auto route = plainRoute(RouteKind::Stream, 2);
+    route.resumable = true;
+    run([&]() { return node->forwarder.stream(exchange, route); });
+    EXPECT_TRUE(exchange.isAnswered);
+    EXPECT_EQ(exchange.response.body,
+              FakeServer::remainingEvents(net::HttpRequest(), 3));
+  }
 };
 
 } // namespace
@@ -234,80 +253,48 @@
 // ending a stream that could continue at another server.
 TEST_F(ForwarderTest, ResumableStreamContinuesAtAnotherServer)
 {
-  auto node = makeNode("a");
-  FakeServer broken(mIo, "s1");
-  FakeServer healthy(mIo, "s2");
-  broken.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
-    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
-    co_await exchange.beginStream(200, "text/event-stream", headers);
-    co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\nda");
-    exchange.abort();
-  });
-  node->addServer(broken, "desk", 8);
-  node->addServer(healthy, "desk", 1);
-  TestExchange exchange(request("r1"));
-  auto route = plainRoute(RouteKind::Stream, 2);
-  route.resumable = true;
-  run([&]() { return node->forwarder.stream(exchange, route); });
-  EXPECT_TRUE(exchange.isAnswered);
-  EXPECT_EQ(exchange.response.body,
-            FakeServer::remainingEvents(net::HttpRequest(), 3));
+  expectStreamToContinueElsewhere(
+    [](net::HttpExchange& exchange) -> net::Awaitable<void> {
+      auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+      co_await exchange.beginStream(200, "text/event-stream", headers);
+      co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\nda");
+      exchange.abort();
+    });
 }
 
 // Guards against a stalled server that keeps a caller's stream for as long as
 // it sends a byte now and then.
 TEST_F(ForwarderTest, StreamLeavesAServerThatSendsBytesWithoutEvents)
 {
-  auto node = makeNode("a");
-  FakeServer stalled(mIo, "s1");
-  FakeServer healthy(mIo, "s2");
-  stalled.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
-    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
-    co_await exchange.beginStream(200, "text/event-stream", headers);
-    bool isOpen =
-      co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\ndata: ");
-    while (isOpen && !exchange.isClientDisconnected()) {
-      co_await net::sleepFor(core::Millis(50));
-      isOpen = co_await exchange.write("x");
-    }
-  });
-  node->addServer(stalled, "desk", 8);
-  node->addServer(healthy, "desk", 1);
-  TestExchange exchange(request("r1"));
-  auto route = plainRoute(RouteKind::Stream, 2);
-  route.resumable = true;
-  run([&]() { return node->forwarder.stream(exchange, route); });
-  EXPECT_TRUE(exchange.isAnswered);
-  EXPECT_EQ(exchange.response.body,
-            FakeServer::remainingEvents(net::HttpRequest(), 3));
+  expectStreamToContinueElsewhere(
+    [](net::HttpExchange& exchange) -> net::Awaitable<void> {
+      auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+      co_await exchange.beginStream(200, "text/event-stream", headers);
+      bool isOpen =
+        co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\ndata: ");
+      while (isOpen && !exchange.isClientDisconnected()) {
+        co_await net::sleepFor(core::Millis(50));
+        isOpen = co_await exchange.write("x");
+      }
+    });
 }
 
 // Guards against a response whose bytes never end and fill the memory.
 TEST_F(ForwarderTest, StreamLeavesAServerWhoseEventNeverEnds)
 {
-  auto node = makeNode("a");
-  FakeServer endless(mIo, "s1");
-  FakeServer healthy(mIo, "s2");
   std::size_t written = 0;
-  endless.onRequest([&](net::HttpExchange& exchange) -> net::Awaitable<void> {
-    constexpr std::size_t kPiece = 64UL * 1024;
-    auto headers = FakeServer::streamHeaders(exchange.request(), 1);
-    co_await exchange.beginStream(200, "text/event-stream", headers);
-    bool isOpen = co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\nda");
-    while (isOpen && !exchange.isClientDisconnected()) {
-      isOpen = co_await exchange.write(std::string(kPiece, 'x'));
-      written += kPiece;
-    }
-  });
-  node->addServer(endless, "desk", 8);
-  node->addServer(healthy, "desk", 1);
-  TestExchange exchange(request("r1"));
-  auto route = plainRoute(RouteKind::Stream, 2);
-  route.resumable = true;
-  run([&]() { return node->forwarder.stream(exchange, route); });
-  EXPECT_TRUE(exchange.isAnswered);
-  EXPECT_EQ(exchange.response.body,
-            FakeServer::remainingEvents(net::HttpRequest(), 3));
+  expectStreamToContinueElsewhere(
+    [&](net::HttpExchange& exchange) -> net::Awaitable<void> {
+      constexpr std::size_t kPiece = 64UL * 1024;
+      auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+      co_await exchange.beginStream(200, "text/event-stream", headers);
+      bool isOpen =
+        co_await exchange.write("id: 1\ndata: piece 1\n\nid: 2\nda");
+      while (isOpen && !exchange.isClientDisconnected()) {
+        isOpen = co_await exchange.write(std::string(kPiece, 'x'));
+        written += kPiece;
+      }
+    });
   constexpr std::size_t kMostBytes = 64UL * 1024 * 1024;
   EXPECT_LT(written, kMostBytes);
 }
--- a/tests/net/endless_bytes_test.cpp
+++ b/tests/net/endless_bytes_test.cpp
@@ -1,13 +1,12 @@
 #include "net/error.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "support/io_test.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
-#include <gtest/gtest.h>
-
 namespace lentilrack::net {
 
 namespace {
@@ -40,24 +39,9 @@
   }
 }
 
-class EndlessBytesTest : public ::testing::Test
+class EndlessBytesTest : public testing::IoTest
 {
 protected:
-  template<typename Function>
-  void run(Function function)
-  {
-    bool finished = false;
-    asio::co_spawn(mIo, function(), [&](const std::exception_ptr& exception) {
-      finished = true;
-      mIo.stop();
-      if (exception) {
-        std::rethrow_exception(exception);
-      }
-    });
-    mIo.run();
-    ASSERT_TRUE(finished);
-  }
-
   /// Calls a server that answers with `start` and then `piece` without end.
   Awaitable<HttpResult> callEndlessServer(std::string start, std::string piece)
   {
@@ -69,7 +53,6 @@
     co_return co_await mClient.call(std::move(call));
   }
 
-  asio::io_context mIo;
   HttpClient mClient{ mIo };
   std::size_t mWritten = 0;
 
