Bound the wait for servers that state tiny rates

What callers saw: work for servers that all state a rate of zero was queued until its deadline instead of being rejected at once; for a rate near zero the wait did not fit into its type, which is undefined. Cause: ServerSet::rateWait counted with the rate as stated, while the allocator grants permits at a minimum rate whatever a server states. Change: both use the same minimum. Test: RatesOfZeroAndTinyRatesLeaveABoundedWait failed before (0 ms, and a signed overflow that UBSan reports) and passes.

--- a/src/core/server_set.cpp
+++ b/src/core/server_set.cpp
@@ -220,10 +220,11 @@
     if (!state.statedRate) {
       return Millis(0);
     }
-    rate += *state.statedRate;
+    // The allocator grants permits at this rate even if the server states less.
+    rate += std::max(*state.statedRate, RateAllocatorOptions().minRate);
     first = std::min(first, state.nextPermitAt);
   }
-  if (first == TimePoint::max() || rate <= 0) {
+  if (first == TimePoint::max()) {
     return Millis(0);
   }
   const std::chrono::duration<double> queue(static_cast<double>(requests - 1) /
--- a/tests/core/server_set_test.cpp
+++ b/tests/core/server_set_test.cpp
@@ -230,4 +230,20 @@
   EXPECT_GE(set.rateWait("m", 21, kStart), Millis(10'000));
 }
 
+// Guards against work that waits for servers which state that they take
+// nothing, and against a wait that does not fit into its type.
+TEST(ServerSet, RatesOfZeroAndTinyRatesLeaveABoundedWait)
+{
+  constexpr double kTinyRate = 1e-300;
+  for (const double rate : { 0.0, kTinyRate }) {
+    ServerSet set;
+    auto server = engine("a");
+    server.endpoint = { "127.0.0.1", 1 };
+    set.update({ server }, all, kStart);
+    set.recordStatedRate(server.endpoint, rate, kStart);
+    EXPECT_GE(set.rateWait("m", 3, kStart), Millis(10'000));
+    EXPECT_LE(set.rateWait("m", 3, kStart), Millis(std::chrono::minutes(1)));
+  }
+}
+
 } // namespace lentilrack::core
