--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-// A batch submission that was refused with 503 at each attempt runs later. The
-// store goes down just after it has stored the batch.
+// A process that shuts down goes on taking orders until it ends, and cuts those
+// that are still running when it ends, 7 s after SIGTERM.
 #include "harness.h"
 
 using namespace review;
@@ -8,89 +8,94 @@
 main(int argc, char** argv)
 {
   Deployment deployment(argc, argv);
-  auto& store = deployment.store();
-  std::atomic<int> runs = 0;
-  std::unique_ptr<Sampler> model;
-  model = std::make_unique<Sampler>(
-    store,
-    "i-model1",
-    "model-servers",
+  constexpr long kWorkMs = 1600;
+  std::unique_ptr<Sampler> sampler;
+  std::mutex mutex;
+  std::map<std::string, int> runs;
+  sampler = std::make_unique<Sampler>(
+    deployment.store(),
+    "i-plain1",
+    "order-desk",
     [&](Connection& c, const Message& request) {
-      if (request.path() == "/api/report") {
-        return answerReport(c, *model, 0, false);
-      }
       const auto id = request.header("x-request-id");
-      record("sampler: runs item " + id);
-      if (id.starts_with("lot7")) {
-        ++runs;
+      record("sampler: runs " + id);
+      {
+        const std::lock_guard lock(mutex);
+        ++runs[id];
       }
-      return answerEvents(c, request, *model, "m0", 3, 20);
+      sleepMs(kWorkMs);
+      record("sampler: answers " + id);
+      return answerPlain(c, request, *sampler);
     },
-    12);
-  model->setVersion("m0", 1);
-  std::unique_ptr<Sampler> plain;
-  plain = std::make_unique<Sampler>(
-    store, "i-plain1", "order-desk", [&](Connection& c, const Message& m) {
-      return answerPlain(c, m, *plain);
-    });
+    6);
   deployment.start(
-    4,
-    { batchRoute("model-servers", 3),
-      plainRoute("reward", "idempotent", "order-desk", 2000, 4) },
-    { modelService("model-servers", "m0"), plainService("order-desk") });
+    2,
+    Json::array({ plainRoute("pay", "non_idempotent", "order-desk", 5000, 2) }),
+    Json::array({ plainService("order-desk") }));
+  auto& leaving = *deployment.gateways()[0];
 
-  const auto& owner = deployment.findBatchOwner("m0");
-  std::vector<Gateway*> others;
-  for (const auto& gateway : deployment.gateways()) {
-    if (gateway.get() != &owner) {
-      others.push_back(gateway.get());
-    }
+  // A consumer asks for the addresses just before the shutdown, and keeps the
+  // answer for three times its time to live.
+  const auto addresses =
+    exchange(leaving.ip(),
+             leaving.directory(),
+             "GET",
+             "/api/resolve?name=orders.example&region=sicilia-est&zone=etna",
+             { { "Host", leaving.ip() } });
+  record("consumer: addresses " + addresses.body);
+  const auto known = Json::parse(addresses.body);
+  const auto front = leaving.ip() + ":" + std::to_string(leaving.front());
+  const long keptMs = 3000 * known.at("ttl_s").get<long>();
+  bool isListed = false;
+  for (const auto& address : known.at("addresses")) {
+    isListed = isListed || address == front;
   }
-  sleepMs(1000);
-  std::atomic<bool> hasFailed = false;
-  store.onCommit = [&](const std::vector<std::string>& keys) {
-    const bool storesBatch =
-      std::any_of(keys.begin(), keys.end(), [](const std::string& key) {
-        return key.find("lot7") != std::string::npos;
-      });
-    if (!storesBatch || !deployment.hasTrouble() || hasFailed.exchange(true)) {
-      return Store::Fate::Answered;
-    }
-    record("store: has stored the batch and fails before it answers");
-    return Store::Fate::StoreFails;
-  };
-  std::thread([&] {
-    while (!hasFailed) {
-      sleepMs(10);
-    }
-    sleepMs(4500);
-    store.setDown(false);
-  }).detach();
-
-  // A trainer has one retry; it goes to another node.
-  const auto body = batchBody("lot7", "m0", 4);
-  int refusals = 0;
-  int attempts = 0;
-  for (auto* gateway : { others[0], others[1] }) {
-    ++attempts;
-    const auto answer = submitBatch(*gateway, "lot7", body);
-    refusals += answer.status == 503 || answer.status == 429 ? 1 : 0;
-    if (answer.status == 202) {
-      break;
-    }
-    sleepMs(250);
+  if (!isListed) {
+    deployment.finish(2, "the address is not in the answer");
   }
-  sleepMs(12'000);
-  record("runs of items of the batch: " + std::to_string(runs));
-  if (deployment.hasTrouble() && !hasFailed) {
-    deployment.finish(2, "the store did not see the batch");
+  const long start = nowMs();
+  if (deployment.hasTrouble()) {
+    leaving.signal(SIGTERM);
   }
-  if (refusals == attempts && runs > 0) {
+  std::atomic<int> cut = 0;
+  std::string firstCut;
+  std::vector<std::thread> consumers;
+  for (long at = 500; at < keptMs; at += 450) {
+    consumers.emplace_back([&, at] {
+      sleepMs(start + at - nowMs());
+      const auto id = "order-" + std::to_string(at);
+      const auto answer = exchange(leaving.ip(),
+                                   leaving.front(),
+                                   "POST",
+                                   "/pay/" + id,
+                                   { { "Host", "orders.example" },
+                                     { "X-Request-Id", id },
+                                     { "X-Deadline-Ms", "4500" } },
+                                   "one crate",
+                                   4'500);
+      const auto took = nowMs() - start - at;
+      const std::lock_guard lock(mutex);
+      record("consumer: " + id + " -> " + std::to_string(answer.status) +
+             " after " + std::to_string(took) + " ms");
+      // Requests that were sent up to 3 s after SIGTERM may be excused, and
+      // those that reached their time budget.
+      if (answer.status == 0 && runs[id] > 0 && at > 3000 && took < 4300) {
+        ++cut;
+        firstCut = firstCut.empty() ? id : firstCut;
+      }
+    });
+  }
+  for (auto& consumer : consumers) {
+    consumer.join();
+  }
+  sleepMs(1000);
+  leaving.hasEnded();
+  if (cut > 0) {
     deployment.finish(1,
-                      "REFUSED is broken: the batch was answered 503 at each "
-                      "of " +
-                        std::to_string(attempts) +
-                        " attempts, and its items ran");
+                      "LOST is broken: " + std::to_string(cut) +
+                        " requests that had been passed on got no answer, "
+                        "the first is " +
+                        firstCut);
   }
-  deployment.finish(0, "REFUSED holds");
+  deployment.finish(0, "LOST holds");
 }
