--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -875,8 +875,8 @@
 class Gateway
 {
 public:
-  /// Memory limit of the machine.
-  static constexpr long kMemoryMb = 260;
+  /// Memory limit of each machine; a case may change it before the start.
+  static inline long memoryLimitMb = 260;
 
   Gateway(std::string name, std::string ip, const std::string& folder)
     : mName(std::move(name))
@@ -928,7 +928,7 @@
       { "limits",
         { { "cpu_share", 0.25 },
           { "cores", 1 },
-          { "memory_mb", kMemoryMb },
+          { "memory_mb", memoryLimitMb },
           { "max_fds", 4100 },
           { "link_mbps", 1000.0 },
           { "disk_mb", 0 } } },
@@ -1010,27 +1010,6 @@
       ::waitpid(pid, nullptr, 0);
     }
   }
-  /// Stops the process for the rest of each tenth of a second in which it has
-  /// used up this share of a core. Does not return.
-  void limitProcessor(double share)
-  {
-    constexpr auto kWindow = Millis(100);
-    for (;;) {
-      const auto end = SteadyClock::now() + kWindow;
-      const auto used = processorMs();
-      while (SteadyClock::now() < end) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(2));
-        if (processorMs() - used >= share * kWindow.count()) {
-          const pid_t pid = mPid;
-          if (pid > 0) {
-            ::kill(pid, SIGSTOP);
-            std::this_thread::sleep_until(end);
-            ::kill(pid, SIGCONT);
-          }
-        }
-      }
-    }
-  }
   /// Returns the memory that the process uses, in megabytes.
   long memoryMb() const
   {
@@ -1060,20 +1039,6 @@
   }
 
 private:
-  /// Returns the processor time of the process, in milliseconds.
-  double processorMs() const
-  {
-    clockid_t clock{};
-    timespec time{};
-    const pid_t pid = mPid;
-    if (pid <= 0 || ::clock_getcpuclockid(pid, &clock) != 0 ||
-        ::clock_gettime(clock, &time) != 0) {
-      return 0;
-    }
-    return static_cast<double>(time.tv_sec) * 1e3 +
-           static_cast<double>(time.tv_nsec) / 1e6;
-  }
-
   std::string mName;
   std::string mIp;
   std::string mSettings;
