--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs the case. Exit status: 1 if the rule was broken, 0 if it held, 2 if the
-# case could not run. With TROUBLE=0, the same without the disruption.
+# case could not run. With TROUBLE=0, the same without the disruption. The
+# program writes record.txt in this folder.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 program=target/review/case-$(basename "$folder")
