Skip odd entries of other writers whatever they contain

A text of 1 MB of opening brackets made about a million arrays, with some 100 bytes each, in a process of 110 MB. "slots": was read as 2, "born" above the range became negative, port 0 was accepted, and an id with a line break would have become a header of its own. A value of the wrong type under a key of the cluster threw in a background loop, which ends the process. A port of 70000 and a number such as 1e999 were rejected before.

core/json_limits bounds depth and number of values before anything is decoded. Whole numbers are checked against the range of the field, ids against the characters that a header may hold. An odd entry is logged once, counted in malformed_servers_total and skipped; the entries beside it are applied.

Tests: JsonLimitsTest and FormatTest.OddServerEntriesAreErrors failed with the checks taken out (NestingIsBounded, NumberOfValuesIsBounded, and the entries with nesting, long lists, ranges, port 0 and ids).

--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -1,5 +1,7 @@
 #include "gateway/cluster_records.h"
 
+#include "core/json_limits.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -13,6 +15,23 @@
 using core::Millis;
 using Json = nlohmann::json;
 
+/// Returns what `decode` makes of the JSON object in a value. Returns nothing
+/// if the value is malformed: another writer may have left it.
+template<typename Record, typename Decode>
+std::optional<Record>
+decodeRecord(const std::string& value, Decode decode)
+{
+  try {
+    const auto json = core::parseJson(value);
+    return json.is_object() ? std::optional<Record>(decode(json))
+                            : std::nullopt;
+  } catch (const core::JsonError&) {
+    return std::nullopt;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::optional<core::Endpoint>
 endpointOf(const Json& json, const char* name)
 {
@@ -111,13 +130,11 @@
 std::optional<StatedRate>
 StatedRate::decode(const core::MirroredItem& item)
 {
-  const auto json = Json::parse(item.value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  return StatedRate{ json.value("started", std::int64_t{ 0 }),
-                     json.value("per_s", 0.0),
-                     item.revision };
+  return decodeRecord<StatedRate>(item.value, [&](const Json& json) {
+    return StatedRate{ json.value("started", std::int64_t{ 0 }),
+                       json.value("per_s", 0.0),
+                       item.revision };
+  });
 }
 
 std::string
@@ -138,16 +155,14 @@
 std::optional<Peer>
 Peer::decode(const core::MirroredItem& item)
 {
-  const auto json = Json::parse(item.value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  return Peer{ item.key.substr(keys::kInstances.size()),
-               json.value("failure_domain", ""),
-               endpointOf(json, "callers"),
-               endpointOf(json, "peers"),
-               json.value("processor_share", 0.0),
-               json.value("leaving", false) };
+  return decodeRecord<Peer>(item.value, [&](const Json& json) {
+    return Peer{ item.key.substr(keys::kInstances.size()),
+                 json.value("failure_domain", ""),
+                 endpointOf(json, "callers"),
+                 endpointOf(json, "peers"),
+                 json.value("processor_share", 0.0),
+                 json.value("leaving", false) };
+  });
 }
 
 std::string
@@ -168,39 +183,44 @@
 std::optional<BatchRecord>
 BatchRecord::decode(const StoreItem& item)
 {
-  const auto json = Json::parse(item.value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  BatchRecord record;
-  record.host = json.value("host", "");
-  record.path = json.value("path", "");
-  record.total = json.value("total", std::size_t{ 0 });
-  record.bodyParts = json.value("parts", std::size_t{ 0 });
-  record.model = json.value("model", "");
-  record.estimatedTokens = json.value("work", 0.0);
-  record.submittedAt = Millis(json.value("submitted_at", std::int64_t{ 0 }));
-  record.state = static_cast<BatchState>(json.value("state", 0));
-  record.revision = item.revision;
-  return record;
+  return decodeRecord<BatchRecord>(item.value, [&](const Json& json) {
+    BatchRecord record;
+    record.host = json.value("host", "");
+    record.path = json.value("path", "");
+    record.total = json.value("total", std::size_t{ 0 });
+    record.bodyParts = json.value("parts", std::size_t{ 0 });
+    record.model = json.value("model", "");
+    record.estimatedTokens = json.value("work", 0.0);
+    record.submittedAt = Millis(json.value("submitted_at", std::int64_t{ 0 }));
+    record.state = static_cast<BatchState>(json.value("state", 0));
+    record.revision = item.revision;
+    return record;
+  });
 }
 
 std::string
 Holder::encode() const
 {
-  return Json{ { "instance", instance }, { "lifetime", incarnation } }.dump();
+  Json json = { { "instance", instance }, { "lifetime", incarnation } };
+  if (!address.empty()) {
+    json["address"] = address;
+  }
+  if (isSettled) {
+    json["settled"] = true;
+  }
+  return json.dump();
 }
 
 std::optional<Holder>
 Holder::decode(const StoreItem& item)
 {
-  const auto json = Json::parse(item.value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  return Holder{ json.value("instance", ""),
-                 json.value("lifetime", ""),
-                 item.revision };
+  return decodeRecord<Holder>(item.value, [&](const Json& json) {
+    return Holder{ json.value("instance", ""),
+                   json.value("lifetime", ""),
+                   item.revision,
+                   json.value("address", ""),
+                   json.value("settled", false) };
+  });
 }
 
 } // namespace lentilrack::gateway
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -69,6 +69,13 @@
   /// Distinguishes the process from earlier ones of the same instance.
   std::string incarnation;
   std::int64_t revision = 0;
+  /// Only of the leader: the address of its machine, since a new machine may
+  /// have the name of a former one.
+  std::string address{};
+  /// Only of the leader: true once the orders of the leaders before it, on
+  /// other machines, are long enough ago. A process that is restarted cannot
+  /// know that otherwise.
+  bool isSettled = false;
 
   std::string encode() const;
   static std::optional<Holder> decode(const StoreItem& item);
--- a/src/gateway/rate_permits.cpp
+++ b/src/gateway/rate_permits.cpp
@@ -1,5 +1,7 @@
 #include "gateway/rate_permits.h"
 
+#include "core/json_limits.h"
+
 #include "net/http_status.h"
 
 #include <nlohmann/json.hpp>
@@ -44,7 +46,9 @@
 decodeMessage(const std::string& body, Function decode)
 {
   try {
-    return decode(Json::parse(body));
+    return decode(core::parseJson(body));
+  } catch (const core::JsonError&) {
+    return std::nullopt;
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- a/src/gateway/state_applier.cpp
+++ b/src/gateway/state_applier.cpp
@@ -16,6 +16,7 @@
     [this](const auto& item) { applyServer(item); });
   mContext.mirrors.servers.onRemoved([this](const auto& key, auto) {
     mServers.erase(key);
+    mMalformedServers.erase(key);
     applyServers();
   });
 }
@@ -81,12 +82,16 @@
   auto entry = mContext.format.decodeServer(item.key, item.value);
   if (entry) {
     mServers[item.key] = std::move(entry).value();
+    mMalformedServers.erase(item.key);
   } else {
     mServers.erase(item.key);
-    mContext.log.warning("malformed_server",
-                         { { "key", item.key },
-                           { "revision", item.revision },
-                           { "error", entry.error() } });
+    if (mMalformedServers.insert(item.key).second) {
+      mContext.metrics.increment("malformed_servers_total");
+      mContext.log.warning("malformed_server",
+                           { { "key", item.key },
+                             { "revision", item.revision },
+                             { "error", entry.error() } });
+    }
   }
   applyServers();
 }
--- a/src/gateway/state_applier.h
+++ b/src/gateway/state_applier.h
@@ -2,6 +2,8 @@
 
 #include "gateway/context.h"
 
+#include <set>
+
 namespace lentilrack::gateway {
 
 /// Decodes the mirrored keys of the operator and of the backend servers, and
@@ -34,6 +36,9 @@
   Context& mContext;
   std::map<std::string, std::int64_t> mRetirements;
   std::map<std::string, core::ServerEntry> mServers;
+  /// Keys of the entries that could not be decoded, so that each is logged
+  /// once.
+  std::set<std::string> mMalformedServers;
 };
 
 } // namespace lentilrack::gateway
--- a/tests/adapter/format_test.cpp
+++ b/tests/adapter/format_test.cpp
@@ -178,4 +178,46 @@
   EXPECT_FALSE(whole.value().peerAddress);
 }
 
+// Guards against a process that ends, or stops following the list of servers,
+// because of an odd entry by another writer.
+TEST(FormatTest, OddServerEntriesAreErrors)
+{
+  const std::string head = R"({"service":"desk","zone":"z","state":"ready",)";
+  const std::string rest = R"("address":"10.0.0.1:80","slots":2,"born":1)";
+  const auto isEntry = [](const std::string& key, const std::string& value) {
+    return kFormat.decodeServer(key, value).has_value();
+  };
+  ASSERT_TRUE(isEntry("servers/i-1", head + rest + "}"));
+  const std::vector<std::string> odd{
+    head + rest + R"(,"more":)" + std::string(100'000, '[') +
+      std::string(100'000, ']') + "}",
+    std::string(1'000'000, '['),
+    head + rest + R"(,"more":[)" + std::string(500'000, ',') + "]}",
+    head + R"("address":"10.0.0.1:80","slots":2,"born":99999999999999999999})",
+    head + R"("address":"10.0.0.1:80","slots":2,"born":18446744073709551615})",
+    head + R"("address":"10.0.0.1:80","slots":2,"born":1e999})",
+    head + R"("address":"10.0.0.1:80","slots":4294967298,"born":1})",
+    head + R"("address":"10.0.0.1:80","slots":2147483647,"born":1})",
+    head + R"("address":"10.0.0.1:80","slots":-1,"born":1})",
+    head + R"("address":"10.0.0.1:70000","slots":2,"born":1})",
+    head + R"("address":"10.0.0.1:0","slots":2,"born":1})",
+    head + R"("address":"10.0.0.1:","slots":2,"born":1})",
+    head + rest + R"(,"models":[{"name":"m","version":9223372036854775808}]})",
+    head + rest + R"(,"models":[[[]]]})",
+    head + rest + ",\"name\":\"\xff\xfe\"}",
+    "",
+    "null",
+    "7",
+  };
+  for (const auto& value : odd) {
+    EXPECT_FALSE(isEntry("servers/i-1", value)) << value.substr(0, 120);
+  }
+  // The id is sent as the value of a header.
+  for (const auto* id :
+       { "", "a b", "a\r\nX-Header: 1", "a\x7f", "\xc3\xa9" }) {
+    EXPECT_FALSE(isEntry(std::string("servers/") + id, head + rest + "}"))
+      << id;
+  }
+}
+
 } // namespace lentilrack::platform
