--- a/src/backends/kv_transport.cpp
+++ b/src/backends/kv_transport.cpp
@@ -16,6 +16,9 @@
 
 /// Interval at which a waiting call checks whether the service responds again.
 constexpr core::Millis kPermissionPollInterval{ 10 };
+/// Maximum size of a response. A page of a listing holds about 1 MB, and one
+/// value up to 1 MB, which takes a third more in base64.
+constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
 
 std::uint64_t
 seedOf(const KvClientOptions& options)
@@ -160,6 +163,7 @@
   call.timeout = mOptions.timeout + request.wait.value_or(core::Millis(0));
   call.connectTimeout = mOptions.timeout;
   call.cancel = mCancel;
+  call.bodyLimit = kMaxResponseBytes;
   // The service may have closed a pooled connection. A write on such a
   // connection would fail with an unknown outcome, so a request that must not
   // be repeated gets a new connection.
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -3,6 +3,7 @@
 #include "core/decimal.h"
 #include "gateway/attempt_outcome.h"
 #include "gateway/item_score.h"
+#include "gateway/read_limits.h"
 #include "net/http_status.h"
 
 #include <algorithm>
@@ -53,7 +54,7 @@
   /// begun.
   bool isAccepted = false;
   /// True once an event did not have the number after that of the event before,
-  /// or was too long.
+  /// or the event or the text was too long.
   bool isOutOfOrder = false;
   /// True if the server responded with older weights than the batch allows.
   bool hasStaleWeights = false;
@@ -293,6 +294,12 @@
       return;
     }
     if (event.version > 0) {
+    if (state.text.text().size() > kMaxItemTextBytes) {
+      state.text.clear();
+      run.isOutOfOrder = true;
+      state.cancel->cancel();
+      return;
+    }
       mContext.registry.recordVersion(run.server, mSpec->model, event.version);
     }
     // An event with a version reports that new weights were loaded. The pause
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/context.h"
+#include "gateway/read_limits.h"
 #include "net/http_server.h"
 
 #include <functional>
@@ -11,9 +12,6 @@
 
 namespace lentilrack::gateway {
 
-/// Maximum size of the response of a server that is no stream of events.
-inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
-
 /// A request to a service, with its limits and the rules for retrying it.
 struct ServiceCall
 {
--- a/src/gateway/peer_client.cpp
+++ b/src/gateway/peer_client.cpp
@@ -1,5 +1,8 @@
 #include "gateway/peer_client.h"
 
+#include "gateway/read_limits.h"
+#include "net/error.h"
+
 namespace lentilrack::gateway {
 
 namespace {
@@ -42,6 +45,7 @@
   call.timeout = timeout;
   auto result = co_await mContext.http.call(std::move(call));
   if (result.error) {
+  call.bodyLimit = kMaxPeerResponseBytes;
     mContext.log.warning(
       "peer_call",
       { { "peer", endpoint.text() }, { "error", result.error.message() } });
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -1,5 +1,7 @@
 #include "gateway/weight_leader.h"
 
+#include "core/json_limits.h"
+#include "gateway/read_limits.h"
 #include "net/http_status.h"
 
 #include <nlohmann/json.hpp>
@@ -287,6 +289,7 @@
 WeightLeader::checkLoad(core::WeightLoadPlanner::Load load)
 {
   const auto& order = load.order;
+  call.bodyLimit = kMaxOrderResponseBytes;
   const auto id = order.server.id;
   net::HttpCall call;
   call.endpoint = order.server.endpoint;
@@ -297,8 +300,20 @@
     order.server, std::move(call), ServerRequestKind::Report);
   mServersWithPendingCall.erase(id);
   const auto now = Clock::now();
-  auto report = mContext.format.decodeReport(result.response.body);
-  if (result.error || result.response.status != net::status::kOk || !report) {
+  const bool isComplete =
+    !result.error && result.response.status == net::status::kOk;
+  // The body of an incomplete response may be anything.
+  auto report = isComplete ? mContext.format.decodeReport(result.response.body)
+                           : WireFormat::Decoded<ServerReport>(std::string(
+                               "the response is incomplete or a failure"));
+  if (!report) {
+    mContext.log.info(
+      "server_report",
+      { { "server", id },
+        { "status", result.response.status },
+        { "bytes", result.response.body.size() },
+        { "outcome",
+          result.error ? result.error.message() : report.error() } });
     if (now - load.orderedAt > kOrderLossTimeout) {
       mPlanner.loadDropped(id);
       mPlanner.loadRefused(order, now);
@@ -342,6 +357,7 @@
     json["orders"] = *update.orderCount;
   }
   const bool isSendScheduled = !mCollectedUpdates.empty();
+  call.bodyLimit = kMaxReportBytes;
   mCollectedUpdates[order.model].push_back(std::move(json));
   if (!isSendScheduled) {
     net::spawn(mContext.io, sendCollectedUpdates());
@@ -374,7 +390,7 @@
 void
 WeightLeader::applyWeightUpdates(const std::string& body)
 {
-  const auto updates = Json::parse(body, nullptr, false);
+  const auto updates = core::parseJsonOrDiscard(body);
   if (!updates.is_array()) {
     mContext.log.warning("malformed_news", { { "bytes", body.size() } });
     return;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -190,7 +190,8 @@
     } else if (error == beast::error::timeout) {
       mResult.error = NetError::TimedOut;
     } else if (error == http::error::body_limit ||
-               error == http::error::header_limit) {
+               error == http::error::header_limit ||
+               error == http::error::buffer_overflow) {
       mResult.error = NetError::BadMessage;
     } else if (error) {
       mResult.error = fallback;
@@ -233,7 +234,7 @@
   {
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(mCall.bodyLimit);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxUnparsedBytes);
     boost::system::error_code error;
     mStream->expires_at(mDeadline);
     co_await http::async_read_header(
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,6 +13,11 @@
 
 /// Request and options of HttpClient::call().
 struct HttpCall
+/// Maximum size, in bytes, of received data that has not been parsed yet. It
+/// bounds a head, the size line and extension of a chunk, and a trailer, which
+/// are parsed only when they are complete.
+inline constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
+
 {
   core::Endpoint endpoint;
   HttpRequest request;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "net/beast.h"
 #include "net/error.h"
 
+#include <algorithm>
 #include <array>
 #include <set>
 #include <utility>
@@ -15,6 +16,10 @@
 
 /// How long the rest of a rejected request is read.
 constexpr core::Millis kRejectedReadTime{ 1'000 };
+/// Maximum size, in bytes, of received data that has not been parsed yet, in
+/// addition to the maximum size of a head. It bounds the size line and
+/// extension of a chunk.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 
 } // namespace
 
@@ -355,6 +360,9 @@
   const auto bounds = limits();
   parser.body_limit(bounds.maxBodyBytes);
   parser.header_limit(bounds.maxHeaderBytes);
+  // A pipelined request may already be in the buffer.
+  buffer.max_size(
+    std::max(buffer.size(), bounds.maxHeaderBytes + kMaxUnparsedBytes));
   if (buffer.size() == 0) {
     stream->expires_after(bounds.idleTimeout);
     idleStreams.insert(stream.get());
