--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -85,6 +85,10 @@
     }
     co_await relayEvents(attempt);
     attempt->cancel->cancel();
+    // Anything but a proof to the contrary means that the server may have
+    // executed the request, whatever has ended the attempt.
+    mMayHaveExecuted =
+      mMayHaveExecuted || !attempt->isEnded || !wasNotExecuted(*attempt);
     if (mIsDone || mIsCallerGone) {
       break;
     }
@@ -235,7 +239,6 @@
         // puts on its responses) of the first server, even if another server
         // continues the stream.
         mHasStarted = true;
-        mMayHaveExecuted = true;
         auto headers = Forwarder::endToEndHeaders(attempt->head.headers);
         auto type = attempt->head.contentType;
         co_await mExchange.beginStream(
@@ -266,13 +269,11 @@
   }
   const auto& result = attempt->result;
   if (result.error || wasNotExecuted(*attempt)) {
-    mMayHaveExecuted = mMayHaveExecuted || !wasNotExecuted(*attempt);
     mReason = result.error
                 ? result.error.message()
                 : fmt::format("server_refused_{}", result.response.status);
     co_return;
   }
-  mMayHaveExecuted = true;
   if (!attempt->isStream) {
     const bool isSuccess = attempt->head.status / 100 == 2;
     mReason = isSuccess ? "answer_without_stamp" : "answered";
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -299,6 +299,59 @@
   EXPECT_LT(written, kMostBytes);
 }
 
+// Guards against a second execution, and against a false promise that there was
+// none, when the first event of a stream that may not be repeated is spoiled.
+TEST_F(ForwarderTest, StreamWithASpoiledFirstEventIsNotRepeated)
+{
+  auto node = makeNode("a");
+  FakeServer first(mIo, "s1");
+  FakeServer second(mIo, "s2");
+  for (auto* server : { &first, &second }) {
+    server->onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
+      auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+      co_await exchange.beginStream(200, "text/event-stream", headers);
+      co_await exchange.write("\x01garbled\n\n");
+      co_await exchange.endStream();
+    });
+    node->addServer(*server, "desk");
+  }
+  for (const int attempts : { 1, 2 }) {
+    TestExchange exchange(request("r" + std::to_string(attempts)));
+    const auto route = plainRoute(RouteKind::Stream, attempts);
+    run([&]() { return node->forwarder.stream(exchange, route); });
+    EXPECT_EQ(exchange.response.status, 502);
+  }
+  EXPECT_EQ(first.requests().size() + second.requests().size(), 2U);
+}
+
+// Guards against the text of a failure, or a proper end, in the middle of a
+// stream: it was interrupted, and the next server answers with an error.
+TEST_F(ForwarderTest, FailureOfTheNextServerDoesNotEndAStartedStream)
+{
+  for (const int status : { 200, 404, 500, 503 }) {
+    auto node = makeNode("a");
+    FakeServer broken(mIo, "s1");
+    FakeServer failing(mIo, "s2");
+    broken.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
+      auto headers = FakeServer::streamHeaders(exchange.request(), 1);
+      co_await exchange.beginStream(200, "text/event-stream", headers);
+      co_await exchange.write("id: 1\ndata: piece 1\n\n");
+      exchange.abort();
+    });
+    failing.onRequest(respondWith(status));
+    node->addServer(broken, "desk", 8);
+    node->addServer(failing, "desk", 1);
+    TestExchange exchange(request("r1"));
+    auto route = plainRoute(RouteKind::Stream, 2);
+    route.resumable = true;
+    run([&]() { return node->forwarder.stream(exchange, route); });
+    EXPECT_EQ(failing.requests().size(), 1U);
+    EXPECT_EQ(exchange.response.body, "id: 1\ndata: piece 1\n\n");
+    EXPECT_FALSE(exchange.isAnswered);
+    EXPECT_TRUE(exchange.isAborted);
+  }
+}
+
 // Guards against ending an interrupted stream as if it were complete.
 TEST_F(ForwarderTest, NonResumableStreamIsAborted)
 {
