--- a/src/gateway/batch_reader.cpp
+++ b/src/gateway/batch_reader.cpp
@@ -234,6 +234,7 @@
 net::Awaitable<void>
 BatchReader::read(net::HttpExchange& exchange, ReadBatch call)
 {
+  call.wait = std::min(call.wait, std::max(Millis(0), mContext.timeToAnswer()));
   auto response = co_await readLocal(call);
   if (response.status == net::status::kNotFound) {
     response = co_await readRemote(call);
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -426,7 +426,8 @@
 net::Awaitable<void>
 BatchService::end(net::HttpExchange& exchange, EndBatch call)
 {
-  const auto deadline = Clock::now() + kAcceptTimeout;
+  const auto deadline =
+    Clock::now() + std::min(kAcceptTimeout, mContext.timeToAnswer());
   net::HttpResponse response;
   response.body = "{}";
   std::string outcome = "ended";
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -18,4 +18,13 @@
 {
 }
 
+core::Millis
+Context::timeToAnswer() const
+{
+  constexpr core::Millis kUnlimited{ std::chrono::hours(24) };
+  return answerDeadline ? std::chrono::duration_cast<core::Millis>(
+                            *answerDeadline - core::Clock::now())
+                        : kUnlimited;
+}
+
 } // namespace lentilrack::gateway
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -7,11 +7,13 @@
 #include "gateway/decision_log.h"
 #include "gateway/server_client.h"
 #include "gateway/wire_format.h"
+#include "net/cancel_signal.h"
 #include "net/metrics.h"
 
 #include <pcg_random.hpp>
 
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace lentilrack::gateway {
@@ -51,6 +53,13 @@
   std::string incarnation;
   /// True after SIGTERM, while the process shuts down.
   bool isLeaving = false;
+  /// When requests must be answered at the latest; set while the process shuts
+  /// down.
+  std::optional<core::TimePoint> answerDeadline;
+  /// Fires at the answer deadline. Requests that are still open are then
+  /// answered with what is known of them.
+  std::shared_ptr<net::CancelSignal> stopping =
+    std::make_shared<net::CancelSignal>();
 
   Context(net::asio::io_context& context,
           ProcessSettings processSettings,
@@ -58,6 +67,10 @@
           CoordinationStore& coordinationStore,
           DecisionLog& decisionLog);
 
+  /// Returns the time until requests must be answered; a long time unless the
+  /// process shuts down.
+  core::Millis timeToAnswer() const;
+
   /// Returns a random number, uniformly distributed in [0, 1).
   double uniformRandom()
   {
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -94,7 +94,10 @@
         mChanged.notify();
       });
     }
+    const int stopHook =
+      mContext.stopping->addCallback([this] { mChanged.notify(); });
     co_await runAttempts();
+    mContext.stopping->removeCallback(stopHook);
     mCancelAttempts->cancel();
     if (mCall.cancel) {
       mCall.cancel->removeCallback(hook);
@@ -107,10 +110,11 @@
   net::Awaitable<void> runAttempts()
   {
     while (!mIsDone && !mIsCancelled) {
-      if (timeUntil(mCall.deadline) < kMinRemainingTime) {
+      const bool isStopping = mContext.stopping->isCancelRequested();
+      if (isStopping || timeUntil(mCall.deadline) < kMinRemainingTime) {
         // A server that has not responded yet may still execute the request.
         mMayHaveExecuted = mMayHaveExecuted || mRunningAttempts > 0;
-        recordNoResponse("out_of_time");
+        recordNoResponse(isStopping ? "stopping" : "out_of_time");
         co_return;
       }
       const bool isOver = mRunningAttempts == 0 && !canRetry();
@@ -442,9 +446,9 @@
 }
 
 Millis
-Forwarder::timeBudget(const Context& context,
-                      const net::HttpExchange& exchange,
-                      const core::Route& route)
+Forwarder::allowedTime(const Context& context,
+                       const net::HttpExchange& exchange,
+                       const core::Route& route)
 {
   const auto callerTime = core::parseDecimal<std::int64_t>(
     exchange.request().header(context.format.headers().timeLeft));
@@ -452,6 +456,15 @@
                     : route.timeout;
 }
 
+Millis
+Forwarder::timeBudget(const Context& context,
+                      const net::HttpExchange& exchange,
+                      const core::Route& route)
+{
+  return std::min(allowedTime(context, exchange, route),
+                  context.timeToAnswer());
+}
+
 net::Awaitable<void>
 Forwarder::stream(net::HttpExchange& exchange, const core::Route& route)
 {
@@ -492,8 +505,10 @@
         503, outcome.reason, std::max(kRetryAfter, outcome.retryAfter));
       break;
     case CallConclusion::Unknown:
-      response = errorResponse(outcome.reason == "out_of_time" ? 504 : 502,
-                               outcome.reason);
+      response = errorResponse(
+        outcome.reason == "out_of_time" || outcome.reason == "stopping" ? 504
+                                                                        : 502,
+        outcome.reason);
       break;
     case CallConclusion::Cancelled:
       exchange.abort();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -89,6 +89,10 @@
   static net::Headers endToEndHeaders(net::Headers headers);
   /// Returns the time that the caller allows for the request, at most the
   /// timeout of the route.
+  static core::Millis allowedTime(const Context& context,
+                                  const net::HttpExchange& exchange,
+                                  const core::Route& route);
+  /// Returns the allowed time, at most the time until this process ends.
   static core::Millis timeBudget(const Context& context,
                                  const net::HttpExchange& exchange,
                                  const core::Route& route);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "core/decimal.h"
+#include "core/shutdown_admission.h"
 #include "core/takeover_order.h"
 
 #include <algorithm>
@@ -24,10 +25,17 @@
 /// up to three times the time to live of the list, which is 2 s.
 constexpr Millis kMaxDrainTime{ 6'000 };
 constexpr Millis kDrainPollInterval{ 50 };
-/// The process stops this long before the end of the grace period, even if
-/// requests are still open.
+/// Open requests are answered this long before the end of the grace period,
+/// with what is known of them.
 constexpr Millis kShutdownMargin{ 1'000 };
+/// How long to wait then until these answers are written.
+constexpr Millis kLastAnswersTime{ 500 };
+/// Time that a request may need besides the time that it is allowed.
+constexpr Millis kAnswerMargin{ 100 };
 constexpr Millis kRetryAfter{ 300 };
+/// Value of the Retry-After header while this process is leaving. Other
+/// instances can serve the request at once.
+constexpr Millis kLeavingRetryAfter{ 0 };
 /// Number of peers that are told directly that this process is leaving. The
 /// others learn it from the store.
 constexpr std::size_t kMaxLeavingRecipients = 64;
@@ -88,6 +96,9 @@
                          { { "address", endpoint->text() },
                            { "error", bound.error().message() } });
   }
+  if (bound && endpoint == mContext.settings.callerAddress) {
+    mCallerEndpoint = bound.value();
+  }
   return bound.has_value();
 }
 
@@ -192,6 +203,17 @@
     co_await exchange.respond(errorResponse(404, "no_route"));
     co_return;
   }
+  if (mustRejectWhileLeaving(exchange, *route)) {
+    mContext.log.info("request",
+                      { { "request", id },
+                        { "route", route->name },
+                        { "left_ms", mContext.timeToAnswer() },
+                        { "outcome", "leaving" } });
+    mContext.metrics.increment("rejected_while_leaving_total");
+    co_await exchange.respond(
+      refusalResponse(503, "leaving", kLeavingRetryAfter));
+    co_return;
+  }
   if (route->kind == core::RouteKind::Batch) {
     co_await mBatches.submit(exchange, *route);
     co_return;
@@ -203,6 +225,21 @@
   co_await mForwarder.forward(exchange, *route);
 }
 
+bool
+Gateway::mustRejectWhileLeaving(const net::HttpExchange& exchange,
+                                const core::Route& route) const
+{
+  if (!mContext.isLeaving || route.kind == core::RouteKind::Batch) {
+    return false;
+  }
+  const core::ShutdownAdmission admission{
+    Forwarder::allowedTime(mContext, exchange, route),
+    route.targetLatency,
+    route.kind == core::RouteKind::Repeatable
+  };
+  return !admission.timeFor(mContext.timeToAnswer() - kAnswerMargin);
+}
+
 net::Awaitable<void>
 Gateway::handleReadiness(net::HttpExchange& exchange)
 {
@@ -324,6 +361,8 @@
 {
   if (!mContext.isLeaving) {
     mContext.isLeaving = true;
+    mContext.answerDeadline =
+      Clock::now() + mContext.settings.bounds.shutdownGrace - kShutdownMargin;
     net::spawn(mContext.io, drainAndStop(std::move(done)));
   }
 }
@@ -331,7 +370,6 @@
 net::Awaitable<void>
 Gateway::drainAndStop(std::function<void()> done)
 {
-  const auto start = Clock::now();
   const auto shutdownGrace = mContext.settings.bounds.shutdownGrace;
   mContext.log.info("leaving", { { "grace_ms", shutdownGrace } });
   const auto& self = mContext.settings.instance;
@@ -343,7 +381,6 @@
   net::spawn(mContext.io, mCluster.announceLeaving());
   const auto drainTime =
     std::min(kMaxDrainTime, shutdownGrace - 2 * kShutdownMargin);
-  const auto end = start + shutdownGrace - kShutdownMargin;
   co_await net::sleepFor(drainTime);
   // Close idle connections only now that callers have had time to learn the
   // addresses of other instances.
@@ -354,7 +391,11 @@
       return server->activeExchanges() > 0;
     });
   };
-  while (hasActiveExchanges() && Clock::now() < end) {
+  while (hasActiveExchanges() && mContext.timeToAnswer() > Millis(0)) {
+    co_await net::sleepFor(kDrainPollInterval);
+  }
+  mContext.stopping->cancel();
+  while (hasActiveExchanges() && mContext.timeToAnswer() > -kLastAnswersTime) {
     co_await net::sleepFor(kDrainPollInterval);
   }
   mContext.log.info("stopped",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "net/http_server.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lentilrack::gateway {
@@ -24,11 +25,18 @@
   /// cannot be bound.
   bool start();
   /// Shuts down gracefully: gives up the ownership of the batches, lets callers
-  /// switch to other instances, finishes open requests, and calls `done`.
+  /// switch to other instances, rejects requests that could not be completed,
+  /// finishes or answers open requests, and calls `done`.
   void shutDown(std::function<void()> done);
   /// Returns true if the process can serve callers: it has a desired state,
   /// knows the cluster and at least one server, and is not shutting down.
   bool isReady() const;
+  /// Returns the address on which callers are served, with the port that was
+  /// bound; nothing if this process serves none.
+  const std::optional<core::Endpoint>& callerEndpoint() const
+  {
+    return mCallerEndpoint;
+  }
 
 private:
   net::Awaitable<void> handleCaller(net::HttpExchange& exchange);
@@ -38,6 +46,10 @@
   std::optional<core::Endpoint> metricsAddress() const;
   net::Awaitable<void> handleAddresses(net::HttpExchange& exchange);
   net::Awaitable<void> handleForward(net::HttpExchange& exchange);
+  /// Returns true if the request must be rejected because this process is
+  /// leaving and might end before the request is answered.
+  bool mustRejectWhileLeaving(const net::HttpExchange& exchange,
+                              const core::Route& route) const;
   net::Awaitable<void> drainAndStop(std::function<void()> done);
   /// Returns the limits on connections of callers, as the desired state sets
   /// them.
@@ -61,6 +73,7 @@
   BatchService mBatches;
   WeightLeader mLeader;
   std::vector<std::unique_ptr<net::HttpServer>> mServers;
+  std::optional<core::Endpoint> mCallerEndpoint;
 };
 
 } // namespace lentilrack::gateway
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -73,7 +73,8 @@
     mIsCallerGone = true;
     mChanged.notify();
   });
-  while (!mIsDone && !mIsCallerGone && timeLeft() > Millis(0) && canRetry()) {
+  while (!mIsDone && !mIsCallerGone && timeLeft() > Millis(0) && canRetry() &&
+         !mContext.stopping->isCancelRequested()) {
     const auto attempt = startAttempt();
     if (!attempt) {
       const auto permitWait = waitForPermit(start);
@@ -257,9 +258,9 @@
     const auto now = Clock::now();
     const bool isSilent =
       mIsResumable && now - attempt->lastActivity > kMaxSilence;
-    if (isSilent || timeLeft() <= Millis(0)) {
-      mReason = isSilent ? "silent" : "out_of_time";
-      mMayHaveExecuted = true;
+    const bool isStopping = mContext.stopping->isCancelRequested();
+    if (isSilent || isStopping || timeLeft() <= Millis(0)) {
+      mReason = isStopping ? "stopping" : isSilent ? "silent" : "out_of_time";
       co_return;
     }
     co_await mChanged.wait(std::min(kSilenceCheckInterval, timeLeft()));
