--- a/src/backends/stated_rate.cpp
+++ b/src/backends/stated_rate.cpp
@@ -13,7 +13,7 @@
     return;
   }
   call.acceptHeader =
-    [hook, server = call.endpoint](const net::HttpResponse& response) {
+    [hook, server = call.endpoint](const net::HttpResponse& response, bool) {
       const auto text = net::headerValue(response.headers, kStatedRateHeader);
       const auto rate = core::parseDecimal<double>(text);
       const bool isValid = rate && std::isfinite(*rate) && *rate >= 0;
--- a/src/gateway/attempt_outcome.cpp
+++ b/src/gateway/attempt_outcome.cpp
@@ -67,10 +67,11 @@
 bool
 isResponseTo(const net::HttpResponse& response,
              const HeaderNames& names,
-             const std::string& requestId)
+             const std::string& requestId,
+             bool isConnectionReused)
 {
   const auto echoed = net::headerValue(response.headers, names.requestId);
-  return echoed.empty() || echoed == requestId;
+  return echoed == requestId || (echoed.empty() && !isConnectionReused);
 }
 
 } // namespace lentilrack::gateway
--- a/src/gateway/attempt_outcome.h
+++ b/src/gateway/attempt_outcome.h
@@ -49,10 +49,13 @@
 
 /// Returns true if the response belongs to the request with this id. A faulty
 /// server may send two responses to one request. The second one is then
-/// received in place of the response to the next request.
+/// received in place of the response to the next request on the connection. A
+/// response without an id is therefore accepted only for a request without one,
+/// or if the request is the first one on its connection.
 bool
 isResponseTo(const net::HttpResponse& response,
              const HeaderNames& names,
-             const std::string& requestId);
+             const std::string& requestId,
+             bool isConnectionReused);
 
 } // namespace lentilrack::gateway
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -251,7 +251,8 @@
                                       std::to_string(state.text.lastNumber()));
   }
   call.request.body = spec.body;
-  call.acceptHeader = [this, item, run](const net::HttpResponse& response) {
+  call.acceptHeader = [this, item, run](const net::HttpResponse& response,
+                                        bool) {
     const auto& header = mContext.format.headers();
     if (response.status != net::status::kOk) {
       return true;
@@ -293,13 +294,13 @@
       state.cancel->cancel();
       return;
     }
-    if (event.version > 0) {
     if (state.text.text().size() > kMaxItemTextBytes) {
       state.text.clear();
       run.isOutOfOrder = true;
       state.cancel->cancel();
       return;
     }
+    if (event.version > 0) {
       mContext.registry.recordVersion(run.server, mSpec->model, event.version);
     }
     // An event with a version reports that new weights were loaded. The pause
--- a/src/gateway/server_client.cpp
+++ b/src/gateway/server_client.cpp
@@ -75,19 +75,21 @@
                 needsPermit ? "yes" : "no"));
   const auto& names = mContext.format.headers();
   call.acceptHeader =
-    [this,
-     server,
-     &names,
-     id = call.request.header(names.requestId),
-     accept = std::move(call.acceptHeader)](const net::HttpResponse& response) {
+    [this, server, &names, id, accept = std::move(call.acceptHeader)](
+      const net::HttpResponse& response, bool isConnectionReused) {
       const bool isAccepted =
-        isResponseTo(response, names, id) && (!accept || accept(response));
+        isResponseTo(response, names, id, isConnectionReused) &&
+        (!accept || accept(response, isConnectionReused));
       if (isAccepted) {
         recordStatedRate(server, response);
       }
       return isAccepted;
     };
   co_return co_await mContext.http.call(std::move(call));
+  const auto id = call.request.header(names.requestId);
+  // Requests without an identifier share the empty key, since nothing tells
+  // their responses apart.
+  call.requestKey = id;
 }
 
 void
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -85,11 +85,11 @@
       continue;
     }
     co_await relayEvents(attempt);
-    attempt->cancel->cancel();
     // Anything but a proof to the contrary means that the server may have
     // executed the request, whatever has ended the attempt.
     mMayHaveExecuted =
       mMayHaveExecuted || !attempt->isEnded || !wasNotExecuted(*attempt);
+    attempt->cancel->cancel();
     if (mIsDone || mIsCallerGone) {
       break;
     }
@@ -187,7 +187,7 @@
   if (mLastEvent > 0) {
     headers.emplace_back(names.lastEvent, std::to_string(mLastEvent));
   }
-  call.acceptHeader = [this, attempt](const net::HttpResponse& response) {
+  call.acceptHeader = [this, attempt](const net::HttpResponse& response, bool) {
     const auto& header = mContext.format.headers();
     attempt->isStream =
       response.status == net::status::kOk &&
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include "net/beast.h"
 #include "net/error.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <map>
@@ -17,6 +18,9 @@
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 /// Time after which an idle connection is no longer reused.
 constexpr core::Millis kMaxIdleTime{ 20'000 };
+/// Number of requests whose keys a connection remembers. A late second copy of
+/// a response arrives in place of one of the next responses.
+constexpr std::size_t kRememberedKeys = 64;
 /// An idle connection is no longer reused once the keep-alive time-out that the
 /// server announced is this close. The margin is longer than a request needs to
 /// arrive. Otherwise, the server could close the connection while the request
@@ -65,10 +69,13 @@
 
 struct HttpClient::State
 {
-  struct IdleConnection
+  struct Connection
   {
     std::shared_ptr<beast::tcp_stream> stream;
-    core::TimePoint expiry;
+    /// When the connection is no longer reused.
+    core::TimePoint expiry{};
+    /// Hashes of the keys of the last requests on this connection.
+    std::vector<std::size_t> keys;
   };
 
   explicit State(asio::io_context& context)
@@ -77,11 +84,15 @@
   }
 
   asio::io_context& io;
-  std::map<core::Endpoint, std::vector<IdleConnection>> idle;
+  std::map<core::Endpoint, std::vector<Connection>> idle;
 
-  std::shared_ptr<beast::tcp_stream> takeIdle(const core::Endpoint& endpoint);
+  /// Returns an idle connection for the call; one without a stream if a new
+  /// connection is needed.
+  Connection takeIdle(const HttpCall& call);
+  /// Keeps a connection that has carried a request with the key.
   void addIdle(const core::Endpoint& endpoint,
-               std::shared_ptr<beast::tcp_stream> stream,
+               Connection connection,
+               const std::optional<std::string>& key,
                core::Millis idleLimit);
 };
 
@@ -100,32 +111,55 @@
   return error == asio::error::would_block;
 }
 
+std::size_t
+hashOf(const std::optional<std::string>& key)
+{
+  return std::hash<std::string>()(key.value_or(""));
+}
+
 } // namespace
 
-std::shared_ptr<beast::tcp_stream>
-HttpClient::State::takeIdle(const core::Endpoint& endpoint)
+HttpClient::State::Connection
+HttpClient::State::takeIdle(const HttpCall& call)
 {
-  auto& streams = idle[endpoint];
-  while (!streams.empty()) {
-    const auto last = streams.back();
-    streams.pop_back();
-    const bool isUsable = core::Clock::now() < last.expiry;
-    if (isUsable && isIdle(*last.stream)) {
-      return last.stream;
+  if (call.useNewConnection) {
+    return {};
+  }
+  const auto& key = call.requestKey;
+  const auto hash = hashOf(key);
+  auto& connections = idle[call.endpoint];
+  // The connection that was used last is the least likely to be closed.
+  for (auto candidate = connections.end(); candidate != connections.begin();) {
+    --candidate;
+    const bool hasCarriedRequest =
+      key && std::ranges::find(candidate->keys, hash) != candidate->keys.end();
+    if (hasCarriedRequest) {
+      continue;
+    }
+    auto connection = std::move(*candidate);
+    candidate = connections.erase(candidate);
+    if (core::Clock::now() < connection.expiry && isIdle(*connection.stream)) {
+      return connection;
     }
   }
-  return nullptr;
+  return {};
 }
 
 void
 HttpClient::State::addIdle(const core::Endpoint& endpoint,
-                           std::shared_ptr<beast::tcp_stream> stream,
+                           Connection connection,
+                           const std::optional<std::string>& key,
                            core::Millis idleLimit)
 {
-  auto& streams = idle[endpoint];
-  if (streams.size() < kMaxIdlePerEndpoint) {
-    stream->expires_never();
-    streams.push_back({ std::move(stream), core::Clock::now() + idleLimit });
+  auto& connections = idle[endpoint];
+  if (connections.size() < kMaxIdlePerEndpoint) {
+    connection.keys.push_back(hashOf(key));
+    if (connection.keys.size() > kRememberedKeys) {
+      connection.keys.erase(connection.keys.begin());
+    }
+    connection.stream->expires_never();
+    connection.expiry = core::Clock::now() + idleLimit;
+    connections.push_back(std::move(connection));
   }
 }
 
@@ -284,7 +318,8 @@
     if (mCall.onStatus) {
       mCall.onStatus(mResult.response.status);
     }
-    return !mCall.acceptHeader || mCall.acceptHeader(mResult.response);
+    return !mCall.acceptHeader ||
+           mCall.acceptHeader(mResult.response, mResult.reusedConnection);
   }
 
   void handleData(std::string_view data)
@@ -321,19 +356,19 @@
 {
   const auto state = mState;
   const auto endpoint = call.endpoint;
-  auto stream =
-    call.useNewConnection ? nullptr : state->takeIdle(call.endpoint);
-  const bool isConnected = stream != nullptr;
-  if (!stream) {
-    stream = std::make_shared<beast::tcp_stream>(state->io);
+  const auto key = call.requestKey;
+  auto connection = state->takeIdle(call);
+  const bool isConnected = connection.stream != nullptr;
+  if (!isConnected) {
+    connection.stream = std::make_shared<beast::tcp_stream>(state->io);
   }
-  ClientCall run(call, stream);
+  ClientCall run(call, connection.stream);
   auto result = co_await run.run(isConnected);
   const auto idleLimit = idleTimeLimit(result.response.headers);
   if (run.canReuseConnection() && !call.useNewConnection) {
-    state->addIdle(endpoint, stream, idleLimit);
+    state->addIdle(endpoint, std::move(connection), key, idleLimit);
   } else {
-    stream->close();
+    connection.stream->close();
   }
   co_return result;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -6,18 +6,20 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <system_error>
 
 namespace lentilrack::net {
 
-/// Request and options of HttpClient::call().
-struct HttpCall
 /// Maximum size, in bytes, of received data that has not been parsed yet. It
 /// bounds a head, the size line and extension of a chunk, and a trailer, which
 /// are parsed only when they are complete.
 inline constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 
+/// Request and options of HttpClient::call().
+struct HttpCall
 {
   core::Endpoint endpoint;
   HttpRequest request;
@@ -28,6 +30,11 @@
   /// server may close an idle connection at any time. If the call reuses such a
   /// connection, the client cannot tell whether the request was received.
   bool useNewConnection = false;
+  /// Identifies the request over its repetitions. A connection that has carried
+  /// a request with the same key is not used for it: a late second copy of the
+  /// response to the earlier request would be taken for the new response. If it
+  /// is not set, any connection may be used.
+  std::optional<std::string> requestKey;
   /// Maximum size of the response body in bytes.
   std::size_t bodyLimit = 64UL * 1024 * 1024;
   /// Called right before the first byte of the request is written. If it
@@ -38,7 +45,8 @@
   /// Checks status and headers before any data is read. If it returns false,
   /// the call ends with BadMessage and the connection is closed, because the
   /// rest of the response cannot be trusted.
-  std::function<bool(const HttpResponse&)> acceptHeader;
+  std::function<bool(const HttpResponse&, bool isConnectionReused)>
+    acceptHeader;
   /// Receives the body piece by piece. If it is not set, the body is collected
   /// in HttpResult::response.
   std::function<void(std::string_view)> onData;
--- a/tests/backends/service_clients_test.cpp
+++ b/tests/backends/service_clients_test.cpp
@@ -292,8 +292,9 @@
 TEST_F(ServiceClientsTest, LateCopyOfScoresIsNotTakenForTheNext)
 {
   testing::RepeatingServer scorer(mIo, [](int request) {
-    return std::pair(std::string(),
-                     "{\"scores\":[" + std::to_string(request) + "]}");
+    return testing::RepeatingServer::Response{
+      "", "{\"scores\":[" + std::to_string(request) + "]}"
+    };
   });
   run([&]() -> Awaitable<void> {
     for (int i = 1; i <= 3; ++i) {
--- a/tests/gateway/attempt_outcome_test.cpp
+++ b/tests/gateway/attempt_outcome_test.cpp
@@ -108,9 +108,16 @@
 TEST_F(AttemptOutcomeTest, ResponseToAnotherRequestIsRejected)
 {
   const auto other = answered(200, { { names().requestId, "r2" } });
-  EXPECT_FALSE(isResponseTo(other.response, names(), "r1"));
-  EXPECT_TRUE(isResponseTo(other.response, names(), "r2"));
-  EXPECT_TRUE(isResponseTo(answered(200).response, names(), "r1"));
+  const auto anonymous = answered(200).response;
+  for (const bool isReused : { false, true }) {
+    EXPECT_FALSE(isResponseTo(other.response, names(), "r1", isReused));
+    EXPECT_FALSE(isResponseTo(other.response, names(), "", isReused));
+    EXPECT_TRUE(isResponseTo(other.response, names(), "r2", isReused));
+    EXPECT_TRUE(isResponseTo(anonymous, names(), "", isReused));
+  }
+  // On a connection that was used before, it may be a late copy.
+  EXPECT_TRUE(isResponseTo(anonymous, names(), "r1", false));
+  EXPECT_FALSE(isResponseTo(anonymous, names(), "r1", true));
 }
 
 } // namespace lentilrack::gateway
--- a/tests/gateway/server_client_test.cpp
+++ b/tests/gateway/server_client_test.cpp
@@ -31,13 +31,13 @@
       mEntry, std::move(call), kind);
   }
 
-  testing::RepeatingServer mServer{ mIo, [](int request) {
-                                     const auto headers =
-                                       "X-Request-Id: r" +
-                                       std::to_string(request) + "\r\n";
-                                     return std::pair(headers,
-                                                      std::string("{}"));
-                                   } };
+  testing::RepeatingServer mServer{
+    mIo,
+    [](int request) {
+      const auto headers = "X-Request-Id: r" + std::to_string(request) + "\r\n";
+      return testing::RepeatingServer::Response{ headers, "{}" };
+    }
+  };
   core::ServerEntry mEntry;
   std::unique_ptr<TestNode> mNode = makeNode("a");
 };
@@ -70,4 +70,37 @@
   });
 }
 
+// Guards against taking the late second copy of a response for the response to
+// a repetition of the same request, which has the same id.
+TEST_F(ServerClientTest, RepeatedRequestUsesAnotherConnection)
+{
+  run([&]() -> net::Awaitable<void> {
+    const auto first = co_await call("r1", ServerRequestKind::Item);
+    EXPECT_FALSE(first.error);
+    const auto repeated = co_await call("r1", ServerRequestKind::Item);
+    EXPECT_FALSE(repeated.reusedConnection);
+    const auto report = co_await call("", ServerRequestKind::Report);
+    EXPECT_TRUE(report.reusedConnection);
+    const auto order = co_await call("", ServerRequestKind::WeightOrder);
+    EXPECT_FALSE(order.reusedConnection);
+  });
+}
+
+// Guards against taking the late copy of a response without an id, such as that
+// to an order, for the response to a request with one.
+TEST_F(ServerClientTest, CopyWithoutAnIdIsNotTakenForAResponse)
+{
+  testing::RepeatingServer server(mIo, [](int) {
+    return testing::RepeatingServer::Response{ "", "{}", 500 };
+  });
+  mEntry.endpoint = server.endpoint();
+  run([&]() -> net::Awaitable<void> {
+    const auto order = co_await call("", ServerRequestKind::WeightOrder);
+    EXPECT_FALSE(order.error);
+    const auto item = co_await call("r1", ServerRequestKind::Item);
+    EXPECT_TRUE(item.reusedConnection);
+    EXPECT_TRUE(item.error);
+  });
+}
+
 } // namespace lentilrack::gateway
--- a/tests/support/repeating_server.h
+++ b/tests/support/repeating_server.h
@@ -11,7 +11,6 @@
 
 #include <functional>
 #include <string>
-#include <utility>
 
 namespace lentilrack::testing {
 
@@ -20,9 +19,16 @@
 class RepeatingServer
 {
 public:
-  /// Returns headers (each with its line end) and body of the response to the
-  /// request with this number, counted from 1 over all connections.
-  using Answer = std::function<std::pair<std::string, std::string>(int)>;
+  struct Response
+  {
+    /// Headers, each with its line end.
+    std::string headers;
+    std::string body;
+    int status = 200;
+  };
+  /// Returns the response to the request with this number, counted from 1 over
+  /// all connections.
+  using Answer = std::function<Response(int)>;
 
   RepeatingServer(net::asio::io_context& io, Answer answer)
     : mIo(io)
@@ -64,9 +70,10 @@
         co_return;
       }
       received.erase(0, size);
-      const auto [headers, body] = mAnswer(++mRequests);
+      const auto [headers, body, status] = mAnswer(++mRequests);
       const auto response =
-        fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}",
+        fmt::format("HTTP/1.1 {} Status\r\n{}Content-Length: {}\r\n\r\n{}",
+                    status,
                     headers,
                     body.size(),
                     body);
