Refuse no batch that another process may have stored

Hypotheses: (1) a process refuses a batch although its own write may have been executed; (2) it forgets that the home of the model, to which it has passed the batch on, may have stored it; (3) a response of another kind from the store is taken for a refusal. Read and reproduced in tests with a fake store: (1) is ruled out for a lost answer, which RejectedBatchIsNotStored and LostStoreResponseDoesNotRejectTheBatch held before. (2) holds: acceptAtHome() dropped a 504 of the home, a time-out after 1.2 s and a lost connection alike, and the write that followed began with "not stored". If the store then refused it (down, over its rate, turning this machine away), or the process had no memory left, the answer was 503; the items ran once the home or its successor owned the batch. The log of the users shows lost connections between peers in that time. (3) holds by reading: a malformed response to a write was retried, and at the deadline answered 503.

StoreCommit::outcome() now says done, not done or unknown, and only what the store has refused is not done. PeerClient::call() tells whether the peer may have received the request. What may be stored is never refused: the batch is stored again under the same condition, looked up, or answered 504.

Whether this is what the users saw is suspected, not proved: their record names no accepting process.

--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -45,6 +45,15 @@
 constexpr Millis kDeletionMargin{ 60'000 };
 constexpr std::size_t kMaxDeletesPerCommit = 32;
 
+net::HttpResponse
+acceptedResponse()
+{
+  net::HttpResponse response;
+  response.status = net::status::kAccepted;
+  response.body = "{}";
+  return response;
+}
+
 } // namespace
 
 BatchService::BatchService(Context& context,
@@ -99,17 +108,22 @@
   } else if (spec.value().items.empty()) {
     reason = "no items";
     response = errorResponse(400, "batch_without_items");
-  } else if (auto remote = co_await acceptAtHome(spec.value(), request.body)) {
-    reason = "accepted_by_home";
-    response = std::move(*remote);
-  } else if (isMemoryExhausted()) {
-    reason = "memory";
-    response = refusalResponse(503, "too_many_open_batches", kRetryAfter);
   } else {
-    response = co_await accept(
-      std::make_shared<const core::BatchSpec>(std::move(spec).value()),
-      request.body,
-      start + kAcceptTimeout);
+    const auto atHome = co_await acceptAtHome(spec.value(), request.body);
+    if (atHome == WriteOutcome::Done) {
+      reason = "accepted_by_home";
+      response = acceptedResponse();
+    } else if (isMemoryExhausted()) {
+      reason = "memory";
+      response = co_await rejectForMemory(id, atHome);
+    } else {
+      reason = atHome == WriteOutcome::Unknown ? "home_unknown" : "here";
+      response = co_await accept(
+        std::make_shared<const core::BatchSpec>(std::move(spec).value()),
+        request.body,
+        start + std::min(kAcceptTimeout, mContext.timeToAnswer()),
+        atHome);
+    }
   }
   const auto took =
     std::chrono::duration<double, std::milli>(Clock::now() - start).count();
@@ -140,7 +154,7 @@
   return runMemory() > mContext.settings.memoryLimitBytes / kMemoryDivisor;
 }
 
-net::Awaitable<std::optional<net::HttpResponse>>
+net::Awaitable<WriteOutcome>
 BatchService::acceptAtHome(const core::BatchSpec& spec, const std::string& body)
 {
   const auto home = mCluster.homeOf(spec.model);
@@ -148,7 +162,7 @@
     mCluster.batches().contains(spec.id) || mRuns.contains(spec.id);
   if (!home || *home == mContext.settings.instance || isKnown ||
       body.size() > kMaxPeerBodyBytes) {
-    co_return std::nullopt;
+    co_return WriteOutcome::NotDone;
   }
   net::HttpRequest request;
   request.method = "POST";
@@ -156,15 +170,32 @@
   request.headers = { { peer_headers::kBatchHost, spec.host },
                       { peer_headers::kBatchPath, spec.path } };
   request.body = body;
-  auto answer =
-    co_await mPeers.sendRequest(*home, std::move(request), kHomeTimeout);
-  if (!answer || answer->status != net::status::kAccepted) {
-    // The other process may have stored the batch nevertheless. The condition
-    // of the write then tells this process that the batch is stored.
-    co_return std::nullopt;
+  const auto result =
+    co_await mPeers.call(*home, std::move(request), kHomeTimeout);
+  if (result.error) {
+    co_return result.sent ? WriteOutcome::Unknown : WriteOutcome::NotDone;
+  }
+  switch (result.response.status) {
+    case net::status::kAccepted:
+      co_return WriteOutcome::Done;
+    case net::status::kBadRequest:
+    case net::status::kUnavailable:
+      co_return WriteOutcome::NotDone;
+    default:
+      co_return WriteOutcome::Unknown;
   }
-  answer->headers.clear();
-  co_return answer;
+}
+
+net::Awaitable<net::HttpResponse>
+BatchService::rejectForMemory(std::string id, WriteOutcome earlier)
+{
+  if (earlier == WriteOutcome::NotDone) {
+    co_return refusalResponse(503, "too_many_open_batches", kRetryAfter);
+  }
+  const auto presence = co_await mReader.lookUp(id);
+  co_return presence == BatchPresence::Known
+    ? acceptedResponse()
+    : errorResponse(504, "acceptance_unknown");
 }
 
 net::Awaitable<net::HttpResponse>
@@ -223,14 +254,12 @@
 net::Awaitable<net::HttpResponse>
 BatchService::accept(std::shared_ptr<const core::BatchSpec> spec,
                      const std::string& body,
-                     TimePoint deadline)
+                     TimePoint deadline,
+                     WriteOutcome earlier)
 {
   const auto& id = spec->id;
-  net::HttpResponse accepted;
-  accepted.status = 202;
-  accepted.body = "{}";
   if (mCluster.batches().contains(id) || mRuns.contains(id)) {
-    co_return accepted;
+    co_return acceptedResponse();
   }
   const auto partSize = mContext.settings.storeValueBytes / kBodyPartDivisor;
   BatchRecord record;
@@ -241,7 +270,7 @@
   record.estimatedTokens = spec->expectedTokens();
   record.bodyParts = (body.size() + partSize - 1) / partSize;
   record.submittedAt = unixNow();
-  bool mayBeCommitted = false;
+  bool mayBeCommitted = earlier != WriteOutcome::NotDone;
   if (!mContext.isLeaving) {
     co_await mCluster.acquireLease();
   }
@@ -259,7 +288,7 @@
           { keys::owner(id), self.encode(), commit.revision });
         startRun(spec, record, commit.revision, {});
       }
-      co_return accepted;
+      co_return acceptedResponse();
     }
     if (commit.error == StoreError::Conflict) {
       // The batch is already stored: by an earlier attempt of this process
@@ -268,14 +297,13 @@
       for (const auto& item : commit.current) {
         mCluster.recordItem(item);
       }
-      co_return accepted;
+      co_return acceptedResponse();
     }
-    const bool isRefused = commit.error == StoreError::Unavailable;
-    if (isRefused && !mayBeCommitted) {
+    mayBeCommitted =
+      mayBeCommitted || commit.outcome() == WriteOutcome::Unknown;
+    if (commit.error == StoreError::Unavailable && !mayBeCommitted) {
       co_return storeUnavailableResponse();
     }
-    mayBeCommitted =
-      mayBeCommitted || commit.error == StoreError::OutcomeUnknown;
     co_await net::sleepFor(kStoreRetryDelay);
   }
   if (mayBeCommitted) {
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -50,22 +50,25 @@
 
 private:
   /// Has the batch accepted by the process that runs the batches of its model.
-  /// Returns nothing if that is this process, or if the other process has not
-  /// accepted it.
-  net::Awaitable<std::optional<net::HttpResponse>> acceptAtHome(
-    const core::BatchSpec& spec,
-    const std::string& body);
+  /// Returns NotDone if that is this process, or if the other process will not
+  /// store the batch.
+  net::Awaitable<WriteOutcome> acceptAtHome(const core::BatchSpec& spec,
+                                            const std::string& body);
   /// Returns an estimate of the memory that the runs use, in bytes.
   std::size_t runMemory() const;
   /// Returns whether the batches use so much memory that no further one
   /// may be accepted.
   bool isMemoryExhausted() const;
   /// Stores the batch and returns the response. Retries the store until the
-  /// deadline.
+  /// deadline. `earlier` is the outcome of an earlier attempt to store it.
   net::Awaitable<net::HttpResponse> accept(
     std::shared_ptr<const core::BatchSpec> spec,
     const std::string& body,
-    core::TimePoint deadline);
+    core::TimePoint deadline,
+    WriteOutcome earlier = WriteOutcome::NotDone);
+  /// Returns the response to a submission that this process has no memory for.
+  net::Awaitable<net::HttpResponse> rejectForMemory(std::string id,
+                                                    WriteOutcome earlier);
   /// Returns the transaction that stores a batch, with this process as its
   /// owner if it can run the batch.
   StoreTransaction makeAcceptTransaction(const std::string& id,
--- a/src/gateway/coordination_store.cpp
+++ b/src/gateway/coordination_store.cpp
@@ -43,4 +43,16 @@
   return { static_cast<int>(error), storeCategory() };
 }
 
+WriteOutcome
+StoreCommit::outcome() const
+{
+  if (!error) {
+    return WriteOutcome::Done;
+  }
+  const bool isRefused = error == StoreError::Unavailable ||
+                         error == StoreError::Conflict ||
+                         error == StoreError::LeaseNotFound;
+  return isRefused ? WriteOutcome::NotDone : WriteOutcome::Unknown;
+}
+
 } // namespace lentilrack::gateway
--- a/src/gateway/coordination_store.h
+++ b/src/gateway/coordination_store.h
@@ -89,6 +89,16 @@
   std::vector<std::string> deletes;
 };
 
+/// What is known of a write after the call that makes it has ended.
+enum class WriteOutcome
+{
+  Done,
+  /// Nothing was written, and nothing will be.
+  NotDone,
+  /// The write may have been executed, or may still be executed later.
+  Unknown,
+};
+
 /// Result of a transaction.
 struct StoreCommit
 {
@@ -98,6 +108,9 @@
   std::int64_t revision = 0;
   /// After a conflict: the current items of those precondition keys that exist.
   std::vector<StoreItem> current;
+
+  /// Returns NotDone only if the store has said so.
+  WriteOutcome outcome() const;
 };
 
 /// The store through which the processes coordinate and which outlives all of
--- a/src/gateway/peer_client.cpp
+++ b/src/gateway/peer_client.cpp
@@ -20,38 +20,60 @@
 {
 }
 
-net::Awaitable<std::optional<net::HttpResponse>>
-PeerClient::sendRequest(std::string instance,
-                        net::HttpRequest request,
-                        core::Millis timeout)
+net::Awaitable<net::HttpResult>
+PeerClient::call(std::string instance,
+                 net::HttpRequest request,
+                 core::Millis timeout)
 {
   const auto peer = mCluster.peers().find(instance);
   if (peer == mCluster.peers().end() || !peer->second.peerEndpoint) {
-    co_return std::nullopt;
+    net::HttpResult unknownPeer;
+    unknownPeer.error = net::NetError::ConnectFailed;
+    co_return unknownPeer;
   }
   const auto endpoint = *peer->second.peerEndpoint;
-  co_return co_await sendRequest(endpoint, std::move(request), timeout);
+  co_return co_await call(endpoint, std::move(request), timeout);
 }
 
-net::Awaitable<std::optional<net::HttpResponse>>
-PeerClient::sendRequest(core::Endpoint endpoint,
-                        net::HttpRequest request,
-                        core::Millis timeout)
+net::Awaitable<net::HttpResult>
+PeerClient::call(core::Endpoint endpoint,
+                 net::HttpRequest request,
+                 core::Millis timeout)
 {
   net::HttpCall call;
   call.endpoint = endpoint;
   call.request = std::move(request);
   call.connectTimeout = kConnectTimeout;
   call.timeout = timeout;
+  call.bodyLimit = kMaxPeerResponseBytes;
   auto result = co_await mContext.http.call(std::move(call));
   if (result.error) {
-  call.bodyLimit = kMaxPeerResponseBytes;
-    mContext.log.warning(
-      "peer_call",
-      { { "peer", endpoint.text() }, { "error", result.error.message() } });
-    co_return std::nullopt;
+    mContext.log.warning("peer_call",
+                         { { "peer", endpoint.text() },
+                           { "sent", result.sent },
+                           { "error", result.error.message() } });
   }
-  co_return std::move(result.response);
+  co_return result;
+}
+
+net::Awaitable<std::optional<net::HttpResponse>>
+PeerClient::sendRequest(std::string instance,
+                        net::HttpRequest request,
+                        core::Millis timeout)
+{
+  auto result = co_await call(std::move(instance), std::move(request), timeout);
+  co_return result.error ? std::nullopt
+                         : std::optional(std::move(result.response));
+}
+
+net::Awaitable<std::optional<net::HttpResponse>>
+PeerClient::sendRequest(core::Endpoint endpoint,
+                        net::HttpRequest request,
+                        core::Millis timeout)
+{
+  auto result = co_await call(endpoint, std::move(request), timeout);
+  co_return result.error ? std::nullopt
+                         : std::optional(std::move(result.response));
 }
 
 void
--- a/src/gateway/peer_client.h
+++ b/src/gateway/peer_client.h
@@ -36,6 +36,11 @@
 public:
   PeerClient(Context& context, ClusterView& cluster);
 
+  /// Sends a request and returns the response or the error. HttpResult::sent
+  /// tells whether the peer may have received the request.
+  net::Awaitable<net::HttpResult> call(std::string instance,
+                                       net::HttpRequest request,
+                                       core::Millis timeout);
   /// Returns the response of the peer, or nothing if it does not arrive within
   /// the timeout.
   net::Awaitable<std::optional<net::HttpResponse>> sendRequest(
@@ -53,6 +58,9 @@
               const std::string& body);
 
 private:
+  net::Awaitable<net::HttpResult> call(core::Endpoint endpoint,
+                                       net::HttpRequest request,
+                                       core::Millis timeout);
   /// Sends a message to one process and ignores the response.
   net::Awaitable<void> notifyPeer(std::string instance,
                                   net::HttpRequest request);
--- a/tests/gateway/batch_home_test.cpp
+++ b/tests/gateway/batch_home_test.cpp
@@ -125,6 +125,56 @@
   });
 }
 
+// Guards against a batch that is refused but runs later: the home has stored
+// it, but cannot say so, and the store refuses the calls of this process.
+TEST_F(BatchHomeTest, BatchThatTheHomeMayHaveStoredIsNotRefused)
+{
+  run([&]() -> net::Awaitable<void> {
+    co_await joinBoth();
+    mLosesResponses = true;
+    mFront->store.isUnreachable = true;
+    EXPECT_EQ(co_await submitAtFront("b1"), 504);
+    EXPECT_EQ(ownerOf("b1"), "home");
+  });
+}
+
+// Guards against the same if the outcome is unknown to the home itself: the
+// store has executed its write, but the response was lost.
+TEST_F(BatchHomeTest, BatchOfUnknownOutcomeAtTheHomeIsNotRefused)
+{
+  run([&]() -> net::Awaitable<void> {
+    co_await joinBoth();
+    mHome->store.beforeCommit = [&](const StoreTransaction& transaction) {
+      if (transaction.writes.at(0).key == keys::batch("b1")) {
+        mHome->store.unansweredCommits = 1;
+        mFront->store.isUnreachable = true;
+      }
+      mHome->store.isUnreachable = mTable->entries.contains(keys::batch("b1"));
+    };
+    EXPECT_EQ(co_await submitAtFront("b1"), 504);
+    EXPECT_TRUE(mTable->entries.contains(keys::batch("b1")));
+  });
+}
+
+// Guards against a refusal for lack of memory of a batch that the home may have
+// stored.
+TEST_F(BatchHomeTest, LackOfMemoryDoesNotRefuseWhatTheHomeMayHaveStored)
+{
+  mLosesResponses = true;
+  run([&]() -> net::Awaitable<void> {
+    co_await joinBoth();
+    EXPECT_EQ(co_await submitAtFront("b0"), 202);
+    // Runs of this process use some memory, and it may use none.
+    mHome->context.isLeaving = true;
+    EXPECT_EQ(co_await submitAtFront("b1"), 202);
+    EXPECT_EQ(mFront->batches.openRunCount(), 1U);
+    mHome->context.isLeaving = false;
+    mFront->context.settings.memoryLimitBytes = 0;
+    EXPECT_EQ(co_await submitAtFront("b2"), 202);
+    EXPECT_EQ(ownerOf("b2"), "home");
+  });
+}
+
 // Guards against new batches at a process that is leaving.
 TEST_F(BatchHomeTest, LeavingHomeAcceptsNoBatch)
 {
