Test responses that end within their head, length or chunks

It cannot happen here: a response is cut after each of its bytes in turn, and each call ends with ConnectionLost.

--- a/tests/net/broken_exchange_test.cpp
+++ b/tests/net/broken_exchange_test.cpp
@@ -1,6 +1,7 @@
 #include "net/error.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "support/cutting_server.h"
 
 #include <gtest/gtest.h>
 
@@ -120,4 +121,47 @@
   EXPECT_TRUE(second.isSuccess());
 }
 
+// Guards against taking a response for complete whose server has closed the
+// connection within the head, or before the body had its stated length.
+TEST(BrokenExchangeTest, ResponseThatIsCutIsNotComplete)
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nContent-Length: 4\r\n\r\n";
+  const auto body = head + "done";
+  for (std::size_t size = 0; size < body.size(); ++size) {
+    asio::io_context io;
+    testing::CuttingServer server(io, body.substr(0, size));
+    HttpClient client(io);
+    HttpResult result;
+    const auto run = [&]() -> Awaitable<void> {
+      result = co_await client.call(callTo(server.endpoint()));
+      io.stop();
+    };
+    spawn(io, run());
+    io.run();
+    EXPECT_EQ(result.error, NetError::ConnectionLost) << size;
+    EXPECT_FALSE(result.isSuccess());
+  }
+}
+
+// Guards against taking chunks without the last one for a complete body.
+TEST(BrokenExchangeTest, ChunksThatAreCutAreNotComplete)
+{
+  const std::string body =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
+  for (auto size = body.size() - 12; size <= body.size(); ++size) {
+    asio::io_context io;
+    testing::CuttingServer server(io, body.substr(0, size));
+    HttpClient client(io);
+    HttpResult result;
+    const auto run = [&]() -> Awaitable<void> {
+      result = co_await client.call(callTo(server.endpoint()));
+      io.stop();
+    };
+    spawn(io, run());
+    io.run();
+    EXPECT_EQ(result.error, NetError::ConnectionLost) << size;
+  }
+}
+
 } // namespace lentilrack::net
