--- a/src/core/handover_delay.h
+++ b/src/core/handover_delay.h
@@ -59,6 +59,10 @@
   /// Whether this process may give the server an order now.
   bool canOrder(const ServerEntry& server, TimePoint now) const;
 
+  /// Whether there was no takeover, or even the latest possible order of the
+  /// former holder is long enough ago.
+  bool isHandoverOver(TimePoint now) const;
+
 private:
   struct Order
   {
@@ -67,9 +71,6 @@
     TimePoint at;
   };
 
-  /// Whether there was no takeover, or even the latest possible order of the
-  /// former holder is long enough ago.
-  bool isHandoverOver(TimePoint now) const;
   /// Whether a report received now could predate the former holder's last
   /// order.
   bool isReportTooEarly(TimePoint now) const;
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -91,7 +91,15 @@
       co_await claimLeadership();
       continue;
     }
-    mFencingToken = leader->revision;
+    if (mFencingToken != leader->revision) {
+      beginTerm(*leader);
+    }
+    // A process that shuts down gives no orders, but still records this for the
+    // process after it.
+    if (!leader->isSettled && mHandoverDelay.isHandoverOver(Clock::now())) {
+      co_await recordSettled(*leader);
+      continue;
+    }
     co_await reportRetirements();
     if (!canSendOrders() || !mContext.desired) {
       continue;
@@ -146,6 +154,51 @@
   return core::computeModelDemand(std::move(batches), unixNow());
 }
 
+Holder
+WeightLeader::makeHolder(bool isSettled) const
+{
+  auto holder = mCluster.self();
+  holder.address = mContext.settings.address;
+  holder.isSettled = isSettled;
+  return holder;
+}
+
+void
+WeightLeader::beginTerm(const Holder& leader)
+{
+  // The former leader may not have noticed yet that the store revoked its
+  // lease, and may still send orders. The term may have begun in an earlier
+  // process of this instance, or by a claim whose outcome this process did not
+  // learn.
+  if (!leader.isSettled) {
+    mHandoverDelay.startTakeover(Clock::now());
+  }
+  mFencingToken = leader.revision;
+  mContext.log.info(
+    "leader_term",
+    { { "fence", leader.revision },
+      { "outcome", leader.isSettled ? "settled" : "delayed" } });
+}
+
+net::Awaitable<void>
+WeightLeader::recordSettled(const Holder& leader)
+{
+  const auto revision = leader.revision;
+  const auto lease = co_await mCluster.acquireLease();
+  const auto settled = makeHolder(true);
+  StoreTransaction transaction;
+  transaction.preconditions = { { keys::leader(), revision } };
+  transaction.writes = { { keys::leader(), settled.encode(), lease } };
+  const auto commit = co_await mContext.store.commit(std::move(transaction));
+  mContext.log.info(
+    "leader_settled",
+    { { "fence", commit.revision },
+      { "outcome", commit.error ? commit.error.message() : "done" } });
+  if (commit.outcome() == WriteOutcome::Done) {
+    mCluster.recordItem({ keys::leader(), settled.encode(), commit.revision });
+  }
+}
+
 net::Awaitable<void>
 WeightLeader::claimLeadership()
 {
@@ -168,11 +221,14 @@
     co_return;
   }
   const auto presentRevision = isOwnInstance ? leader->revision : 0;
+  const bool isSameMachine =
+    isOwnInstance && leader->address == mContext.settings.address;
+  const bool isSettled = isSameMachine && leader->isSettled;
   const auto lease = co_await mCluster.acquireLease();
   if (lease == 0) {
     co_return;
   }
-  const auto self = mCluster.self();
+  const auto self = makeHolder(isSettled);
   StoreTransaction transaction;
   transaction.preconditions = { { keys::leader(), presentRevision } };
   transaction.writes = { { keys::leader(), self.encode(), lease } };
@@ -182,11 +238,6 @@
     { { "fence", commit.revision },
       { "outcome", commit.error ? commit.error.message() : "done" } });
   if (!commit.error) {
-    if (!isOwnInstance) {
-      // Delay the first orders: the former leader may not have noticed yet that
-      // the store revoked its lease, and may still send orders.
-      mHandoverDelay.startTakeover(Clock::now());
-    }
     mCluster.recordItem({ keys::leader(), self.encode(), commit.revision });
   } else {
     std::ranges::for_each(
@@ -238,6 +289,7 @@
   net::HttpCall call;
   call.endpoint = order.server.endpoint;
   call.request = mContext.format.encodeOrder(weightOrder);
+  call.bodyLimit = kMaxOrderResponseBytes;
   call.connectTimeout = kConnectTimeout;
   call.timeout = kOrderTimeout;
   call.beforeFirstByte = [this, fencingToken = mFencingToken] {
@@ -289,11 +341,11 @@
 WeightLeader::checkLoad(core::WeightLoadPlanner::Load load)
 {
   const auto& order = load.order;
-  call.bodyLimit = kMaxOrderResponseBytes;
   const auto id = order.server.id;
   net::HttpCall call;
   call.endpoint = order.server.endpoint;
   call.request = mContext.format.encodeReportRequest(order.server);
+  call.bodyLimit = kMaxReportBytes;
   call.connectTimeout = kConnectTimeout;
   call.timeout = kOrderTimeout;
   auto result = co_await mContext.servers.call(
@@ -357,7 +409,6 @@
     json["orders"] = *update.orderCount;
   }
   const bool isSendScheduled = !mCollectedUpdates.empty();
-  call.bodyLimit = kMaxReportBytes;
   mCollectedUpdates[order.model].push_back(std::move(json));
   if (!isSendScheduled) {
     net::spawn(mContext.io, sendCollectedUpdates());
--- a/src/gateway/weight_leader.h
+++ b/src/gateway/weight_leader.h
@@ -43,6 +43,13 @@
 private:
   net::Awaitable<void> maintainLeadership();
   net::Awaitable<void> claimLeadership();
+  /// Returns the holder to write to the leader key.
+  Holder makeHolder(bool isSettled) const;
+  /// Begins to lead with the leader key that the store holds for this process.
+  void beginTerm(const Holder& leader);
+  /// Records in the store that the delay after the takeover is over, so that a
+  /// restarted process of this instance need not wait again.
+  net::Awaitable<void> recordSettled(const Holder& leader);
   WeightOrder makeWeightOrder(const core::LoadOrder& order,
                               const core::RegisteredServer& server) const;
   net::Awaitable<void> sendOrder(core::LoadOrder order);
