Send nothing new to a server that says it is leaving

ServerClient, which all requests to servers pass, records the statement for that lifetime of the server; the list of servers cannot take it back, and a new process at the address starts afresh. Heads of streams, failures, refusals, reports and responses to orders count. Responses of other requests say nothing, values other than 1 are logged once and ignored. A request that waited for the permit of a server is not sent if the server leaves meanwhile. What already runs there is finished.

Our own interface and stand-ins do not say it yet.

--- a/src/gateway/server_client.cpp
+++ b/src/gateway/server_client.cpp
@@ -51,6 +51,13 @@
 {
 }
 
+bool
+ServerClient::isInService(const core::ServerEntry& server) const
+{
+  const auto* state = mContext.registry.find(server.id, server.startedAt);
+  return state != nullptr && !state->leaving && !state->entry.draining;
+}
+
 net::Awaitable<net::HttpResult>
 ServerClient::call(core::ServerEntry server,
                    net::HttpCall call,
@@ -69,11 +76,22 @@
       co_return refused;
     }
   }
+  // The server may have stated that it is leaving, or may have been replaced,
+  // while this request waited for its permit.
+  if (needsPermit && !isInService(server)) {
+    net::HttpResult refused;
+    refused.error = net::NetError::RateLimited;
+    co_return refused;
+  }
   mContext.metrics.increment(
     fmt::format("server_requests_total{{kind=\"{}\",rate_limited=\"{}\"}}",
                 textOf(kind),
                 needsPermit ? "yes" : "no"));
   const auto& names = mContext.format.headers();
+  const auto id = call.request.header(names.requestId);
+  // Requests without an identifier share the empty key, since nothing tells
+  // their responses apart.
+  call.requestKey = id;
   call.acceptHeader =
     [this, server, &names, id, accept = std::move(call.acceptHeader)](
       const net::HttpResponse& response, bool isConnectionReused) {
@@ -82,14 +100,36 @@
         (!accept || accept(response, isConnectionReused));
       if (isAccepted) {
         recordStatedRate(server, response);
+        recordLeaving(server, response);
       }
       return isAccepted;
     };
   co_return co_await mContext.http.call(std::move(call));
-  const auto id = call.request.header(names.requestId);
-  // Requests without an identifier share the empty key, since nothing tells
-  // their responses apart.
-  call.requestKey = id;
+}
+
+void
+ServerClient::recordLeaving(const core::ServerEntry& server,
+                            const net::HttpResponse& response)
+{
+  const auto text =
+    net::headerValue(response.headers, mContext.format.headers().leaving);
+  const auto* state = mContext.registry.find(server.id, server.startedAt);
+  if (text.empty() || state == nullptr || state->leaving) {
+    return;
+  }
+  const bool isLeaving = text == "1";
+  if (isLeaving) {
+    mContext.registry.markLeaving(server);
+    mContext.metrics.increment("servers_leaving_stated_total");
+  } else if (!mMalformedLeaving.insert(server.id).second) {
+    return;
+  }
+  mContext.log.info("server_leaving",
+                    { { "server", server.id },
+                      { "service", server.service },
+                      { "listed_as_draining", state->entry.draining },
+                      { "stated", text },
+                      { "outcome", isLeaving ? "leaving" : "ignored" } });
 }
 
 void
--- a/src/gateway/server_client.h
+++ b/src/gateway/server_client.h
@@ -4,6 +4,8 @@
 #include "net/http_client.h"
 
 #include <functional>
+#include <set>
+#include <string>
 
 namespace lentilrack::gateway {
 
@@ -64,9 +66,18 @@
   void recordStatedRate(const core::ServerEntry& server,
                         const net::HttpResponse& response);
 
+  /// Records that the server is leaving, if the response says so. The server
+  /// then gets no new requests, whatever the list of servers says.
+  void recordLeaving(const core::ServerEntry& server,
+                     const net::HttpResponse& response);
+  /// Returns true if the server is listed and neither draining nor leaving.
+  bool isInService(const core::ServerEntry& server) const;
+
   Context& mContext;
   PermitSource mAcquire;
   RateHook mOnRateChange;
+  /// Ids of the servers whose statement that they leave was malformed.
+  std::set<std::string> mMalformedLeaving;
 };
 
 } // namespace lentilrack::gateway
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -41,6 +41,8 @@
   /// Requests per second that the server takes from all instances together. A
   /// server states it in its responses while it needs to limit its load.
   std::string statedRate;
+  /// Set to "1" in all responses of a server that is leaving.
+  std::string leaving;
 };
 
 /// Reads the results of a batch from position `after` on. If there are none
--- a/tests/gateway/fake_server.cpp
+++ b/tests/gateway/fake_server.cpp
@@ -69,6 +69,7 @@
     co_return;
   }
   auto headers = streamHeaders(exchange.request(), version);
+  headers.insert(headers.end(), extraHeaders.begin(), extraHeaders.end());
   co_await exchange.beginStream(200, "text/event-stream", std::move(headers));
   auto text = remainingEvents(exchange.request(), events);
   co_await exchange.write(std::move(text));
--- a/tests/gateway/fake_server.h
+++ b/tests/gateway/fake_server.h
@@ -24,6 +24,8 @@
 
   /// Number of events in the default streamed response.
   int events = 3;
+  /// Headers that are added to the default response.
+  net::Headers extraHeaders;
   /// Version of the weights in the default response.
   int version = 1;
 
