Identify the organisation of each request by its API key

The desired state now holds the organisations. Each request is checked against the state in force when it is read; the key is removed and the organisation named. A batch belongs to its organisation: its stored id contains a digest of the name, so that equal ids of two organisations are two batches, and its record names the organisation for later owners.

--- a/src/core/desired_state.cpp
+++ b/src/core/desired_state.cpp
@@ -39,13 +39,18 @@
   return found == targets.end() ? targets.back().service : found->service;
 }
 
-DesiredState::DesiredState(std::int64_t version,
-                           std::vector<Route> routes,
-                           std::vector<ServiceSpec> services,
-                           CallerLimits limits)
+DesiredState::DesiredState(
+  std::int64_t version,
+  std::vector<Route> routes,
+  std::vector<ServiceSpec> services,
+  CallerLimits limits,
+  std::optional<std::vector<Organisation>> organisations)
   : mVersion(version)
   , mLimits(limits)
   , mServices(std::move(services))
+  , mOrganisations(organisations
+                     ? std::make_shared<OrganisationDirectory>(*organisations)
+                     : nullptr)
 {
   for (auto& route : routes) {
     mRoutes[hostName(route.host)].push_back(std::move(route));
@@ -73,6 +78,16 @@
   return route == found->second.end() ? nullptr : &*route;
 }
 
+bool
+DesiredState::hasPublicBatchRoute(std::string_view host) const
+{
+  const auto found = mRoutes.find(hostName(host));
+  return found != mRoutes.end() &&
+         std::ranges::any_of(found->second, [](const Route& route) {
+           return route.isPublic && route.kind == RouteKind::Batch;
+         });
+}
+
 bool
 DesiredState::requiresSingleVersion() const
 {
--- a/src/core/desired_state.h
+++ b/src/core/desired_state.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "core/autoscaling/autoscaling_spec.h"
+#include "core/organisations/organisation_directory.h"
 #include "core/time.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,6 +59,8 @@
   Millis itemLifetime{ 60'000 };
   /// 0 is the most urgent.
   int priority = 5;
+  /// Whether requests need no API key.
+  bool isPublic = false;
   std::vector<RouteTarget> targets;
 
   /// Returns the service for a request, chosen by weight with a random number
@@ -69,6 +74,10 @@
   std::string name;
   /// Models that the servers of the group serve; empty for a plain service.
   std::vector<std::string> models;
+  /// Tokens for which one server of the group has memory; 0 if unknown.
+  std::int64_t memoryTokens = 0;
+  /// Set if the number of servers is ordered from the provider.
+  std::optional<AutoscalingSpec> autoscaling;
 };
 
 /// Limits on the size and duration of a caller's requests.
@@ -87,17 +96,28 @@
 class DesiredState
 {
 public:
-  DesiredState(std::int64_t version,
-               std::vector<Route> routes,
-               std::vector<ServiceSpec> services,
-               CallerLimits limits);
+  /// `organisations` is empty if requests need no API key in this deployment.
+  DesiredState(
+    std::int64_t version,
+    std::vector<Route> routes,
+    std::vector<ServiceSpec> services,
+    CallerLimits limits,
+    std::optional<std::vector<Organisation>> organisations = std::nullopt);
 
   std::int64_t version() const { return mVersion; }
   const CallerLimits& limits() const { return mLimits; }
   const std::vector<ServiceSpec>& services() const { return mServices; }
+  /// Returns the organisations whose requests are served, or null if requests
+  /// need no API key.
+  const OrganisationDirectory* organisations() const
+  {
+    return mOrganisations.get();
+  }
   /// Returns the route of the host with the longest matching path prefix, or
   /// null if there is none. The port of the host and the query are ignored.
   const Route* findRoute(std::string_view host, std::string_view target) const;
+  /// Whether batches can be submitted to the host without an API key.
+  bool hasPublicBatchRoute(std::string_view host) const;
   /// Whether any route requires results of a single weight version.
   bool requiresSingleVersion() const;
 
@@ -105,6 +125,7 @@
   std::int64_t mVersion;
   CallerLimits mLimits;
   std::vector<ServiceSpec> mServices;
+  std::shared_ptr<const OrganisationDirectory> mOrganisations;
   /// Routes by host, the longest prefix first.
   std::unordered_map<std::string, std::vector<Route>> mRoutes;
 };
--- a/src/core/rollout_batch.h
+++ b/src/core/rollout_batch.h
@@ -40,7 +40,11 @@
 /// A batch as submitted. Immutable.
 struct BatchSpec
 {
+  /// Id under which the batch is stored; see scopedBatchId().
   std::string id;
+  /// Organisation that has submitted the batch; empty if the deployment has no
+  /// organisations.
+  std::string organisation;
   std::string host;
   /// Path to which the batch was submitted; selects the route.
   std::string path;
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -24,6 +24,9 @@
   std::string failureDomain;
   int slots = 1;
   bool draining = false;
+  /// Whether the provider may take the server back, all of a failure domain at
+  /// once.
+  bool isReclaimable = false;
   /// Start time of the server process in Unix milliseconds. A different value
   /// means that the server was restarted, so that what was observed of it
   /// before the restart no longer holds.
--- a/src/gateway/batch_reader.cpp
+++ b/src/gateway/batch_reader.cpp
@@ -1,5 +1,6 @@
 #include "gateway/batch_reader.h"
 
+#include "core/organisations/authentication.h"
 #include "net/http_status.h"
 
 #include <fmt/format.h>
@@ -43,6 +44,21 @@
          });
 }
 
+bool
+isStoredBatchId(const std::string& id)
+{
+  constexpr std::size_t kMaxScopeLength = 64;
+  const auto separator = id.find(core::kScopeSeparator);
+  if (separator == std::string::npos) {
+    return isValidBatchId(id);
+  }
+  const bool isScope =
+    separator > 0 && separator <= kMaxScopeLength &&
+    std::ranges::all_of(id.substr(0, separator),
+                        [](unsigned char c) { return std::isxdigit(c) != 0; });
+  return isScope && isValidBatchId(id.substr(separator + 1));
+}
+
 net::HttpResponse
 storeUnavailableResponse()
 {
@@ -68,7 +84,7 @@
   if (mCluster.batches().contains(id) || mFindLocalRun(id)) {
     co_return BatchPresence::Known;
   }
-  if (!isValidBatchId(id)) {
+  if (!isStoredBatchId(id)) {
     co_return BatchPresence::Absent;
   }
   const auto item = co_await mContext.store.read(keys::batch(id));
@@ -106,6 +122,7 @@
   if (!spec || spec.value().items.size() != record.total) {
     co_return make_error_code(StoreError::MalformedResponse);
   }
+  spec.value().organisation = record.organisation;
   stored.spec =
     std::make_shared<const core::BatchSpec>(std::move(spec).value());
   co_return stored;
--- a/src/gateway/batch_reader.h
+++ b/src/gateway/batch_reader.h
@@ -27,11 +27,15 @@
   Unknown,
 };
 
-/// Returns true if the text is valid as the id of a batch and can therefore be
-/// part of a key.
+/// Returns true if callers may use the text as the id of a batch.
 bool
 isValidBatchId(const std::string& id);
 
+/// Returns true if the text is an id under which batches are stored (see
+/// core::scopedBatchId()), and can therefore be part of a key.
+bool
+isStoredBatchId(const std::string& id);
+
 /// Returns the 503 response for requests that cannot be answered without the
 /// store.
 net::HttpResponse
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -1,5 +1,6 @@
 #include "gateway/batch_service.h"
 
+#include "core/organisations/authentication.h"
 #include "net/http_status.h"
 
 #include <algorithm>
@@ -91,13 +92,16 @@
 }
 
 net::Awaitable<void>
-BatchService::submit(net::HttpExchange& exchange, const core::Route& route)
+BatchService::submit(net::HttpExchange& exchange,
+                     const core::Route& route,
+                     std::string organisation)
 {
   const auto start = Clock::now();
   const auto& request = exchange.request();
-  const auto id = request.header(mContext.format.headers().requestId);
+  const auto callerId = request.header(mContext.format.headers().requestId);
+  const auto id = core::scopedBatchId(organisation, callerId);
   net::HttpResponse response;
-  auto spec = isValidBatchId(id)
+  auto spec = isValidBatchId(callerId)
                 ? mContext.format.decodeBatch(
                     id, request.header("Host"), request.target, request.body)
                 : std::string("the batch id is missing or invalid");
@@ -109,6 +113,7 @@
     reason = "no items";
     response = errorResponse(400, "batch_without_items");
   } else {
+    spec.value().organisation = std::move(organisation);
     const auto atHome = co_await acceptAtHome(spec.value(), request.body);
     if (atHome == WriteOutcome::Done) {
       reason = "accepted_by_home";
@@ -169,6 +174,10 @@
   request.target = peer_paths::kSubmit + spec.id;
   request.headers = { { peer_headers::kBatchHost, spec.host },
                       { peer_headers::kBatchPath, spec.path } };
+  if (!spec.organisation.empty()) {
+    request.headers.emplace_back(peer_headers::kBatchOrganisation,
+                                 spec.organisation);
+  }
   request.body = body;
   const auto result =
     co_await mPeers.call(*home, std::move(request), kHomeTimeout);
@@ -203,7 +212,7 @@
 {
   const auto deadline = Clock::now() + kHomeTimeout;
   auto spec =
-    isValidBatchId(id)
+    isStoredBatchId(id)
       ? mContext.format.decodeBatch(id,
                                     request.header(peer_headers::kBatchHost),
                                     request.header(peer_headers::kBatchPath),
@@ -215,6 +224,8 @@
   } else if (mContext.isLeaving || !mContext.desired || isMemoryExhausted()) {
     response = refusalResponse(503, "not_accepting_batches", kRetryAfter);
   } else {
+    spec.value().organisation =
+      request.header(peer_headers::kBatchOrganisation);
     response = co_await accept(
       std::make_shared<const core::BatchSpec>(std::move(spec).value()),
       request.body,
@@ -267,6 +278,7 @@
   record.path = spec->path;
   record.total = spec->items.size();
   record.model = spec->model;
+  record.organisation = spec->organisation;
   record.estimatedTokens = spec->expectedTokens();
   record.bodyParts = (body.size() + partSize - 1) / partSize;
   record.submittedAt = unixNow();
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -23,9 +23,11 @@
   void start();
   /// Has a submitted batch accepted, by the process that runs the batches of
   /// its model or else by this process, and responds with 202 once the store
-  /// holds it.
+  /// holds it. The batch then belongs to the organisation, whose name is empty
+  /// if the deployment has none.
   net::Awaitable<void> submit(net::HttpExchange& exchange,
-                              const core::Route& route);
+                              const core::Route& route,
+                              std::string organisation = "");
   /// Accepts a batch that a trainer has submitted to another process.
   net::Awaitable<net::HttpResponse> acceptForPeer(std::string id,
                                                   net::HttpRequest request);
--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -168,16 +168,18 @@
 std::string
 BatchRecord::encode() const
 {
-  return Json{
-    { "host", host },
-    { "path", path },
-    { "total", total },
-    { "parts", bodyParts },
-    { "model", model },
-    { "work", estimatedTokens },
-    { "submitted_at", submittedAt.count() },
-    { "state", static_cast<int>(state) }
-  }.dump();
+  Json json = { { "host", host },
+                { "path", path },
+                { "total", total },
+                { "parts", bodyParts },
+                { "model", model },
+                { "work", estimatedTokens },
+                { "submitted_at", submittedAt.count() },
+                { "state", static_cast<int>(state) } };
+  if (!organisation.empty()) {
+    json["organisation"] = organisation;
+  }
+  return json.dump();
 }
 
 std::optional<BatchRecord>
@@ -190,6 +192,7 @@
     record.total = json.value("total", std::size_t{ 0 });
     record.bodyParts = json.value("parts", std::size_t{ 0 });
     record.model = json.value("model", "");
+    record.organisation = json.value("organisation", "");
     record.estimatedTokens = json.value("work", 0.0);
     record.submittedAt = Millis(json.value("submitted_at", std::int64_t{ 0 }));
     record.state = static_cast<BatchState>(json.value("state", 0));
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -49,6 +49,8 @@
   /// Number of keys over which the submitted body is split.
   std::size_t bodyParts = 0;
   std::string model;
+  /// Organisation that has submitted the batch; empty if there is none.
+  std::string organisation;
   /// Expected number of output tokens, summed over all items.
   double estimatedTokens = 0;
   /// Unix time of the submission.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,8 @@
 #include "core/shutdown_admission.h"
 #include "core/takeover_order.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace lentilrack::gateway {
@@ -46,6 +48,24 @@
   return {};
 }
 
+/// Returns the headers without the API key, and with the name of the
+/// organisation in place of what the caller may have sent there.
+net::Headers
+identifiedHeaders(net::Headers headers,
+                  const HeaderNames& names,
+                  const std::string& organisation)
+{
+  std::erase_if(headers, [&](const auto& header) {
+    const net::Headers one{ header };
+    return !net::headerValues(one, names.apiKey).empty() ||
+           !net::headerValues(one, names.organisation).empty();
+  });
+  if (!organisation.empty()) {
+    headers.emplace_back(names.organisation, organisation);
+  }
+  return headers;
+}
+
 } // namespace
 
 Gateway::Gateway(Context& context)
@@ -164,23 +184,82 @@
 net::Awaitable<void>
 Gateway::handleCaller(net::HttpExchange& exchange)
 {
-  const auto call = mContext.format.classifyRequest(exchange.request());
-  if (const auto* read = std::get_if<ReadBatch>(&call)) {
-    co_await mBatches.reader().read(exchange, *read);
-  } else if (const auto* body = std::get_if<ReadItemBody>(&call)) {
-    co_await mBatches.reader().readItemBody(exchange, *body);
-  } else if (const auto* end = std::get_if<EndBatch>(&call)) {
-    co_await mBatches.end(exchange, *end);
-  } else if (const auto* bad = std::get_if<MalformedCall>(&call)) {
+  auto call = mContext.format.classifyRequest(exchange.request());
+  if (const auto* bad = std::get_if<MalformedCall>(&call)) {
     co_await exchange.respond(errorResponse(400, bad->reason));
-  } else {
+  } else if (std::holds_alternative<ForwardRequest>(call)) {
     co_await handleForward(exchange);
+  } else {
+    co_await handleBatchCall(exchange, std::move(call));
+  }
+}
+
+net::Awaitable<void>
+Gateway::handleBatchCall(net::HttpExchange& exchange, ClassifiedRequest call)
+{
+  const auto& names = mContext.format.headers();
+  const auto* organisations =
+    mContext.desired ? mContext.desired->organisations() : nullptr;
+  const bool mayNeedKey =
+    !mContext.desired && !exchange.request().header(names.apiKey).empty();
+  if (mayNeedKey) {
+    // Without a desired state this process cannot tell whose batch it is.
+    co_await exchange.respond(refusalResponse(503, "not_ready", kRetryAfter));
+    co_return;
+  }
+  const auto& request = exchange.request();
+  const auto authentication = core::authenticate(
+    organisations,
+    net::headerValues(request.headers, names.apiKey),
+    organisations != nullptr &&
+      mContext.desired->hasPublicBatchRoute(request.header("Host")));
+  if (!authentication.isAllowed()) {
+    co_await rejectUnauthenticated(exchange, authentication.outcome);
+    co_return;
   }
+  // An id that callers cannot use names no batch. It must not reach the batch
+  // of another organisation either.
+  const auto scoped = [&](const std::string& id) {
+    return isValidBatchId(id)
+             ? core::scopedBatchId(authentication.organisation, id)
+             : std::string();
+  };
+  if (auto* read = std::get_if<ReadBatch>(&call)) {
+    read->id = scoped(read->id);
+    co_await mBatches.reader().read(exchange, std::move(*read));
+  } else if (auto* body = std::get_if<ReadItemBody>(&call)) {
+    body->id = scoped(body->id);
+    co_await mBatches.reader().readItemBody(exchange, std::move(*body));
+  } else if (auto* end = std::get_if<EndBatch>(&call)) {
+    end->id = scoped(end->id);
+    co_await mBatches.end(exchange, std::move(*end));
+  }
+}
+
+net::Awaitable<void>
+Gateway::rejectUnauthenticated(net::HttpExchange& exchange,
+                               core::AuthenticationOutcome outcome)
+{
+  const bool isMissing = outcome == core::AuthenticationOutcome::MissingKey;
+  mContext.metrics.increment(
+    fmt::format("unauthenticated_total{{reason=\"{}\"}}",
+                isMissing ? "missing_key" : "invalid_key"));
+  mContext.log.info(
+    "request",
+    { { "request",
+        exchange.request().header(mContext.format.headers().requestId) },
+      { "state_version", mContext.desired ? mContext.desired->version() : 0 },
+      { "outcome", isMissing ? "missing_key" : "invalid_key" } });
+  auto response =
+    errorResponse(401, isMissing ? "missing_api_key" : "invalid_api_key");
+  response.headers.emplace_back("WWW-Authenticate", "Bearer");
+  co_await exchange.respond(std::move(response));
 }
 
 net::Awaitable<void>
 Gateway::handleForward(net::HttpExchange& exchange)
 {
+  const auto& names = mContext.format.headers();
   const auto& request = exchange.request();
   // Keep the desired state for the whole request, even if a newer one arrives
   // in the meantime.
@@ -188,7 +267,7 @@
   const auto* route =
     desired ? desired->findRoute(request.header("Host"), request.target)
             : nullptr;
-  const auto id = request.header(mContext.format.headers().requestId);
+  const auto id = request.header(names.requestId);
   if (!desired) {
     mContext.log.info("request",
                       { { "request", id }, { "outcome", "no_desired_state" } });
@@ -203,6 +282,18 @@
     co_await exchange.respond(errorResponse(404, "no_route"));
     co_return;
   }
+  const auto authentication =
+    core::authenticate(desired->organisations(),
+                       net::headerValues(request.headers, names.apiKey),
+                       route->isPublic);
+  if (!authentication.isAllowed()) {
+    co_await rejectUnauthenticated(exchange, authentication.outcome);
+    co_return;
+  }
+  if (authentication.outcome != core::AuthenticationOutcome::NotRequired) {
+    exchange.setRequestHeaders(
+      identifiedHeaders(request.headers, names, authentication.organisation));
+  }
   if (mustRejectWhileLeaving(exchange, *route)) {
     mContext.log.info("request",
                       { { "request", id },
@@ -215,7 +306,7 @@
     co_return;
   }
   if (route->kind == core::RouteKind::Batch) {
-    co_await mBatches.submit(exchange, *route);
+    co_await mBatches.submit(exchange, *route, authentication.organisation);
     co_return;
   }
   if (route->kind == core::RouteKind::Stream) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/organisations/authentication.h"
 #include "gateway/batch_service.h"
 #include "gateway/rate_permits.h"
 #include "gateway/rate_publisher.h"
@@ -46,6 +47,13 @@
   std::optional<core::Endpoint> metricsAddress() const;
   net::Awaitable<void> handleAddresses(net::HttpExchange& exchange);
   net::Awaitable<void> handleForward(net::HttpExchange& exchange);
+  /// Serves a call of the batch interface for the organisation that sent it.
+  net::Awaitable<void> handleBatchCall(net::HttpExchange& exchange,
+                                       ClassifiedRequest call);
+  /// Responds to a request without a valid API key.
+  net::Awaitable<void> rejectUnauthenticated(
+    net::HttpExchange& exchange,
+    core::AuthenticationOutcome outcome);
   /// Returns true if the request must be rejected because this process is
   /// leaving and might end before the request is answered.
   bool mustRejectWhileLeaving(const net::HttpExchange& exchange,
--- a/src/gateway/peer_client.h
+++ b/src/gateway/peer_client.h
@@ -28,6 +28,8 @@
 /// Host and path to which a trainer has submitted a batch.
 inline constexpr const char* kBatchHost = "X-Batch-Host";
 inline constexpr const char* kBatchPath = "X-Batch-Path";
+/// Organisation that has submitted a batch; absent if there is none.
+inline constexpr const char* kBatchOrganisation = "X-Batch-Organisation";
 }
 
 /// Sends requests to other processes of the cluster.
--- a/src/gateway/process_settings.h
+++ b/src/gateway/process_settings.h
@@ -25,6 +25,24 @@
   core::Millis configPropagation{ 2'000 };
   /// Time after which a leaving server must get no more requests.
   core::Millis drainPropagation{ 2'000 };
+  /// Length of the windows for which the usage of each organisation is
+  /// reported.
+  core::Millis usageWindow{ 5'000 };
+  /// How long after its end a window may still be reported.
+  core::Millis usageReportTime{ 10'000 };
+};
+
+/// Address of the provider, and the calls to it that are the duty of one
+/// process at a time.
+struct ProviderSettings
+{
+  core::Endpoint endpoint;
+  /// Calls that the provider accepts from all processes together.
+  double callsPerSecond = 50;
+  /// Whether the provider wants reports of the usage of each organisation.
+  bool wantsUsageReports = false;
+  /// Whether the provider takes orders for the number of backend servers.
+  bool takesServerOrders = false;
 };
 
 /// Settings that a process reads at its start. On SIGHUP, `seeds` and `bounds`
@@ -55,6 +73,8 @@
   /// Minimum time to live of a lease that the store grants.
   core::Millis minLeaseTtl{ 1'000 };
   std::size_t memoryLimitBytes = 110UL * 1024 * 1024;
+  /// Empty if no calls to a provider are due.
+  std::optional<ProviderSettings> provider;
   /// Share of a processor core that the process may use.
   double processorShare = 0;
   DeploymentBounds bounds;
--- a/src/gateway/state_applier.cpp
+++ b/src/gateway/state_applier.cpp
@@ -70,6 +70,14 @@
                       { "in_force", inForce },
                       { "revision", item.revision },
                       { "outcome", isNewer ? "taken" : "older" } });
+  const auto* organisations = state.value().organisations();
+  if (isNewer && organisations != nullptr &&
+      organisations->ignoredEntries() > 0) {
+    mContext.log.warning("organisations",
+                         { { "version", state.value().version() },
+                           { "known", organisations->size() },
+                           { "ignored", organisations->ignoredEntries() } });
+  }
   if (isNewer) {
     mContext.desired =
       std::make_shared<const core::DesiredState>(std::move(state).value());
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -43,6 +43,12 @@
   std::string statedRate;
   /// Set to "1" in all responses of a server that is leaving.
   std::string leaving;
+  /// Carries the API key of a caller.
+  std::string apiKey;
+  /// Names the organisation of the caller to a server.
+  std::string organisation;
+  /// Tells a server how urgent a request is, from 0 (first) to 9.
+  std::string priority;
 };
 
 /// Reads the results of a batch from position `after` on. If there are none
@@ -114,6 +120,35 @@
   std::int64_t priorOrderCount = 0;
 };
 
+/// The process that holds a duty at the provider.
+struct DutyHolder
+{
+  std::string instance;
+  /// A later holder has a higher token.
+  std::int64_t fencingToken = 0;
+};
+
+/// Number of requests of each organisation that began to run in one window.
+struct UsageReport
+{
+  /// Number of the window; window k begins k window lengths after the start of
+  /// 1970.
+  std::int64_t window = 0;
+  std::map<std::string, std::int64_t> counts;
+};
+
+/// An order to the provider for the number of servers that a service should
+/// have in a failure domain.
+struct ServerCountOrder
+{
+  std::string service;
+  std::string failureDomain;
+  int servers = 0;
+  /// Whether the order is for servers that the provider may take back. Each
+  /// kind of server is counted separately.
+  bool isReclaimable = false;
+};
+
 /// Keys and key prefixes of the store under which the operator and the backend
 /// servers write.
 struct StoreKeys
@@ -199,6 +234,15 @@
     const core::ServerEntry& server) const = 0;
   /// Decodes the response to encodeReportRequest().
   virtual Decoded<ServerReport> decodeReport(const std::string& body) const = 0;
+
+  /// Returns the request that reports the usage of a window to the provider.
+  virtual net::HttpRequest encodeUsageReport(
+    const DutyHolder& holder,
+    const UsageReport& report) const = 0;
+  /// Returns the request that orders servers from the provider.
+  virtual net::HttpRequest encodeServerCountOrder(
+    const DutyHolder& holder,
+    const ServerCountOrder& order) const = 0;
 };
 
 } // namespace lentilrack::gateway
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -37,6 +37,12 @@
   virtual ~HttpExchange() = default;
 
   const HttpRequest& request() const { return mRequest; }
+  /// Replaces the headers of the request, for example to remove credentials
+  /// once they have been checked.
+  void setRequestHeaders(Headers headers)
+  {
+    mRequest.headers = std::move(headers);
+  }
   /// Returns the part of the path that matched ":name" or "*" of the route;
   /// empty if there is none.
   std::string pathParameter(const std::string& name) const;
--- a/src/net/http_types.cpp
+++ b/src/net/http_types.cpp
@@ -45,6 +45,18 @@
   return found == headers.end() ? std::string() : found->second;
 }
 
+std::vector<std::string_view>
+headerValues(const Headers& headers, std::string_view name)
+{
+  std::vector<std::string_view> values;
+  for (const auto& [key, value] : headers) {
+    if (equalsIgnoringCase(key, name)) {
+      values.emplace_back(value);
+    }
+  }
+  return values;
+}
+
 std::string
 HttpRequest::path() const
 {
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -16,6 +16,11 @@
 std::string
 headerValue(const Headers& headers, std::string_view name);
 
+/// Returns the values of all headers with this name, which is compared without
+/// regard to case.
+std::vector<std::string_view>
+headerValues(const Headers& headers, std::string_view name);
+
 struct HttpRequest
 {
   std::string method = "GET";
