Move the election of the leader out of WeightLeader

Cause: usage reports and server orders are duties of the same process as weight orders, but the election, the fencing token and the check before sending were private to WeightLeader.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,7 +78,8 @@
   , mReplicator(context, mCluster, mPeers)
   , mForwarder(context)
   , mBatches(context, mCluster, mForwarder, mPeers)
-  , mLeader(context, mCluster, mStateApplier, mPeers)
+  , mLeadership(context, mCluster)
+  , mLeader(context, mCluster, mLeadership, mStateApplier, mPeers)
 {
   mCluster.onChange([this] { mBatches.onClusterChange(); });
   mLeader.setMaintenanceTask([this] { return mBatches.deleteExpired(); });
@@ -153,6 +154,7 @@
     mCluster.start();
     mRates.start();
     mBatches.start();
+    mLeadership.start();
     mLeader.start();
   }
   return isBound;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -79,6 +79,7 @@
   StateReplicator mReplicator;
   Forwarder mForwarder;
   BatchService mBatches;
+  Leadership mLeadership;
   WeightLeader mLeader;
   std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::optional<core::Endpoint> mCallerEndpoint;
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -32,18 +32,7 @@
 /// How long after an order a server is treated as loading, so that no items are
 /// assigned to it.
 constexpr Millis kLoadingHoldTime{ 1'500 };
-/// Orders are sent only within this time after the last renewal of the lease.
-/// The time is short because a new leader has to wait until it has passed. It
-/// is longer than 0.9 s because the lease is renewed every 0.6 s, and a renewal
-/// takes up to 0.3 s on a slow store.
-constexpr Millis kOrderWindow{ 1'200 };
-/// In the order in which processes try to become the leader, each one waits
-/// this much longer than the one before it.
-constexpr Millis kClaimStagger{ 300 };
 constexpr Millis kMaintenanceInterval{ 15'000 };
-/// Delay before a settled term is recorded again if the store has not confirmed
-/// it. The store may be slow, and no orders are planned during the call.
-constexpr Millis kSettleRetryDelay{ 5'000 };
 /// Updates about the weights of servers are collected for this time, since many
 /// servers are ordered to load at the same time.
 constexpr Millis kUpdateCollectionTime{ 20 };
@@ -52,15 +41,14 @@
 
 WeightLeader::WeightLeader(Context& context,
                            ClusterView& cluster,
+                           Leadership& leadership,
                            StateApplier& stateApplier,
                            PeerClient& peers)
   : mContext(context)
   , mCluster(cluster)
+  , mLeadership(leadership)
   , mStateApplier(stateApplier)
   , mPeers(peers)
-  , mHandoverDelay(
-      { .minOrderInterval = context.settings.bounds.leaderHandoverDelay,
-        .orderWindow = kOrderWindow })
   , mAudience(context.settings.instance, keys::leader())
 {
 }
@@ -68,45 +56,20 @@
 void
 WeightLeader::start()
 {
-  net::spawn(mContext.io, maintainLeadership());
-}
-
-bool
-WeightLeader::canSendOrders() const
-{
-  const auto* leader = mCluster.leader();
-  return mFencingToken != 0 && leader != nullptr &&
-         leader->revision == mFencingToken &&
-         mCluster.isLeaseValid(ClusterView::kLeaseTtl - kOrderWindow) &&
-         !mContext.isLeaving;
+  net::spawn(mContext.io, giveOrders());
 }
 
 net::Awaitable<void>
-WeightLeader::maintainLeadership()
+WeightLeader::giveOrders()
 {
   auto maintenanceAt = Clock::now() + kMaintenanceInterval;
   for (;;) {
     co_await net::sleepFor(kPollInterval);
-    const auto* leader = mCluster.leader();
-    const bool isSelf = leader != nullptr && mCluster.isSelf(*leader);
-    if (!isSelf) {
-      mFencingToken = 0;
-      co_await claimLeadership();
-      continue;
-    }
-    if (mFencingToken != leader->revision) {
-      beginTerm(*leader);
-    }
-    // A process that shuts down gives no orders, but still records this for the
-    // process after it.
-    if (!leader->isSettled && Clock::now() >= mSettleAfter &&
-        mHandoverDelay.isHandoverOver(Clock::now())) {
-      mSettleAfter = Clock::now() + kSettleRetryDelay;
-      co_await recordSettled(*leader);
+    if (!mLeadership.isHeld()) {
       continue;
     }
     co_await reportRetirements();
-    if (!canSendOrders() || !mContext.desired) {
+    if (!mLeadership.maySendWeightOrders() || !mContext.desired) {
       continue;
     }
     for (const auto& [model, version] : mContext.announcedVersions) {
@@ -159,102 +122,6 @@
   return core::computeModelDemand(std::move(batches), unixNow());
 }
 
-Holder
-WeightLeader::makeHolder(bool isSettled) const
-{
-  auto holder = mCluster.self();
-  holder.address = mContext.settings.address;
-  holder.isSettled = isSettled;
-  return holder;
-}
-
-void
-WeightLeader::beginTerm(const Holder& leader)
-{
-  // The former leader may not have noticed yet that the store revoked its
-  // lease, and may still send orders. The term may have begun in an earlier
-  // process of this instance, or by a claim whose outcome this process did not
-  // learn.
-  if (!leader.isSettled) {
-    mHandoverDelay.startTakeover(Clock::now());
-    mSettleAfter = {};
-  }
-  mFencingToken = leader.revision;
-  mContext.log.info(
-    "leader_term",
-    { { "fence", leader.revision },
-      { "outcome", leader.isSettled ? "settled" : "delayed" } });
-}
-
-net::Awaitable<void>
-WeightLeader::recordSettled(const Holder& leader)
-{
-  const auto revision = leader.revision;
-  const auto lease = co_await mCluster.acquireLease();
-  if (lease == 0) {
-    // Without a lease the key would outlive this process.
-    co_return;
-  }
-  const auto settled = makeHolder(true);
-  StoreTransaction transaction;
-  transaction.preconditions = { { keys::leader(), revision } };
-  transaction.writes = { { keys::leader(), settled.encode(), lease } };
-  const auto commit = co_await mContext.store.commit(std::move(transaction));
-  mContext.log.info(
-    "leader_settled",
-    { { "fence", commit.revision },
-      { "outcome", commit.error ? commit.error.message() : "done" } });
-  if (commit.outcome() == WriteOutcome::Done) {
-    mCluster.recordItem({ keys::leader(), settled.encode(), commit.revision });
-  }
-}
-
-net::Awaitable<void>
-WeightLeader::claimLeadership()
-{
-  const auto* leader = mCluster.leader();
-  const auto now = Clock::now();
-  const bool isOwnInstance =
-    leader != nullptr && leader->instance == mContext.settings.instance;
-  const bool isVacant = leader == nullptr || isOwnInstance;
-  if (!isVacant || !mCluster.isSynced() || !mCluster.isRegistered() ||
-      mContext.isLeaving) {
-    mNoLeaderSince = {};
-    co_return;
-  }
-  if (mNoLeaderSince == core::TimePoint{}) {
-    mNoLeaderSince = now;
-  }
-  const auto claimDelay =
-    kClaimStagger * static_cast<int>(mCluster.takeoverRank(keys::leader()));
-  if (!isOwnInstance && now - mNoLeaderSince < claimDelay) {
-    co_return;
-  }
-  const auto presentRevision = isOwnInstance ? leader->revision : 0;
-  const bool isSameMachine =
-    isOwnInstance && leader->address == mContext.settings.address;
-  const bool isSettled = isSameMachine && leader->isSettled;
-  const auto lease = co_await mCluster.acquireLease();
-  if (lease == 0) {
-    co_return;
-  }
-  const auto self = makeHolder(isSettled);
-  StoreTransaction transaction;
-  transaction.preconditions = { { keys::leader(), presentRevision } };
-  transaction.writes = { { keys::leader(), self.encode(), lease } };
-  const auto commit = co_await mContext.store.commit(std::move(transaction));
-  mContext.log.info(
-    "leader_claimed",
-    { { "fence", commit.revision },
-      { "outcome", commit.error ? commit.error.message() : "done" } });
-  if (!commit.error) {
-    mCluster.recordItem({ keys::leader(), self.encode(), commit.revision });
-  } else {
-    std::ranges::for_each(
-      commit.current, [this](const auto& item) { mCluster.recordItem(item); });
-  }
-}
-
 WeightOrder
 WeightLeader::makeWeightOrder(const core::LoadOrder& order,
                               const core::RegisteredServer& server) const
@@ -266,7 +133,7 @@
   weightOrder.version = order.version;
   weightOrder.finishRunsFirst = mContext.desired->requiresSingleVersion();
   weightOrder.holder = mContext.settings.instance;
-  weightOrder.fencingToken = mFencingToken;
+  weightOrder.fencingToken = mLeadership.fencingToken();
   return weightOrder;
 }
 
@@ -281,14 +148,15 @@
     co_return;
   }
   if (!state->orderCount ||
-      mHandoverDelay.needsReport(order.server, Clock::now())) {
+      mLeadership.weightOrderDelay().needsReport(order.server, Clock::now())) {
     core::WeightLoadPlanner::Load load{ order, Clock::now() };
     co_await checkLoad(std::move(load));
     mServersWithPendingCall.insert(id);
     state = mContext.registry.find(id, order.server.startedAt);
   }
-  const bool isAllowed = state != nullptr && state->orderCount &&
-                         mHandoverDelay.canOrder(order.server, Clock::now());
+  const bool isAllowed =
+    state != nullptr && state->orderCount &&
+    mLeadership.weightOrderDelay().canOrder(order.server, Clock::now());
   if (!isAllowed) {
     mPlanner.loadDropped(id);
     mPlanner.loadRefused(order, Clock::now());
@@ -302,9 +170,7 @@
   call.bodyLimit = kMaxOrderResponseBytes;
   call.connectTimeout = kConnectTimeout;
   call.timeout = kOrderTimeout;
-  call.beforeFirstByte = [this, fencingToken = mFencingToken] {
-    return canSendOrders() && mFencingToken == fencingToken;
-  };
+  call.beforeFirstByte = mLeadership.weightOrderCheck();
   auto result = co_await mContext.servers.call(
     order.server, std::move(call), ServerRequestKind::WeightOrder);
   const auto now = Clock::now();
@@ -322,7 +188,7 @@
   WeightUpdate update;
   if (result.sent) {
     update.orderCount = weightOrder.priorOrderCount + 1;
-    mHandoverDelay.recordOrder(
+    mLeadership.weightOrderDelay().recordOrder(
       id, order.server.startedAt, *update.orderCount, now);
   }
   if (status == net::status::kAccepted || (result.error && result.sent)) {
@@ -387,7 +253,8 @@
     state->orderCount =
       std::max(state->orderCount.value_or(0), report.value().orderCount);
   }
-  mHandoverDelay.recordReport(order.server, report.value().orderCount, now);
+  mLeadership.weightOrderDelay().recordReport(
+    order.server, report.value().orderCount, now);
   const auto version = report.value().versions[order.model];
   if (version >= order.version) {
     mContext.registry.recordVersion(order.server, order.model, version);
@@ -467,7 +334,7 @@
     const auto id = update.value("server", "");
     const auto startedAt = update.value("started_at", std::int64_t{ 0 });
     if (update.contains("orders")) {
-      mHandoverDelay.recordOrder(
+      mLeadership.weightOrderDelay().recordOrder(
         id, startedAt, update.value("orders", std::int64_t{ 0 }), Clock::now());
     }
     auto* state = mContext.registry.find(id, startedAt);
--- a/src/gateway/weight_leader.h
+++ b/src/gateway/weight_leader.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "core/handover_delay.h"
 #include "core/order_audience.h"
 #include "core/weight_load_planner.h"
 #include "gateway/cluster_view.h"
+#include "gateway/leadership.h"
 #include "gateway/peer_client.h"
 #include "gateway/state_applier.h"
 
@@ -15,20 +15,19 @@
 
 namespace lentilrack::gateway {
 
-/// Elects one process as the leader. The leader orders backend servers to load
-/// new weights, and reports to the operator which storage machines are retired.
-/// A process is the leader while a key in the coordination store names it. The
-/// key is bound to the lease of the process; the revision of the key is the
-/// fencing token.
+/// While this process is the leader (see Leadership), orders backend servers to
+/// load new weights, and reports to the operator which storage machines are
+/// retired.
 class WeightLeader
 {
 public:
   WeightLeader(Context& context,
                ClusterView& cluster,
+               Leadership& leadership,
                StateApplier& stateApplier,
                PeerClient& peers);
 
-  /// Starts the election loop.
+  /// Starts to give orders whenever this process is the leader.
   void start();
   /// Sets a task that the leader runs periodically besides the weight orders.
   void setMaintenanceTask(std::function<net::Awaitable<void>()> task)
@@ -38,18 +37,10 @@
   /// Applies updates that the leader has sent about the weights of servers.
   void applyWeightUpdates(const std::string& body);
   /// Returns true while this process holds the leader key.
-  bool isLeading() const { return mFencingToken != 0; }
+  bool isLeading() const { return mLeadership.isHeld(); }
 
 private:
-  net::Awaitable<void> maintainLeadership();
-  net::Awaitable<void> claimLeadership();
-  /// Returns the holder to write to the leader key.
-  Holder makeHolder(bool isSettled) const;
-  /// Begins to lead with the leader key that the store holds for this process.
-  void beginTerm(const Holder& leader);
-  /// Records in the store that the delay after the takeover is over, so that a
-  /// restarted process of this instance need not wait again.
-  net::Awaitable<void> recordSettled(const Holder& leader);
+  net::Awaitable<void> giveOrders();
   WeightOrder makeWeightOrder(const core::LoadOrder& order,
                               const core::RegisteredServer& server) const;
   net::Awaitable<void> sendOrder(core::LoadOrder order);
@@ -62,9 +53,6 @@
   net::Awaitable<void> reportRetirements();
   /// Returns the demand for each model, in expected output tokens per second.
   std::map<std::string, double> demandByModel() const;
-  /// Returns true while this process is the leader, has renewed its lease
-  /// recently and is not shutting down.
-  bool canSendOrders() const;
   /// State of a server's weights, as the leader reports it to its peers.
   struct WeightUpdate
   {
@@ -85,23 +73,14 @@
 
   Context& mContext;
   ClusterView& mCluster;
+  Leadership& mLeadership;
   StateApplier& mStateApplier;
   PeerClient& mPeers;
   core::WeightLoadPlanner mPlanner;
-  /// Delays orders after a takeover until the former leader can send no more.
-  core::HandoverDelay mHandoverDelay;
   core::OrderAudience mAudience;
   /// Updates that have not been sent yet, by model.
   std::map<std::string, std::vector<nlohmann::json>> mCollectedUpdates;
   std::function<net::Awaitable<void>()> mMaintenanceTask;
-  /// Revision of the leader key that this process holds; 0 if it holds none.
-  std::int64_t mFencingToken = 0;
-  /// When the store may next be told that the term is settled.
-  core::TimePoint mSettleAfter{};
-  /// When this process first saw that there is no leader, or that the leader is
-  /// an earlier process of its own instance. Not set (the default value) while
-  /// another process leads or while this process cannot claim the leadership.
-  core::TimePoint mNoLeaderSince{};
   /// Ids of the servers that have not yet responded to an order or to a request
   /// for a report.
   std::set<std::string> mServersWithPendingCall;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -33,7 +33,8 @@
   , replicator(context, cluster, peers)
   , forwarder(context)
   , batches(context, cluster, forwarder, peers)
-  , leader(context, cluster, stateApplier, peers)
+  , leadership(context, cluster)
+  , leader(context, cluster, leadership, stateApplier, peers)
 {
   cluster.onChange([this] { batches.onClusterChange(); });
 }
@@ -126,6 +127,7 @@
 {
   node.replicator.start();
   node.cluster.start();
+  node.leadership.start();
   node.leader.start();
   co_await until([&] { return node.cluster.isRegistered(); });
 }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -41,6 +41,7 @@
   StateReplicator replicator;
   Forwarder forwarder;
   BatchService batches;
+  Leadership leadership;
   WeightLeader leader;
 
 private:
