Report the usage of organisations to the provider

Cause: deployments with a provider want the usage of each organisation every 5 s; no window was reported.

--- a/src/gateway/attempt_outcome.cpp
+++ b/src/gateway/attempt_outcome.cpp
@@ -39,6 +39,14 @@
          outcome == AttemptOutcome::RateLimited;
 }
 
+bool
+hasMostLikelyRun(AttemptOutcome outcome, const net::HttpResult& result)
+{
+  return outcome == AttemptOutcome::Answered ||
+         outcome == AttemptOutcome::Incomplete ||
+         (outcome == AttemptOutcome::Cancelled && result.sent);
+}
+
 void
 recordFailedAttempt(core::ServerRegistry& registry,
                     const core::ServerEntry& server,
--- a/src/gateway/attempt_outcome.h
+++ b/src/gateway/attempt_outcome.h
@@ -39,6 +39,11 @@
 bool
 provesNotExecuted(AttemptOutcome outcome);
 
+/// Returns true if the request most likely began to run at the server. A server
+/// that closes an idle connection has mostly not read the request.
+bool
+hasMostLikelyRun(AttemptOutcome outcome, const net::HttpResult& result);
+
 /// Records an attempt that yielded no proper response in the registry, as far
 /// as the outcome says something about the server.
 void
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -18,6 +18,17 @@
 {
 }
 
+void
+Context::recordRun(const std::string& organisation,
+                   core::TimePoint beganAt) const
+{
+  // Without organisations, the header that names one is the caller's.
+  const bool isIdentified = desired && desired->organisations() != nullptr;
+  if (onRequestRun && isIdentified && !organisation.empty()) {
+    onRequestRun(organisation, beganAt);
+  }
+}
+
 core::Millis
 Context::timeToAnswer() const
 {
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -12,6 +12,7 @@
 
 #include <pcg_random.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -48,6 +49,11 @@
   std::shared_ptr<const core::DesiredState> desired;
   /// Newest version of the weights that trainers have announced, by model.
   std::map<std::string, std::int64_t> announcedVersions;
+  /// Called once for each request of an organisation's caller, when it is known
+  /// to have run at a backend server, with the time at which it began. Not set
+  /// if usage is not reported.
+  std::function<void(const std::string& organisation, core::TimePoint)>
+    onRequestRun;
   pcg64 random{ std::random_device{}() };
   /// Distinguishes this process from earlier ones of the same instance.
   std::string incarnation;
@@ -67,6 +73,11 @@
           CoordinationStore& coordinationStore,
           DecisionLog& decisionLog);
 
+  /// Records that a request of an organisation's caller has run at a backend
+  /// server.
+  void recordRun(const std::string& organisation,
+                 core::TimePoint beganAt) const;
+
   /// Returns the time until requests must be answered; a long time unless the
   /// process shuts down.
   core::Millis timeToAnswer() const;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace lentilrack::gateway {
 
@@ -102,6 +103,10 @@
     if (mCall.cancel) {
       mCall.cancel->removeCallback(hook);
     }
+    if (mOutcome.conclusion == CallConclusion::Unknown &&
+        mRunningAttempts == 0) {
+      reportRun(mStartedAt);
+    }
     mOutcome.attempts = mAttempts;
     co_return mOutcome;
   }
@@ -279,6 +284,9 @@
       recordCapacity(*window, classifyAttempt(result, names));
     }
     --mRunningAttempts;
+    if (hasMostLikelyRun(classifyAttempt(result, names), result)) {
+      reportRun(start);
+    }
     if (!mIsDone && !mIsCancelled) {
       handleResult(server, std::move(result), start);
       if (mRetryDelay > Millis(0) && mRunningAttempts == 0) {
@@ -288,6 +296,14 @@
     mChanged.notify();
   }
 
+  /// Reports, once, that the request has run.
+  void reportRun(TimePoint start)
+  {
+    if (mCall.onRun) {
+      std::exchange(mCall.onRun, nullptr)(start);
+    }
+  }
+
   void handleResult(const core::ServerEntry& server,
                     net::HttpResult result,
                     TimePoint start)
@@ -489,6 +505,9 @@
   call.allowsHedging = call.isRepeatable;
   call.deadline = start + allowed;
   call.cancel = std::make_shared<net::CancelSignal>();
+  call.onRun = [&context = mContext,
+                organisation = request.header(names.organisation)](
+                 auto beganAt) { context.recordRun(organisation, beganAt); };
   exchange.onClientDisconnect([cancel = call.cancel] { cancel->cancel(); });
   const auto id = call.id;
   const auto service = call.service;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -35,6 +35,10 @@
   bool isDeferrable = false;
   core::TimePoint deadline;
   std::shared_ptr<net::CancelSignal> cancel;
+  /// Called once when the request is known to have run at a server, with the
+  /// time at which the first attempt that has run began. May be called after
+  /// the call has ended.
+  std::function<void(core::TimePoint)> onRun;
 };
 
 /// How a call has ended.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,6 +80,7 @@
   , mBatches(context, mCluster, mForwarder, mPeers)
   , mLeadership(context, mCluster)
   , mLeader(context, mCluster, mLeadership, mStateApplier, mPeers)
+  , mUsage(context, mCluster, mPeers, mLeadership)
 {
   mCluster.onChange([this] { mBatches.onClusterChange(); });
   mLeader.setMaintenanceTask([this] { return mBatches.deleteExpired(); });
@@ -156,6 +157,7 @@
     mBatches.start();
     mLeadership.start();
     mLeader.start();
+    mUsage.start();
   }
   return isBound;
 }
@@ -441,6 +443,8 @@
     response = mPermits.nameAllocator(after(peer_paths::kAllocator));
   } else if (path == peer_paths::kWeights) {
     mLeader.applyWeightUpdates(request.body);
+  } else if (path == peer_paths::kUsage) {
+    response = mUsage.applyCounts(request);
   } else if (path.starts_with(peer_paths::kLeaving)) {
     mCluster.markPeerLeaving(after(peer_paths::kLeaving));
   } else {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/rate_publisher.h"
 #include "gateway/state_applier.h"
 #include "gateway/state_replicator.h"
+#include "gateway/usage_reporter.h"
 #include "gateway/weight_leader.h"
 #include "net/http_server.h"
 
@@ -81,6 +82,7 @@
   BatchService mBatches;
   Leadership mLeadership;
   WeightLeader mLeader;
+  UsageReporter mUsage;
   std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::optional<core::Endpoint> mCallerEndpoint;
 };
--- a/src/gateway/peer_client.h
+++ b/src/gateway/peer_client.h
@@ -20,6 +20,7 @@
 inline constexpr const char* kPermit = "/peer/permit";
 inline constexpr const char* kRate = "/peer/rate";
 inline constexpr const char* kAllocator = "/peer/allocator/";
+inline constexpr const char* kUsage = "/peer/usage";
 inline constexpr const char* kSubmit = "/peer/submit/";
 }
 
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace lentilrack::gateway {
 
@@ -43,6 +44,16 @@
 {
   const auto after = mRequest.header(context.format.headers().lastEvent);
   mLastEvent = core::parseDecimal<std::int64_t>(after).value_or(0);
+  mIsRunRecorded = mLastEvent > 0;
+}
+
+void
+StreamForward::recordRun(core::TimePoint beganAt)
+{
+  if (!std::exchange(mIsRunRecorded, true)) {
+    mContext.recordRun(mRequest.header(mContext.format.headers().organisation),
+                       beganAt);
+  }
 }
 
 Millis
@@ -89,6 +100,9 @@
     // executed the request, whatever has ended the attempt.
     mMayHaveExecuted =
       mMayHaveExecuted || !attempt->isEnded || !wasNotExecuted(*attempt);
+    if (mMayHaveExecuted) {
+      recordRun(attempt->startedAt);
+    }
     attempt->cancel->cancel();
     if (mIsDone || mIsCallerGone) {
       break;
@@ -240,6 +254,7 @@
         // puts on its responses) of the first server, even if another server
         // continues the stream.
         mHasStarted = true;
+        recordRun(Clock::now());
         auto headers = Forwarder::endToEndHeaders(attempt->head.headers);
         auto type = attempt->head.contentType;
         co_await mExchange.beginStream(
--- a/src/gateway/stream_forward.h
+++ b/src/gateway/stream_forward.h
@@ -78,6 +78,10 @@
   /// count towards the limit if the server has not executed the request.
   void recordAttempt(const Attempt& attempt);
 
+  /// Counts the request as run, once. A stream that the caller resumes was
+  /// counted when it began.
+  void recordRun(core::TimePoint beganAt);
+
   Context& mContext;
   net::HttpExchange& mExchange;
   net::HttpRequest mRequest;
@@ -102,6 +106,7 @@
   bool mHasStarted = false;
   /// True once a server may have executed the request.
   bool mMayHaveExecuted = false;
+  bool mIsRunRecorded = false;
   /// True once the response to the caller is complete.
   bool mIsDone = false;
   bool mIsCallerGone = false;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -14,6 +14,8 @@
   settings.instance = instance;
   settings.failureDomain = "north";
   settings.bounds.leaderHandoverDelay = core::Millis(50);
+  settings.bounds.usageWindow = core::Millis(400);
+  settings.bounds.usageReportTime = core::Millis(8'000);
   return settings;
 }
 
@@ -35,6 +37,7 @@
   , batches(context, cluster, forwarder, peers)
   , leadership(context, cluster)
   , leader(context, cluster, leadership, stateApplier, peers)
+  , usage(context, cluster, peers, leadership)
 {
   cluster.onChange([this] { batches.onClusterChange(); });
 }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -7,6 +7,7 @@
 #include "gateway/rate_publisher.h"
 #include "gateway/state_applier.h"
 #include "gateway/state_replicator.h"
+#include "gateway/usage_reporter.h"
 #include "gateway/weight_leader.h"
 #include "platform/format.h"
 #include "support/io_test.h"
@@ -43,6 +44,7 @@
   BatchService batches;
   Leadership leadership;
   WeightLeader leader;
+  UsageReporter usage;
 
 private:
   std::vector<core::ServerEntry> mEntries;
