--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,12 +42,6 @@
 /// others learn it from the store.
 constexpr std::size_t kMaxLeavingRecipients = 64;
 
-net::HttpLimits
-internalLimits()
-{
-  return {};
-}
-
 /// Returns the headers without the API key, and with the name of the
 /// organisation in place of what the caller may have sent there.
 net::Headers
@@ -128,6 +122,7 @@
 Gateway::start()
 {
   const auto& settings = mContext.settings;
+  const auto internalLimits = [] { return net::HttpLimits(); };
   const bool isBound =
     listen(
       settings.callerAddress,
--- a/tests/gateway/usage_reporter_test.cpp
+++ b/tests/gateway/usage_reporter_test.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace lentilrack::gateway {
 
 namespace {
@@ -50,6 +52,25 @@
     co_await joinElection(node);
   }
 
+  /// Serves the messages of other processes for the node.
+  std::unique_ptr<net::HttpServer> servePeers(TestNode& node)
+  {
+    auto server = std::make_unique<net::HttpServer>(
+      mIo,
+      net::HttpLimits(),
+      [&node](net::HttpExchange& exchange) -> net::Awaitable<void> {
+        net::HttpResponse response;
+        response.status = 404;
+        if (exchange.request().path() == peer_paths::kUsage) {
+          response = node.usage.applyCounts(exchange.request());
+        }
+        co_await exchange.respond(std::move(response));
+      });
+    node.context.settings.peerAddress =
+      server->listen({ "127.0.0.1", 0 }).value();
+    return server;
+  }
+
   /// Returns a request as the gateway forwards it for the organisation.
   static net::HttpRequest identifiedRequest()
   {
@@ -260,8 +281,48 @@
   });
 }
 
-// Guards against a clock of a peer or a malformed message that fills the
-// memory.
+// Guards against counts that are lost with the process that held the duty, and
+// against counts of other processes that do not reach the holder.
+TEST_F(UsageReporterTest, CountsSurviveTheLossOfTheHolder)
+{
+  auto first = makeReporter("a");
+  auto second = makeReporter("b");
+  const auto firstServer = servePeers(*first);
+  const auto secondServer = servePeers(*second);
+  mUnanswered = 1'000;
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*first);
+    co_await until([&] { return first->leadership.isHeld(); });
+    co_await join(*second);
+    co_await until([&] { return first->cluster.peers().size() == 2; });
+    const auto now = core::Clock::now();
+    for (int i = 0; i < 3; ++i) {
+      first->context.recordRun("org", now);
+    }
+    second->context.recordRun("org", now);
+    const auto sent = [](const TestNode& node) {
+      return node.context.metrics.counter("usage_messages_total") > 0;
+    };
+    co_await until([&] { return sent(*first) && sent(*second); });
+    co_await net::sleepFor(Millis(300));
+    first->store.isUnreachable = true;
+    mTable->revokeAll();
+    co_await until([&] { return second->leadership.isHeld(); });
+    mUnanswered = 0;
+    co_await until([&] { return reportedRequests() >= 4; });
+  });
+  EXPECT_EQ(reportedRequests(), 4);
+  const auto isSameReport = [](const auto& one, const auto& other) {
+    return one.window != other.window || one.counts == other.counts;
+  };
+  for (const auto& report : mReports) {
+    EXPECT_TRUE(std::ranges::all_of(mReports, [&](const auto& other) {
+      return isSameReport(report, other);
+    }));
+  }
+}
+
+// Guards against malformed messages that end the process.
 TEST_F(UsageReporterTest, MalformedCountsAreRejected)
 {
   auto node = makeReporter("a");
