--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,12 +42,6 @@
 /// others learn it from the store.
 constexpr std::size_t kMaxLeavingRecipients = 64;
 
-net::HttpLimits
-internalLimits()
-{
-  return {};
-}
-
 /// Returns the headers without the API key, and with the name of the
 /// organisation in place of what the caller may have sent there.
 net::Headers
@@ -78,7 +72,9 @@
   , mReplicator(context, mCluster, mPeers)
   , mForwarder(context)
   , mBatches(context, mCluster, mForwarder, mPeers)
-  , mLeader(context, mCluster, mStateApplier, mPeers)
+  , mLeadership(context, mCluster)
+  , mLeader(context, mCluster, mLeadership, mStateApplier, mPeers)
+  , mUsage(context, mCluster, mPeers, mLeadership)
 {
   mCluster.onChange([this] { mBatches.onClusterChange(); });
   mLeader.setMaintenanceTask([this] { return mBatches.deleteExpired(); });
@@ -126,6 +122,7 @@
 Gateway::start()
 {
   const auto& settings = mContext.settings;
+  const auto internalLimits = [] { return net::HttpLimits(); };
   const bool isBound =
     listen(
       settings.callerAddress,
@@ -153,7 +150,9 @@
     mCluster.start();
     mRates.start();
     mBatches.start();
+    mLeadership.start();
     mLeader.start();
+    mUsage.start();
   }
   return isBound;
 }
@@ -439,6 +438,8 @@
     response = mPermits.nameAllocator(after(peer_paths::kAllocator));
   } else if (path == peer_paths::kWeights) {
     mLeader.applyWeightUpdates(request.body);
+  } else if (path == peer_paths::kUsage) {
+    response = mUsage.applyCounts(request);
   } else if (path.starts_with(peer_paths::kLeaving)) {
     mCluster.markPeerLeaving(after(peer_paths::kLeaving));
   } else {
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -14,6 +14,8 @@
   settings.instance = instance;
   settings.failureDomain = "north";
   settings.bounds.leaderHandoverDelay = core::Millis(50);
+  settings.bounds.usageWindow = core::Millis(400);
+  settings.bounds.usageReportTime = core::Millis(8'000);
   return settings;
 }
 
@@ -33,7 +35,9 @@
   , replicator(context, cluster, peers)
   , forwarder(context)
   , batches(context, cluster, forwarder, peers)
-  , leader(context, cluster, stateApplier, peers)
+  , leadership(context, cluster)
+  , leader(context, cluster, leadership, stateApplier, peers)
+  , usage(context, cluster, peers, leadership)
 {
   cluster.onChange([this] { batches.onClusterChange(); });
 }
@@ -126,6 +130,7 @@
 {
   node.replicator.start();
   node.cluster.start();
+  node.leadership.start();
   node.leader.start();
   co_await until([&] { return node.cluster.isRegistered(); });
 }
