--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -67,6 +67,7 @@
 FakeStore::read(std::string key)
 {
   using Found = std::optional<StoreItem>;
+  ++calls.reads;
   co_await net::sleepFor(Millis(1));
   mTable->expireLeases(Clock::now());
   if (isUnreachable) {
@@ -83,6 +84,7 @@
 net::Awaitable<core::Result<StoreListing>>
 FakeStore::list(std::string prefix)
 {
+  ++calls.lists;
   co_await net::sleepFor(Millis(1));
   if (beforeList) {
     beforeList(prefix);
@@ -104,6 +106,7 @@
 net::Awaitable<core::Result<StoreChanges>>
 FakeStore::watch(std::string prefix, std::int64_t after, Millis wait)
 {
+  ++calls.watches;
   const auto end = Clock::now() + wait;
   StoreChanges changes;
   while (changes.changes.empty() && Clock::now() < end) {
@@ -172,7 +175,7 @@
   if (beforeCommit) {
     beforeCommit(transaction);
   }
-  ++commitCalls;
+  ++calls.commits;
   StoreCommit commit;
   if (isUnreachable) {
     commit.error = StoreError::Unavailable;
@@ -190,6 +193,7 @@
 net::Awaitable<core::Result<std::int64_t>>
 FakeStore::grantLease(Millis timeToLive)
 {
+  ++calls.grants;
   co_await net::sleepFor(Millis(1));
   if (isUnreachable) {
     co_return make_error_code(StoreError::Unavailable);
@@ -203,6 +207,7 @@
 net::Awaitable<std::error_code>
 FakeStore::renewLease(std::int64_t lease)
 {
+  ++calls.renewals;
   co_await net::sleepFor(Millis(1));
   mTable->expireLeases(Clock::now());
   if (isUnreachable) {
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -40,6 +40,25 @@
   void compactHistory() { historyStart = revision; }
 };
 
+/// Calls to a store by kind.
+struct FakeStoreCalls
+{
+  int reads = 0;
+  int lists = 0;
+  int watches = 0;
+  int commits = 0;
+  int grants = 0;
+  int renewals = 0;
+
+  /// Returns the price of the calls. A renewal costs a tenth of another call.
+  double price() const
+  {
+    constexpr double kRenewalPrice = 0.1;
+    return reads + lists + watches + commits + grants +
+           kRenewalPrice * renewals;
+  }
+};
+
 /// A coordination store in memory, as one process sees it. Faults can be set
 /// for each process separately.
 class FakeStore : public CoordinationStore
@@ -56,8 +75,8 @@
   /// Hooks that are called before each listing and each commit, if set.
   std::function<void(const std::string&)> beforeList;
   std::function<void(const StoreTransaction&)> beforeCommit;
-  /// Number of calls of commit() so far.
-  int commitCalls = 0;
+  /// Calls so far, including those that failed.
+  FakeStoreCalls calls;
 
   net::Awaitable<core::Result<std::optional<StoreItem>>> read(
     std::string key) override;
