Collect results for longer while the quorum of a step is missing

Each complete group of a batch was written to the store at once, at most every 200 ms. A trainer needs the results only when the number of groups that it waits for is complete, so most of these writes gained nothing.

ResultWriteSchedule decides when results are written: at once when they complete the quorum or the batch, within 1 s before that, and within 400 ms as before once the quorum is complete, if the batch has none, or from 6 s after the submission. The write that completes the quorum no longer waits for the minimum interval after the previous write. An owner that is lost loses at most 1 s of results instead of 0.4 s; their items run again.

--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -74,7 +74,7 @@
   , mSubmittedAt(record.submittedAt)
   , mProgress(mSpec)
   , mItemStates(mSpec->items.size())
-  , mResults(context, cluster, mSpec->id, std::move(record), ownerRevision)
+  , mResults(context, cluster, *mSpec, std::move(record), ownerRevision)
   , mWorkChanged(context.io)
 {
 }
@@ -482,7 +482,7 @@
     return;
   }
   StoredResult stored{ item, mContext.format.encodeResult(*mSpec, result) };
-  mResults.add(std::move(stored), mProgress.isGroupComplete(item));
+  mResults.add(std::move(stored));
   mItemStates[item].text.clear();
   mContext.metrics.increment(result.outcome == core::ItemOutcome::Completed
                                ? "items_completed_total"
--- a/src/gateway/result_log.cpp
+++ b/src/gateway/result_log.cpp
@@ -9,31 +9,37 @@
 using core::Clock;
 using core::Millis;
 
-/// Results are collected until a group is complete, but no result waits longer
-/// than this before it is written.
-constexpr Millis kMaxBatchingDelay{ 400 };
-/// Minimum time between two writes, which limits a batch to 5 writes per
-/// second. Trainers read about twice per second.
-constexpr Millis kMinWriteInterval{ 200 };
+/// Longest wait for the next result or for the time of the next write.
+constexpr Millis kMaxWriteWait{ 400 };
 /// Delay before a failed store call is retried.
 constexpr Millis kStoreRetryDelay{ 50 };
 /// The maximum size of a result chunk is the maximum size of a value in the
 /// store divided by this.
 constexpr std::size_t kChunkSizeDivisor = 2;
 
+/// Returns the time of the submission of a batch on the steady clock. A record
+/// whose time lies in the future counts as just submitted.
+core::TimePoint
+submissionTime(const BatchRecord& record)
+{
+  return Clock::now() -
+         std::max(Millis(unixNow() - record.submittedAt), Millis(0));
+}
+
 } // namespace
 
 ResultLog::ResultLog(Context& context,
                      ClusterView& cluster,
-                     std::string batch,
+                     const core::BatchSpec& spec,
                      BatchRecord record,
                      std::int64_t ownerRevision)
   : mContext(context)
   , mCluster(cluster)
-  , mBatch(std::move(batch))
+  , mBatch(spec.id)
   , mRecord(std::move(record))
   , mOwnerRevision(ownerRevision)
   , mIsCommitted(mRecord.total, false)
+  , mSchedule(spec, submissionTime(mRecord))
   , mResultAdded(context.io)
 {
 }
@@ -43,17 +49,16 @@
 {
   for (auto& result : results) {
     mIsCommitted[result.item] = true;
+    mSchedule.recordStored(result.item);
     mCommitted.push_back(std::move(result));
   }
 }
 
 void
-ResultLog::add(StoredResult result, bool completesGroup)
+ResultLog::add(StoredResult result)
 {
-  if (mPending.empty()) {
-    mFirstPendingAt = Clock::now();
-  }
-  mPending.push_back({ std::move(result), completesGroup });
+  mSchedule.recordAdded(result.item, Clock::now());
+  mPending.push_back(std::move(result));
   mResultAdded.notify();
 }
 
@@ -87,33 +92,23 @@
   }
 }
 
-bool
-ResultLog::isDue() const
-{
-  const bool completesGroup =
-    std::ranges::any_of(mPending, &Pending::completesGroup);
-  const bool isLast = mCommitted.size() + mPending.size() == mRecord.total;
-  return !mPending.empty() &&
-         (completesGroup || isLast ||
-          Clock::now() - mFirstPendingAt >= kMaxBatchingDelay);
-}
-
 std::vector<StoredResult>
 ResultLog::takeChunk()
 {
   const auto limit = mContext.settings.storeValueBytes / kChunkSizeDivisor;
   std::size_t size = 0;
-  const auto end = std::ranges::find_if(mPending, [&](const Pending& pending) {
-    const bool isFirst = size == 0;
-    size += pending.result.text.size();
-    return !isFirst && size >= limit;
-  });
+  const auto end =
+    std::ranges::find_if(mPending, [&](const StoredResult& pending) {
+      const bool isFirst = size == 0;
+      size += pending.text.size();
+      return !isFirst && size >= limit;
+    });
   std::vector<StoredResult> chunk;
-  std::transform(mPending.begin(),
-                 end,
-                 std::back_inserter(chunk),
-                 [](Pending& pending) { return std::move(pending.result); });
+  std::move(mPending.begin(), end, std::back_inserter(chunk));
   mPending.erase(mPending.begin(), end);
+  std::vector<std::size_t> items;
+  std::ranges::transform(chunk, std::back_inserter(items), &StoredResult::item);
+  mSchedule.beginWrite(items);
   return chunk;
 }
 
@@ -121,8 +116,12 @@
 ResultLog::write()
 {
   while (!mIsStopped && !isComplete()) {
-    if (!isDue()) {
-      co_await mResultAdded.wait(kMaxBatchingDelay);
+    const auto due = mSchedule.dueTime();
+    const auto now = Clock::now();
+    if (!due || now < *due) {
+      const auto wait =
+        due ? std::chrono::ceil<Millis>(*due - now) : kMaxWriteWait;
+      co_await mResultAdded.wait(std::min(wait, kMaxWriteWait));
       continue;
     }
     auto chunk = takeChunk();
@@ -134,8 +133,8 @@
       co_return Ending::OwnedElsewhere;
     }
     restore(std::move(chunk));
+    mSchedule.endWrite(Clock::now());
     mWaitingReaders.notifyAll();
-    co_await net::sleepFor(kMinWriteInterval);
   }
   co_return isComplete() ? Ending::Complete : Ending::Stopped;
 }
--- a/src/gateway/result_log.h
+++ b/src/gateway/result_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/result_write_schedule.h"
 #include "gateway/cluster_view.h"
 #include "gateway/result_chunk.h"
 #include "gateway/wait_list.h"
@@ -27,16 +28,14 @@
 
   ResultLog(Context& context,
             ClusterView& cluster,
-            std::string batch,
+            const core::BatchSpec& spec,
             BatchRecord record,
             std::int64_t ownerRevision);
 
   /// Adds results that are already stored, in order of their positions.
   void restore(std::vector<StoredResult> results);
-  /// Adds a result to be written. If `completesGroup` is true, the result is
-  /// written without further delay, since a trainer may be waiting for the
-  /// group.
-  void add(StoredResult result, bool completesGroup);
+  /// Adds a result to be written. ResultWriteSchedule decides when.
+  void add(StoredResult result);
   /// Writes added results to the store until the batch is complete, stop() is
   /// called, or another process owns the batch.
   net::Awaitable<Ending> write();
@@ -60,15 +59,6 @@
   net::Awaitable<void> waitForMore(std::size_t after, core::Millis maxWait);
 
 private:
-  struct Pending
-  {
-    StoredResult result;
-    bool completesGroup = false;
-  };
-
-  /// Returns true if pending results are to be written now: they complete a
-  /// group or the batch, or the oldest one has waited for the maximum time.
-  bool isDue() const;
   /// Removes the next results to be written from the pending ones and returns
   /// them: as many as fit into one result chunk.
   std::vector<StoredResult> takeChunk();
@@ -88,12 +78,11 @@
   /// the key has changed since.
   std::int64_t mOwnerRevision;
   /// Results that are not committed yet.
-  std::vector<Pending> mPending;
+  std::vector<StoredResult> mPending;
   std::vector<StoredResult> mCommitted;
   /// Whether the result of an item is committed, by item index.
   std::vector<bool> mIsCommitted;
-  /// When the oldest pending result was added.
-  core::TimePoint mFirstPendingAt{};
+  core::ResultWriteSchedule mSchedule;
   /// Coroutines of readers that wait for further results.
   WaitList mWaitingReaders;
   net::Notifier mResultAdded;
