--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -22,8 +22,20 @@
 /// Pause after a watch that has delivered changes, so that changes in quick
 /// succession share one call.
 constexpr Millis kChangeCollectionTime{ 30 };
+/// Pause after a watch that has delivered only registrations of processes. They
+/// come in quick succession while a fleet starts, and nothing waits for them: a
+/// process gets work only when others know it.
+constexpr Millis kRegistrationCollectionTime{ 250 };
 constexpr Millis kFailureRetryDelay{ 100 };
 constexpr Millis kIdlePollInterval{ 100 };
+/// How often a process without complete mirrors looks whether they are.
+constexpr Millis kCompletionPollInterval{ 20 };
+/// Pause between a listing and the first watch. It is longer than a process
+/// that has just completed its mirrors needs to find a process that it can
+/// follow, so that most processes need no watch.
+constexpr Millis kFirstWatchDelay{ 60 };
+/// Number of processes that are asked for the first state before the store is.
+constexpr int kMaxFirstSources = 2;
 /// How much longer than the source holds a request the follower waits for the
 /// response.
 constexpr Millis kFollowTimeoutMargin{ 250 };
@@ -72,6 +84,15 @@
   return delta;
 }
 
+/// Returns true if processes have only registered themselves anew.
+bool
+hasOnlyRegistrations(const StoreChanges& changes)
+{
+  return std::ranges::all_of(changes.changes, [](const StoreChange& change) {
+    return change.value && change.key.starts_with(keys::kInstances);
+  });
+}
+
 core::MirroredItem
 toMirroredItem(StoreItem item)
 {
@@ -106,21 +127,25 @@
 StateReplicator::start()
 {
   mStartedAt = Clock::now();
-  mReadsStoreDirectly = !mayAskSeeds();
   net::spawn(mContext.io, watchStore(mOperatorKeys));
   net::spawn(mContext.io, watchStore(mClusterKeys));
   net::spawn(mContext.io, pollStore(mServers));
   net::spawn(mContext.io, followSource());
 }
 
+core::TimePoint
+StateReplicator::confirmedAt() const
+{
+  const auto extraWait = kClusterWatchTimeout - mTiming.watchTimeout;
+  return std::min({ mOperatorKeys.confirmedAt,
+                    mServers.confirmedAt,
+                    mClusterKeys.confirmedAt + extraWait });
+}
+
 Millis
 StateReplicator::mirrorAge() const
 {
-  const auto extraWait = kClusterWatchTimeout - mTiming.watchTimeout;
-  const auto oldest = std::min({ mOperatorKeys.confirmedAt,
-                                 mServers.confirmedAt,
-                                 mClusterKeys.confirmedAt + extraWait });
-  return std::chrono::duration_cast<Millis>(Clock::now() - oldest);
+  return std::chrono::duration_cast<Millis>(Clock::now() - confirmedAt());
 }
 
 bool
@@ -160,38 +185,83 @@
 StateReplicator::followSource()
 {
   for (;;) {
-    if (!isComplete() && mayAskSeeds()) {
-      co_await fetchFromSeed();
+    if (!isComplete()) {
+      co_await completeMirrors();
       continue;
     }
     updateTree();
     const auto now = Clock::now();
     const bool isStale = mirrorAge() > mTiming.maxMirrorAge;
     const bool isCutReader = mTree.isReader() && !mIsStoreReachable && isStale;
-    const auto source = !isComplete() ? std::nullopt
-                        : isCutReader ? mTree.sourceForCutReader(now)
-                                      : mTree.source(now);
-    // A process whose state is too old tries the store while it goes on asking
-    // the sources: the store may turn away just the processes that supply it.
-    mReadsStoreDirectly = !source || isStale;
+    auto source =
+      isCutReader ? mTree.sourceForCutReader(now) : mTree.source(now);
+    mStandsBy = !source && mTree.leadingReader(now).has_value();
+    if (mStandsBy) {
+      // Until the leading reader has answered, this reader goes on as before.
+      source = mTree.leadingReader(now);
+    } else {
+      // A process whose state is too old tries the store while it goes on
+      // asking the sources: the store may turn away just the processes that
+      // supply it.
+      mReadsStoreDirectly = !source || isStale;
+    }
     if (!source) {
       co_await net::sleepFor(kIdlePollInterval);
       continue;
     }
-    const auto peer = mCluster.peers().find(*source);
-    const bool isUpdated = peer != mCluster.peers().end() &&
-                           co_await fetchFrom(*peer->second.peerEndpoint);
+    const bool isUpdated = co_await follow(*source);
+    if (mStandsBy) {
+      mReadsStoreDirectly = !isUpdated || mirrorAge() > mTiming.standbyAge;
+    }
     if (!isUpdated) {
-      mContext.log.warning("reader",
-                           { { "instance", *source },
-                             { "age_ms", mirrorAge() },
-                             { "outcome", "failed" } });
-      mTree.recordFailure(*source, Clock::now());
       co_await net::sleepFor(kNextSourceDelay);
     }
   }
 }
 
+net::Awaitable<void>
+StateReplicator::completeMirrors()
+{
+  if (mayAskSeeds()) {
+    co_await fetchFromSeed();
+    co_return;
+  }
+  // One listing tells which processes can supply the rest.
+  mReadsMembers = true;
+  std::optional<std::string> source;
+  if (mClusterKeys.mirror.isComplete()) {
+    updateTree();
+    source = mTree.source(Clock::now());
+    mReadsStoreDirectly = mReadsStoreDirectly || !source;
+  }
+  if (!source) {
+    co_await net::sleepFor(kCompletionPollInterval);
+    co_return;
+  }
+  const bool isUpdated = co_await follow(*source);
+  if (!isUpdated) {
+    mReadsStoreDirectly =
+      mReadsStoreDirectly || ++mFailedFirstSources >= kMaxFirstSources;
+    co_await net::sleepFor(kNextSourceDelay);
+  }
+}
+
+net::Awaitable<bool>
+StateReplicator::follow(std::string source)
+{
+  const auto peer = mCluster.peers().find(source);
+  const bool isUpdated = peer != mCluster.peers().end() &&
+                         co_await fetchFrom(*peer->second.peerEndpoint);
+  if (!isUpdated) {
+    mContext.log.warning("reader",
+                         { { "instance", source },
+                           { "age_ms", mirrorAge() },
+                           { "outcome", "failed" } });
+    mTree.recordFailure(source, Clock::now());
+  }
+  co_return isUpdated;
+}
+
 net::Awaitable<void>
 StateReplicator::fetchFromSeed()
 {
@@ -211,14 +281,15 @@
     mFollowedIncarnation.clear();
   }
   net::HttpRequest request;
-  request.target =
-    fmt::format("{}?lifetime={}&operator={}&servers={}&cluster={}&wait={}",
-                peer_paths::kState,
-                mFollowedIncarnation,
-                mOperatorKeys.followedSequence,
-                mServers.followedSequence,
-                mClusterKeys.followedSequence,
-                mTiming.followTimeout.count());
+  request.target = fmt::format(
+    "{}?lifetime={}&operator={}&servers={}&cluster={}&wait={}&confirm={}",
+    peer_paths::kState,
+    mFollowedIncarnation,
+    mOperatorKeys.followedSequence,
+    mServers.followedSequence,
+    mClusterKeys.followedSequence,
+    mTiming.followTimeout.count(),
+    mStandsBy ? 1 : 0);
   const auto sentAt = Clock::now();
   const auto answer = co_await mPeers.sendRequest(
     source, std::move(request), mTiming.followTimeout + kFollowTimeoutMargin);
@@ -289,7 +360,14 @@
            mServers.mirror.sequence() != serverSequence ||
            mClusterKeys.mirror.sequence() != clusterSequence;
   };
-  while (!hasChanges() && Clock::now() < end) {
+  // A reader that stands by wants to know each confirmation at once, so that it
+  // reads the store only if there is none.
+  const bool wantsConfirmation = request.query("confirm") == "1";
+  const auto confirmedBefore = confirmedAt();
+  const auto isConfirmed = [&] {
+    return wantsConfirmation && confirmedAt() > confirmedBefore;
+  };
+  while (!hasChanges() && !isConfirmed() && Clock::now() < end) {
     co_await mWaitingFollowers.wait(
       mContext.io,
       std::chrono::duration_cast<Millis>(end - Clock::now()) + Millis(1));
@@ -312,6 +390,17 @@
   co_return response;
 }
 
+bool
+StateReplicator::mayRead(const Replica& replica) const
+{
+  // A request to the leading reader may be under way when its answer is
+  // overdue.
+  const bool isOverdue = mStandsBy && mirrorAge() > mTiming.standbyAge;
+  const bool isFirstListing =
+    mReadsMembers && &replica == &mClusterKeys && !replica.mirror.isComplete();
+  return mReadsStoreDirectly || isOverdue || isFirstListing;
+}
+
 net::Awaitable<void>
 StateReplicator::watchStore(Replica& replica)
 {
@@ -319,10 +408,16 @@
   // not, so that the next watch delivers any changes that this response has
   // left out.
   std::int64_t revision = 0;
+  bool wasReading = false;
+  // The next watch is shorter by the pause before it, so that the mirror is
+  // confirmed as often as without a pause.
+  Millis pause(0);
   for (;;) {
-    if (!mReadsStoreDirectly) {
+    if (!mayRead(replica)) {
       revision = 0;
-      co_await net::sleepFor(kIdlePollInterval);
+      wasReading = false;
+      co_await net::sleepFor(isComplete() ? kIdlePollInterval
+                                          : kCompletionPollInterval);
       continue;
     }
     if (revision == 0) {
@@ -339,9 +434,14 @@
       revision = listing.value().revision;
       replica.mirror.replace(items, revision);
       markConfirmed(replica, Millis(0));
+      if (!std::exchange(wasReading, true)) {
+        co_await net::sleepFor(kFirstWatchDelay);
+        continue;
+      }
     }
     auto changes = co_await mContext.store.watch(
-      replica.prefix, revision, replica.watchTimeout);
+      replica.prefix, revision, replica.watchTimeout - pause);
+    pause = Millis(0);
     if (!changes) {
       const bool isHistoryCompacted =
         changes.error() == StoreError::HistoryCompacted;
@@ -369,7 +469,10 @@
     replica.mirror.markCompleteTo(revision);
     markConfirmed(replica, Millis(0));
     if (!changes.value().changes.empty()) {
-      co_await net::sleepFor(kChangeCollectionTime);
+      pause = hasOnlyRegistrations(changes.value())
+                ? kRegistrationCollectionTime
+                : kChangeCollectionTime;
+      co_await net::sleepFor(pause);
     }
   }
 }
@@ -378,8 +481,9 @@
 StateReplicator::pollStore(Replica& replica)
 {
   for (;;) {
-    if (!mReadsStoreDirectly) {
-      co_await net::sleepFor(kIdlePollInterval);
+    if (!mayRead(replica)) {
+      co_await net::sleepFor(isComplete() ? kIdlePollInterval
+                                          : kCompletionPollInterval);
       continue;
     }
     const auto askedAt = Clock::now();
