Don't count received reports of a former leader as missed

Cause: the record keeps a report until the next window is stored, also if it was received. A new leader that could not repeat it in time counted it as missed (trial with four processes, one SIGTERM of the leader). Change: reports that were stored before this process held the duty do not count as missed.

--- a/src/core/duties/usage_ledger.cpp
+++ b/src/core/duties/usage_ledger.cpp
@@ -76,6 +76,9 @@
     }
     mStored = { std::max(first, mWindows.oldestInTime(now)) - 1, {} };
   }
+  if (!mHasStored) {
+    mLastInherited = mStored.lastWindow;
+  }
   std::erase_if(mReceived, [this](auto window) {
     return !mStored.reports.contains(window);
   });
@@ -116,7 +119,7 @@
   // Reports that the record leaves out were received or were too late.
   mMissed += std::ranges::count_if(mStored.reports, [&](const auto& report) {
     return !record.reports.contains(report.first) &&
-           !mReceived.contains(report.first);
+           isMissedIfLate(report.first);
   });
   std::erase_if(mReceived,
                 [&](auto window) { return !record.reports.contains(window); });
@@ -126,11 +129,17 @@
 void
 UsageLedger::dropOverdueReports(Millis now)
 {
-  mMissed += static_cast<std::int64_t>(
-    std::erase_if(mStored.reports, [&](const auto& report) {
-      return !mReceived.contains(report.first) &&
-             mWindows.isOverdue(report.first, now);
-    }));
+  std::erase_if(mStored.reports, [&](const auto& report) {
+    const bool isOverdue = mWindows.isOverdue(report.first, now);
+    mMissed += isOverdue && isMissedIfLate(report.first) ? 1 : 0;
+    return isOverdue;
+  });
+}
+
+bool
+UsageLedger::isMissedIfLate(std::int64_t window) const
+{
+  return window > mLastInherited && !mReceived.contains(window);
 }
 
 std::optional<std::pair<std::int64_t, UsageCounts>>
--- a/src/core/duties/usage_ledger.h
+++ b/src/core/duties/usage_ledger.h
@@ -99,6 +99,8 @@
   std::int64_t takeMissed() { return std::exchange(mMissed, 0); }
 
 private:
+  /// Whether a stored report counts as missed once it is too late.
+  bool isMissedIfLate(std::int64_t window) const;
   /// Drops the reports that are too late.
   void dropOverdueReports(Millis now);
 
@@ -106,6 +108,10 @@
   Limits mLimits;
   std::map<std::int64_t, Sources> mCounts;
   StoredUsage mStored;
+  /// Last window that was stored before this process held the duty. The former
+  /// holder may have learned that the provider has received the reports up to
+  /// this window, so they do not count as missed.
+  std::int64_t mLastInherited = 0;
   /// Windows in `mStored` that the provider has received.
   std::set<std::int64_t> mReceived;
   /// Whether `mStored` is what the store records, apart from a later record
--- a/tests/core/duties/usage_ledger_test.cpp
+++ b/tests/core/duties/usage_ledger_test.cpp
@@ -146,6 +146,9 @@
   EXPECT_EQ(ledger.nextReport(now)->second, stored.reports.at(100));
   ledger.markUnknown();
   EXPECT_FALSE(ledger.nextRecord(now + Millis(5'000)));
+  // The former holder may have learned that its report was received.
+  EXPECT_FALSE(ledger.nextReport(now + Millis(10'000)));
+  EXPECT_EQ(ledger.takeMissed(), 0);
 }
 
 } // namespace lentilrack::core
