Order backend servers from the provider

The planner had no caller, so that every service kept the servers of the start.

ServerOrders runs on the holder of the duties. It plans about once a second from the mirrored batches and the speeds that the owners of batches report, and sends an order when a number changes, with the holder and the fencing token, checked before the first byte. Operators set numbers by a key in the store, or watch the plans in a dry run. The age of batches is taken from the steady clock once they are known.

Not measured on a whole fleet.

--- a/src/core/autoscaling/autoscaling_spec.h
+++ b/src/core/autoscaling/autoscaling_spec.h
@@ -21,7 +21,7 @@
   /// one. 0 if the provider offers no reclaimable servers.
   double reclaimablePriceFactor = 0;
   /// Price of a server for each second, by failure domain.
-  std::map<std::string, double> pricePerSecond;
+  std::map<std::string, double> pricePerSecond{};
 
   bool operator==(const AutoscalingSpec&) const = default;
 };
--- a/src/core/autoscaling/server_count_planner.cpp
+++ b/src/core/autoscaling/server_count_planner.cpp
@@ -91,6 +91,7 @@
     auto& ordered = mOrdered[pool.failureDomain].ofKind(pool.isReclaimable);
     ordered = std::max(ordered, countOf(observation.serving, pool));
   }
+  mAccepted = mOrdered;
   mTotal = totalServers(mOrdered);
   mIsAdopted = now - *mFirstReadAt >= spec.bootTime + mLimits.bootMargin;
 }
@@ -119,12 +120,16 @@
                                       TimePoint now)
 {
   mOrdered[pool.failureDomain].ofKind(pool.isReclaimable) = servers;
+  mAccepted[pool.failureDomain].ofKind(pool.isReclaimable) = servers;
   backOff(mAvailability[pool], now);
 }
 
 void
-ServerCountPlanner::recordAccepted(const ServerPool& pool, TimePoint now)
+ServerCountPlanner::recordAccepted(const ServerPool& pool,
+                                   int servers,
+                                   TimePoint now)
 {
+  mAccepted[pool.failureDomain].ofKind(pool.isReclaimable) = servers;
   mLostPools.erase(pool);
   mAvailability[pool].shortSince = now;
 }
@@ -138,7 +143,7 @@
     auto& ordered = mOrdered[pool.failureDomain].ofKind(pool.isReclaimable);
     const int present = countOf(serving, pool);
     auto& availability = mAvailability[pool];
-    if (present >= ordered) {
+    if (present >= std::min(ordered, countOf(mAccepted, pool))) {
       availability.hadServers = present > 0;
       availability.shortSince.reset();
       if (now >= availability.unavailableUntil + 2 * availability.backoff) {
--- a/src/core/autoscaling/server_count_planner.h
+++ b/src/core/autoscaling/server_count_planner.h
@@ -94,8 +94,10 @@
   /// Records that the provider has no more servers for a pool, whose number
   /// stays at `servers`.
   void recordUnavailable(const ServerPool& pool, int servers, TimePoint now);
-  /// Records that the provider accepted an order for the pool.
-  void recordAccepted(const ServerPool& pool, TimePoint now);
+  /// Records that the provider accepted an order for this number of servers.
+  /// Servers that were ordered before count as missing only from then on, so
+  /// that nothing changes while the provider cannot be reached.
+  void recordAccepted(const ServerPool& pool, int servers, TimePoint now);
   /// Returns the pools that are short of servers that were ordered. Their next
   /// order must be sent even if it repeats the last one.
   const std::set<ServerPool>& lostPools() const { return mLostPools; }
@@ -164,6 +166,8 @@
   /// Numbers that are ordered. Until they are adopted, the largest numbers
   /// seen.
   CountsByDomain mOrdered;
+  /// Numbers that the provider has accepted.
+  CountsByDomain mAccepted;
   int mTotal = 0;
   /// Totals that were wanted recently, by time.
   std::map<TimePoint, int> mWantedTotals;
--- a/src/core/autoscaling/server_demand.cpp
+++ b/src/core/autoscaling/server_demand.cpp
@@ -22,9 +22,19 @@
 /// From this number of batches on, the largest one does not count, so that one
 /// large batch has no effect.
 constexpr std::size_t kMinBatchesForTrimming = 4;
+/// Time until a process learns from the store that a batch was submitted.
+constexpr Millis kPropagationTime{ 1'000 };
+/// Batches that are known at the start count as at most this old.
+constexpr Millis kMaxInitialAge{ 120'000 };
 /// The rate of a model's submissions is computed if they span this time.
 constexpr Millis kMinInterval{ 1'000 };
 
+Millis
+steadyMillis(TimePoint time)
+{
+  return std::chrono::duration_cast<Millis>(time.time_since_epoch());
+}
+
 double
 seconds(Millis time)
 {
@@ -33,9 +43,33 @@
 
 } // namespace
 
+std::vector<RecentBatch>
+ServerDemand::onSteadyClock(std::vector<RecentBatch> batches,
+                            TimePoint now,
+                            Millis unixNow)
+{
+  // A batch that was not known at the previous estimate was submitted after it.
+  const auto sinceLast = std::chrono::duration_cast<Millis>(
+    now - (mLastEstimateAt == TimePoint{} ? now : mLastEstimateAt));
+  const auto maxAge = mLastEstimateAt == TimePoint{}
+                        ? kMaxInitialAge
+                        : sinceLast + kPropagationTime;
+  mLastEstimateAt = now;
+  std::map<std::string, Millis> submittedAt;
+  for (auto& batch : batches) {
+    const auto known = mSubmittedAt.find(batch.id);
+    const auto age = std::clamp(unixNow - batch.submittedAt, Millis(0), maxAge);
+    batch.submittedAt =
+      known == mSubmittedAt.end() ? steadyMillis(now) - age : known->second;
+    submittedAt[batch.id] = batch.submittedAt;
+  }
+  mSubmittedAt = std::move(submittedAt);
+  return batches;
+}
+
 void
 ServerDemand::learnFromBatches(const std::vector<RecentBatch>& batches,
-                               Millis unixNow)
+                               Millis now)
 {
   const auto correct = [this](double factor) {
     mCorrection = std::clamp(mCorrection * factor, 1.0, mLimits.maxCorrection);
@@ -45,7 +79,7 @@
     if (!batch.isOpen) {
       continue;
     }
-    const bool isLate = unixNow - batch.submittedAt > mLimits.dueTime;
+    const bool isLate = now - batch.submittedAt > mLimits.dueTime;
     if (isLate && mOpenBatches.contains(batch.id)) {
       correct(mLimits.correctionUp);
     }
@@ -55,7 +89,7 @@
   }
   for (const auto& batch : batches) {
     const bool hasEnded = !batch.isOpen && mOpenBatches.contains(batch.id);
-    if (hasEnded && unixNow - batch.submittedAt < mLimits.dueTime / 2) {
+    if (hasEnded && now - batch.submittedAt < mLimits.dueTime / 2) {
       correct(mLimits.correctionDown);
     }
   }
@@ -64,12 +98,12 @@
 
 double
 ServerDemand::measuredRate(const std::vector<BatchDemand>& submitted,
-                           Millis unixNow) const
+                           Millis now) const
 {
   std::vector<BatchDemand> recent;
   std::ranges::copy_if(
     submitted, std::back_inserter(recent), [&](const BatchDemand& batch) {
-      return unixNow - batch.submittedAt <= kRateWindow;
+      return now - batch.submittedAt <= kRateWindow;
     });
   if (recent.empty()) {
     return 0;
@@ -95,7 +129,7 @@
 
 double
 ServerDemand::arrivingTokens(const std::vector<RecentBatch>& batches,
-                             Millis unixNow) const
+                             Millis now) const
 {
   std::map<std::string, std::vector<BatchDemand>> byModel;
   std::vector<BatchDemand> all;
@@ -103,10 +137,10 @@
     all.push_back({ batch.model, batch.expectedTokens, batch.submittedAt });
     byModel[batch.model].push_back(all.back());
   }
-  const auto unhindered = computeModelDemand(std::move(all), unixNow);
+  const auto unhindered = computeModelDemand(std::move(all), now);
   double sum = 0;
   for (const auto& [model, submitted] : byModel) {
-    const double measured = measuredRate(submitted, unixNow);
+    const double measured = measuredRate(submitted, now);
     const auto demand = unhindered.find(model);
     sum += demand == unhindered.end()
              ? measured
@@ -130,7 +164,8 @@
 std::optional<ServerDemand::Estimate>
 ServerDemand::estimate(const ServiceLoad& load, TimePoint now, Millis unixNow)
 {
-  learnFromBatches(load.batches, unixNow);
+  const auto batches = onSteadyClock(load.batches, now, unixNow);
+  learnFromBatches(batches, steadyMillis(now));
   mObservedSince = mObservedSince.value_or(now);
   if (load.millisPerToken > 0) {
     mMillisPerToken += (mMillisPerToken == 0 ? 1 : kSpeedWeight) *
@@ -138,12 +173,12 @@
   }
   // Without any batch, the service may be idle or its batches not yet known.
   const auto observationTime =
-    load.batches.empty() ? 3 * kRateWindow : mLimits.observationTime;
+    batches.empty() ? 3 * kRateWindow : mLimits.observationTime;
   if (now - *mObservedSince < observationTime || !load.isForBatches) {
     return std::nullopt;
   }
   Estimate result;
-  if (load.batches.empty()) {
+  if (batches.empty()) {
     return result;
   }
   if (mMillisPerToken <= 0 || load.slots <= 0) {
@@ -151,10 +186,10 @@
   }
   const double tokensPerSecond =
     load.slots * 1'000 / mMillisPerToken * mLimits.usefulShare / mCorrection;
-  result.offered = arrivingTokens(load.batches, unixNow) / tokensPerSecond;
+  result.offered = arrivingTokens(batches, steadyMillis(now)) / tokensPerSecond;
   result.due = result.offered * (1 + mLimits.minSpare);
   const double openTokens = std::accumulate(
-    load.batches.begin(), load.batches.end(), 0.0, [](double sum, auto& batch) {
+    batches.begin(), batches.end(), 0.0, [](double sum, auto& batch) {
       return sum + (batch.isOpen ? batch.expectedTokens : 0);
     });
   const double timeForBatch =
--- a/src/core/autoscaling/server_demand.h
+++ b/src/core/autoscaling/server_demand.h
@@ -113,16 +113,20 @@
   double correction() const { return mCorrection; }
 
 private:
+  /// Returns the batches with the times of their submission on the steady
+  /// clock, so that a jump of the wall clock has no effect.
+  std::vector<RecentBatch> onSteadyClock(std::vector<RecentBatch> batches,
+                                         TimePoint now,
+                                         Millis unixNow);
   /// Compares the duration of the batches with their due time.
-  void learnFromBatches(const std::vector<RecentBatch>& batches,
-                        Millis unixNow);
+  void learnFromBatches(const std::vector<RecentBatch>& batches, Millis now);
   /// Returns the rate at which batches for a model were submitted recently, in
   /// tokens per second.
   double measuredRate(const std::vector<BatchDemand>& submitted,
-                      Millis unixNow) const;
+                      Millis now) const;
   /// Returns the arriving work in tokens per second.
   double arrivingTokens(const std::vector<RecentBatch>& batches,
-                        Millis unixNow) const;
+                        Millis now) const;
   /// Returns the largest need of the open batches that persisted.
   double persistentNeed(double openNeed, TimePoint now);
 
@@ -131,6 +135,9 @@
   /// Smoothed time per token; 0 before the first observation.
   double mMillisPerToken = 0;
   std::optional<TimePoint> mObservedSince;
+  TimePoint mLastEstimateAt{};
+  /// Steady time of the submission of each batch, by batch id.
+  std::map<std::string, Millis> mSubmittedAt;
   /// Open batches that were not late so far.
   std::set<std::string> mOpenBatches;
   /// Recent needs of the open batches, by time.
--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -72,6 +72,12 @@
   return std::string(kRates) + server;
 }
 
+std::string
+serverOverrides(const std::string& service)
+{
+  return std::string(kServerOverrides) + service + "/";
+}
+
 std::string
 leader()
 {
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -105,6 +105,8 @@
 inline constexpr std::string_view kOwners = "lentilrack/owners/";
 inline constexpr std::string_view kLeader = "lentilrack/leader";
 inline constexpr std::string_view kRates = "lentilrack/rates/";
+inline constexpr std::string_view kServerOverrides =
+  "lentilrack/server-overrides/";
 
 /// Returns the prefix of all keys that every process mirrors.
 std::string
@@ -121,6 +123,11 @@
 /// Returns the key of the request rate that a backend server states.
 std::string
 rate(const std::string& server);
+/// Returns the prefix of the numbers of servers that an operator has set for a
+/// service. The rest of each key is the failure domain, and the value is a JSON
+/// object with the numbers `ordinary` and `reclaimable`.
+std::string
+serverOverrides(const std::string& service);
 /// Returns the key that names the leader.
 std::string
 leader();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,6 +80,13 @@
   , mBatches(context, mCluster, mForwarder, mPeers)
   , mLeadership(context, mCluster)
   , mLeader(context, mCluster, mLeadership, mStateApplier, mPeers)
+  , mServerOrders(context,
+                  mCluster,
+                  mPeers,
+                  { [this] { return mLeadership.isHeld(); },
+                    [this] { return mLeadership.mayCallProvider(); },
+                    [this] { return mLeadership.dutyHolder(); },
+                    [this] { return mLeadership.providerCallCheck(); } })
 {
   mCluster.onChange([this] { mBatches.onClusterChange(); });
   mLeader.setMaintenanceTask([this] { return mBatches.deleteExpired(); });
@@ -156,6 +163,7 @@
     mBatches.start();
     mLeadership.start();
     mLeader.start();
+    mServerOrders.start();
   }
   return isBound;
 }
@@ -441,6 +449,8 @@
     response = mPermits.nameAllocator(after(peer_paths::kAllocator));
   } else if (path == peer_paths::kWeights) {
     mLeader.applyWeightUpdates(request.body);
+  } else if (path == peer_paths::kSpeeds) {
+    mServerOrders.applySpeedReport(request.body);
   } else if (path.starts_with(peer_paths::kLeaving)) {
     mCluster.markPeerLeaving(after(peer_paths::kLeaving));
   } else {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/batch_service.h"
 #include "gateway/rate_permits.h"
 #include "gateway/rate_publisher.h"
+#include "gateway/server_orders.h"
 #include "gateway/state_applier.h"
 #include "gateway/state_replicator.h"
 #include "gateway/weight_leader.h"
@@ -81,6 +82,7 @@
   BatchService mBatches;
   Leadership mLeadership;
   WeightLeader mLeader;
+  ServerOrders mServerOrders;
   std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::optional<core::Endpoint> mCallerEndpoint;
 };
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -32,11 +32,14 @@
 constexpr core::Millis kStoreTimeout{ 700 };
 constexpr core::Millis kMinStoreBackoff{ 40 };
 constexpr core::Millis kMaxStoreBackoff{ 400 };
+constexpr double kMaxWaitingValue = 10'000;
 
 struct CommandLine
 {
   std::string settings;
   std::uint16_t metricsPort = 0;
+  double waitingValue = ProcessSettings().waitingValue;
+  bool isServerOrderDryRun = false;
 };
 
 std::optional<CommandLine>
@@ -44,7 +47,9 @@
 {
   char* path = nullptr;
   int metricsPort = 0;
-  const std::array<poptOption, 4> options{
+  int dryRun = 0;
+  CommandLine commandLine;
+  const std::array<poptOption, 6> options{
     poptOption{ "metrics-port",
                 'm',
                 POPT_ARG_INT,
@@ -59,6 +64,22 @@
                 0,
                 "Settings file (default: the path in LENTILRACK_NODE_FILE)",
                 "FILE" },
+    poptOption{ "waiting-value",
+                'w',
+                POPT_ARG_DOUBLE,
+                &commandLine.waitingValue,
+                0,
+                "Value of a second of waiting of the work of one backend "
+                "server, relative to the price of a server for a second "
+                "(default: 16)",
+                "RATIO" },
+    poptOption{ "dry-run-server-orders",
+                'n',
+                POPT_ARG_NONE,
+                &dryRun,
+                0,
+                "Log orders for backend servers instead of sending them",
+                nullptr },
     POPT_AUTOHELP{ nullptr, 0, 0, nullptr, 0, nullptr, nullptr }
   };
   const auto context =
@@ -67,19 +88,23 @@
   const char* extra = poptGetArg(context);
   const bool isPort = metricsPort >= 0 &&
                       metricsPort <= std::numeric_limits<std::uint16_t>::max();
-  const bool isBad = parsed < -1 || extra != nullptr || !isPort;
+  const bool isWaitingValue = commandLine.waitingValue >= 0 &&
+                              commandLine.waitingValue <= kMaxWaitingValue;
+  const bool isBad =
+    parsed < -1 || extra != nullptr || !isPort || !isWaitingValue;
   if (isBad) {
     fmt::print(stderr,
                "lentilrack-gateway: {}\n",
-               parsed < -1 ? poptStrerror(parsed)
-               : isPort    ? "unexpected argument"
-                           : "--metrics-port must be between 0 and 65535");
+               parsed < -1       ? poptStrerror(parsed)
+               : !isPort         ? "--metrics-port must be between 0 and 65535"
+               : !isWaitingValue ? "--waiting-value must be between 0 and 10000"
+                                 : "unexpected argument");
   }
   poptFreeContext(context);
   if (isBad) {
     return std::nullopt;
   }
-  CommandLine commandLine;
+  commandLine.isServerOrderDryRun = dryRun != 0;
   commandLine.metricsPort = static_cast<std::uint16_t>(metricsPort);
   if (path != nullptr) {
     commandLine.settings = path;
@@ -134,6 +159,8 @@
     return EXIT_FAILURE;
   }
   settings->metricsPort = commandLine->metricsPort;
+  settings->waitingValue = commandLine->waitingValue;
+  settings->isServerOrderDryRun = commandLine->isServerOrderDryRun;
   std::signal(SIGPIPE, SIG_IGN);
   DecisionLog log;
   log.info("started",
--- a/src/gateway/peer_client.h
+++ b/src/gateway/peer_client.h
@@ -15,6 +15,7 @@
 inline constexpr const char* kItemBody = "/peer/items/";
 inline constexpr const char* kEndBatch = "/peer/ended/";
 inline constexpr const char* kWeights = "/peer/weights";
+inline constexpr const char* kSpeeds = "/peer/speeds";
 inline constexpr const char* kLeaving = "/peer/leaving/";
 inline constexpr const char* kState = "/peer/state";
 inline constexpr const char* kPermit = "/peer/permit";
--- a/src/gateway/process_settings.h
+++ b/src/gateway/process_settings.h
@@ -75,6 +75,12 @@
   std::size_t memoryLimitBytes = 110UL * 1024 * 1024;
   /// Empty if no calls to a provider are due.
   std::optional<ProviderSettings> provider;
+  /// Value of one second of waiting of the work of one backend server, relative
+  /// to the price of an ordinary server for one second. The default is derived
+  /// in core::ServerDemand::Limits.
+  double waitingValue = 16;
+  /// Whether orders for backend servers are only logged, not sent.
+  bool isServerOrderDryRun = false;
   /// Share of a processor core that the process may use.
   double processorShare = 0;
   DeploymentBounds bounds;
--- a/tests/core/autoscaling/fleet_simulation.cpp
+++ b/tests/core/autoscaling/fleet_simulation.cpp
@@ -148,7 +148,8 @@
   for (const auto& batch : mBatches) {
     observation.load.batches.push_back(batch.recent);
   }
-  const auto plan = mPlanner.plan(observation, mOptions.spec, mNow, unixNow());
+  const auto plan =
+    mPlanner.plan(observation, mOptions.spec, mNow, unixNow() + clockError);
   if (!plan) {
     return;
   }
@@ -174,6 +175,10 @@
   if (!order) {
     return;
   }
+  if (!isProviderReachable) {
+    mQueue.finished(*order, PoolOrderOutcome::Unknown, mNow);
+    return;
+  }
   mOrders.push_back(*order);
   const auto& pool = order->pool;
   const int present = mServing[pool.failureDomain].ofKind(pool.isReclaimable);
@@ -185,7 +190,7 @@
   }
   execute(*order);
   mQueue.finished(*order, PoolOrderOutcome::Accepted, mNow);
-  mPlanner.recordAccepted(pool, mNow);
+  mPlanner.recordAccepted(pool, order->servers, mNow);
 }
 
 void
--- a/tests/core/autoscaling/fleet_simulation.h
+++ b/tests/core/autoscaling/fleet_simulation.h
@@ -65,6 +65,10 @@
 
   /// Pools for which the provider answers that it has no more servers.
   std::set<ServerPool> unavailable;
+  /// Error of the wall clock of the planner.
+  Millis clockError{ 0 };
+  /// Whether the provider answers.
+  bool isProviderReachable = true;
   /// Whether the list of servers can be read.
   bool isListKnown = true;
   /// Observed time per token. 8 slots yield 100 tokens a second, half of which
--- a/tests/core/autoscaling/server_count_planner_test.cpp
+++ b/tests/core/autoscaling/server_count_planner_test.cpp
@@ -206,6 +206,39 @@
   EXPECT_LE(simulation.reversals(), 1);
 }
 
+// Guards against servers that are taken for lost because the order for them was
+// not answered, and against a burst of orders after the provider's outage.
+TEST(ServerCountPlannerTest, ProviderOutageChangesNothing)
+{
+  FleetSimulation simulation({}, changingLoad);
+  simulation.runUntil(64);
+  simulation.isProviderReachable = false;
+  const int before = totalServers(simulation.serving());
+  simulation.runUntil(100);
+  EXPECT_NEAR(totalServers(simulation.serving()), before, 4);
+  EXPECT_TRUE(simulation.planner().lostPools().empty());
+  const auto orders = simulation.orders().size();
+  simulation.isProviderReachable = true;
+  simulation.runUntil(120);
+  EXPECT_GT(totalServers(simulation.serving()), before + 10);
+  EXPECT_LE(simulation.orders().size(), orders + 16);
+}
+
+// Guards against a jump of the holder's clock that makes all work look late, or
+// so old that there is no demand any more.
+TEST(ServerCountPlannerTest, ClockJumpsHaveNoEffect)
+{
+  for (const auto error : { Millis(90'000), Millis(-90'000) }) {
+    FleetSimulation simulation({}, steadyLoad);
+    simulation.runUntil(80);
+    const int total = simulation.planner().total();
+    simulation.clockError = error;
+    simulation.runUntil(160);
+    EXPECT_NEAR(simulation.planner().total(), total, 5);
+    EXPECT_LE(simulation.planner().correction(), 1.1);
+  }
+}
+
 // Guards against a fleet that stays too small because servers do less useful
 // work than assumed.
 TEST(ServerCountPlannerTest, LateBatchesRaiseTheEstimate)
