--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -75,6 +75,13 @@
   , mLeadership(context, mCluster)
   , mLeader(context, mCluster, mLeadership, mStateApplier, mPeers)
   , mUsage(context, mCluster, mPeers, mLeadership)
+  , mServerOrders(context,
+                  mCluster,
+                  mPeers,
+                  { [this] { return mLeadership.isHeld(); },
+                    [this] { return mLeadership.mayCallProvider(); },
+                    [this] { return mLeadership.dutyHolder(); },
+                    [this] { return mLeadership.providerCallCheck(); } })
 {
   mCluster.onChange([this] { mBatches.onClusterChange(); });
   mLeader.setMaintenanceTask([this] { return mBatches.deleteExpired(); });
@@ -153,6 +160,7 @@
     mLeadership.start();
     mLeader.start();
     mUsage.start();
+    mServerOrders.start();
   }
   return isBound;
 }
@@ -440,6 +448,8 @@
     mLeader.applyWeightUpdates(request.body);
   } else if (path == peer_paths::kUsage) {
     response = mUsage.applyCounts(request);
+  } else if (path == peer_paths::kSpeeds) {
+    mServerOrders.applySpeedReport(request.body);
   } else if (path.starts_with(peer_paths::kLeaving)) {
     mCluster.markPeerLeaving(after(peer_paths::kLeaving));
   } else {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/batch_service.h"
 #include "gateway/rate_permits.h"
 #include "gateway/rate_publisher.h"
+#include "gateway/server_orders.h"
 #include "gateway/state_applier.h"
 #include "gateway/state_replicator.h"
 #include "gateway/usage_reporter.h"
@@ -83,6 +84,7 @@
   Leadership mLeadership;
   WeightLeader mLeader;
   UsageReporter mUsage;
+  ServerOrders mServerOrders;
   std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::optional<core::Endpoint> mCallerEndpoint;
 };
