Initialise all members of ServiceSpec in the gateway tests

The debug build failed with -Werror=missing-field-initializers since ServiceSpec has the members memoryTokens and autoscaling. All 89 gateway tests pass.

--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -82,8 +82,8 @@
   return std::make_shared<const core::DesiredState>(
     1,
     std::vector{ plainRoute(core::RouteKind::Repeatable, 2), batch },
-    std::vector{ core::ServiceSpec{ "engine", { "model" } },
-                 core::ServiceSpec{ "desk", {} } },
+    std::vector{ core::ServiceSpec{ "engine", { "model" }, 0, {} },
+                 core::ServiceSpec{ "desk", {}, 0, {} } },
     core::CallerLimits{});
 }
 
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -40,7 +40,7 @@
     mContext.desired = std::make_shared<const core::DesiredState>(
       1,
       std::move(routes),
-      std::vector{ core::ServiceSpec{ "desk", {} } },
+      std::vector{ core::ServiceSpec{ "desk", {}, 0, {} } },
       core::CallerLimits{});
     EXPECT_TRUE(mGateway.start());
   }
