Run the groups that a trainer waits for first

Load: batches of one model that overlap on too few slots. A trainer waits for 90% of the groups, but items started in the order of the batch whatever group they belonged to, so a tenth of the produced events were discarded and the step of the next batch waited for them.

orderGroups() decides which groups are needed: as many as the trainer waits for, without those with the longest unfinished items. Groups at the front of the batch, which may have been submitted before, are always needed. Needed groups run first, the one with the fewest unfinished items in front. The items of the others leave a third of each server's slots free.

--- a/src/core/rollout_batch.cpp
+++ b/src/core/rollout_batch.cpp
@@ -1,9 +1,9 @@
 #include "core/rollout_batch.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <numeric>
-#include <tuple>
 
 namespace lentilrack::core {
 
@@ -51,30 +51,74 @@
     const auto group = groups.try_emplace(item.group, groups.size());
     mItems[i].group = group.first->second;
     if (group.second) {
-      mUnfinishedOfGroup.push_back(0);
+      mGroups.emplace_back();
     }
-    ++mUnfinishedOfGroup[mItems[i].group];
+    ++mGroups[mItems[i].group].unfinished;
     mIndexById[item.id] = i;
   }
-  std::iota(mOrder.begin(), mOrder.end(), 0);
   mMedianLength = medianLength(mSpec->items);
   const double longThreshold = kLongItemFactor * mMedianLength;
-  std::ranges::stable_sort(mOrder, {}, [&](std::size_t i) {
-    const double length = mSpec->items[i].expectedLength;
-    const bool isLong = longThreshold > 0 && length > longThreshold;
-    // Long items come first, then group by group, each by descending length.
-    return isLong ? std::tuple(std::size_t{ 0 }, -length)
-                  : std::tuple(mItems[i].group + 1, -length);
+  for (std::size_t i = 0; i < mItems.size(); ++i) {
+    mItems[i].isLong =
+      longThreshold > 0 && mSpec->items[i].expectedLength > longThreshold;
+  }
+  std::iota(mOrder.begin(), mOrder.end(), 0);
+  std::ranges::stable_sort(mOrder, std::greater<>(), [&](std::size_t i) {
+    return mSpec->items[i].expectedLength;
   });
+  mItemsOfGroup.resize(mGroups.size());
+  for (const auto i : mOrder) {
+    mItemsOfGroup[mItems[i].group].push_back(i);
+  }
+  for (std::size_t group = 0; group < mGroups.size(); ++group) {
+    updateLongestItem(group);
+  }
+}
+
+void
+BatchProgress::updateLongestItem(std::size_t group)
+{
+  const auto& items = mItemsOfGroup[group];
+  const auto longest = std::ranges::find_if(
+    items, [this](std::size_t i) { return !isFinished(i); });
+  mGroups[group].longestItem =
+    longest == items.end() ? 0 : mSpec->items[*longest].expectedLength;
 }
 
 std::optional<std::size_t>
 BatchProgress::nextItem(TimePoint now) const
 {
-  const auto found = std::ranges::find_if(mOrder, [&](std::size_t i) {
-    return mItems[i].state == State::Waiting && mItems[i].earliestStart <= now;
-  });
-  return found == mOrder.end() ? std::nullopt : std::optional(*found);
+  const auto items = waitingItems(now);
+  return items.empty() ? std::nullopt : std::optional(items.front().item);
+}
+
+std::vector<WaitingItem>
+BatchProgress::waitingItems(TimePoint now) const
+{
+  const auto order = orderGroups(mGroups, mSpec->desiredGroups);
+  std::vector<bool> isNeeded(mGroups.size());
+  for (std::size_t i = 0; i < order.neededGroups; ++i) {
+    isNeeded[order.groups[i]] = true;
+  }
+  std::vector<WaitingItem> items;
+  std::vector<std::optional<std::size_t>> firstOfGroup(mGroups.size());
+  for (const auto i : mOrder) {
+    const auto& item = mItems[i];
+    if (item.state != State::Waiting || item.earliestStart > now) {
+      continue;
+    }
+    if (item.isLong && isNeeded[item.group]) {
+      items.push_back({ i, false });
+    } else if (!firstOfGroup[item.group]) {
+      firstOfGroup[item.group] = i;
+    }
+  }
+  for (const auto group : order.groups) {
+    if (firstOfGroup[group]) {
+      items.push_back({ *firstOfGroup[group], !isNeeded[group] });
+    }
+  }
+  return items;
 }
 
 std::optional<TimePoint>
@@ -105,15 +149,18 @@
 }
 
 bool
-BatchProgress::finish(std::size_t item)
+BatchProgress::finish(std::size_t item, ItemOutcome outcome)
 {
   auto& state = mItems[item].state;
   if (state == State::Finished) {
     return false;
   }
+  auto& group = mGroups[mItems[item].group];
+  --group.unfinished;
+  group.hasGivenUp = group.hasGivenUp || outcome == ItemOutcome::GivenUp;
   state = State::Finished;
   ++mFinished;
-  --mUnfinishedOfGroup[mItems[item].group];
+  updateLongestItem(mItems[item].group);
   return true;
 }
 
@@ -143,7 +190,7 @@
 bool
 BatchProgress::isGroupComplete(std::size_t item) const
 {
-  return mUnfinishedOfGroup[mItems[item].group] == 0;
+  return mGroups[mItems[item].group].isComplete();
 }
 
 std::optional<std::size_t>
--- a/src/core/rollout_batch.h
+++ b/src/core/rollout_batch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/scheduling/group_order.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -76,6 +77,16 @@
   std::string score;
 };
 
+/// A waiting item that may start now.
+struct WaitingItem
+{
+  std::size_t item = 0;
+  /// Whether its group is beyond those that the trainer waits for. The item is
+  /// of use only if another group is late, so it should run only in slots that
+  /// no other item needs.
+  bool isSpare = false;
+};
+
 /// Tracks which items of a batch are waiting, running or finished, and chooses
 /// the item to run next. Each item is finished at most once.
 class BatchProgress
@@ -84,8 +95,11 @@
   explicit BatchProgress(std::shared_ptr<const BatchSpec> spec);
 
   /// Returns the waiting item to run next, or nothing if none may start now.
-  /// Long items come first, then the others in the trainer's order of groups.
   std::optional<std::size_t> nextItem(TimePoint now) const;
+  /// Returns the waiting items that may start now, the next one to run first,
+  /// with at most one item of each group besides the long items. Long items of
+  /// needed groups come first, then groups in the order of orderGroups().
+  std::vector<WaitingItem> waitingItems(TimePoint now) const;
   /// Returns the earliest time at which a waiting item may start, or nothing if
   /// no item is waiting.
   std::optional<TimePoint> nextReleaseTime() const;
@@ -95,7 +109,7 @@
   /// Makes a running item wait again, at least until `earliestStart`.
   void requeue(std::size_t item, TimePoint earliestStart);
   /// Marks an item as finished. Returns false if it was finished before.
-  bool finish(std::size_t item);
+  bool finish(std::size_t item, ItemOutcome outcome = ItemOutcome::Completed);
   /// Counts a failed run of an item, and returns the number of its failures.
   int countFailure(std::size_t item) { return ++mItems[item].failures; }
   /// Counts a failed reward call, and returns the number of the item's
@@ -133,17 +147,22 @@
   {
     State state = State::Waiting;
     std::size_t group = 0;
+    /// Whether the expected length is well above that of most items.
+    bool isLong = false;
     TimePoint earliestStart{};
     int failures = 0;
     int rewardFailures = 0;
   };
 
+  void updateLongestItem(std::size_t group);
+
   std::shared_ptr<const BatchSpec> mSpec;
   std::vector<Item> mItems;
-  /// Indexes of the items, in the order in which they start.
+  /// Indexes of the items, by descending expected length.
   std::vector<std::size_t> mOrder;
-  /// Number of unfinished items of each group.
-  std::vector<std::size_t> mUnfinishedOfGroup;
+  std::vector<GroupProgress> mGroups;
+  /// Indexes of the items of each group, by descending expected length.
+  std::vector<std::vector<std::size_t>> mItemsOfGroup;
   /// Index of each item by its identifier.
   std::map<std::string, std::size_t> mIndexById;
   std::size_t mFinished = 0;
--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -30,6 +30,19 @@
 /// No further question for a permit of a server is asked for this time, unless
 /// the first one is answered earlier.
 constexpr Millis kPermitQuestionTime{ 250 };
+/// Fraction of a server's slots that requests of little use may fill. The rest
+/// stays free for the items of the next batch, which is submitted while the
+/// last groups of the one before it still run.
+constexpr double kSpareSlotShare = 2.0 / 3;
+
+/// Returns how many slots of the server requests of the given kind may fill.
+int
+usableSlots(const ServerEntry& server, const ServerRequirements& requirements)
+{
+  return requirements.leavesSlotsFree
+           ? std::max(1, static_cast<int>(kSpareSlotShare * server.slots))
+           : server.slots;
+}
 
 } // namespace
 
@@ -98,7 +111,8 @@
     return false;
   }
   if (requirements.freeSlotOnly &&
-      (server.running >= entry.slots || now < server.avoidUntil)) {
+      (server.running >= usableSlots(entry, requirements) ||
+       now < server.avoidUntil)) {
     return false;
   }
   if (requirements.model.empty()) {
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -96,6 +96,9 @@
   std::string preferredDomain;
   /// Whether only servers with a free slot are accepted.
   bool freeSlotOnly = false;
+  /// Whether the request is of little use, so that it leaves a part of each
+  /// server's slots free. Has an effect only with `freeSlotOnly`.
+  bool leavesSlotsFree = false;
   /// Server that has the prompt in its cache. It is chosen whenever it meets
   /// the requirements and is not being avoided.
   std::string preferredServer;
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -82,6 +82,9 @@
 void
 BatchRun::restore(std::vector<StoredResult> results)
 {
+  // The stored text does not tell which items were given up, so all of them
+  // count as completed. Other groups then run later than they should if the
+  // trainer does not count a group, but they do run.
   std::erase_if(results, [this](const StoredResult& result) {
     return result.item >= mProgress.size() || !mProgress.finish(result.item);
   });
@@ -194,24 +197,26 @@
 BatchRun::startNextItem()
 {
   const auto now = Clock::now();
-  const auto item = mProgress.nextItem(now);
+  const auto waiting = mProgress.waitingItems(now);
   const auto* batchRoute = route();
-  if (!item || batchRoute == nullptr) {
+  if (waiting.empty() || batchRoute == nullptr) {
     return false;
   }
-  const auto& spec = mSpec->items[*item];
+  const auto item = waiting.front().item;
+  const auto& spec = mSpec->items[item];
   auto requirements =
     slotRequirements(batchRoute->pickService(mContext.uniformRandom()));
   requirements.preferredDomain = mContext.settings.failureDomain;
   requirements.preferredServer = mServerByGroup[spec.group];
+  requirements.leavesSlotsFree = waiting.front().isSpare;
   auto* server =
     mContext.registry.choose(requirements, now, mContext.uniformRandom());
   if (server == nullptr) {
     return false;
   }
   mServerByGroup[spec.group] = server->entry.id;
-  mProgress.markRunning(*item);
-  auto& run = mItemStates[*item];
+  mProgress.markRunning(item);
+  auto& run = mItemStates[item];
   run.cancel = std::make_shared<net::CancelSignal>();
   run.server = server->entry;
   run.isGenerating = true;
@@ -219,7 +224,7 @@
   run.lastActivity = now;
   run.eventsInRun = 0;
   mContext.registry.requestStarted(server->entry);
-  net::spawn(mContext.io, runItem(*item, server->entry), shared_from_this());
+  net::spawn(mContext.io, runItem(item, server->entry), shared_from_this());
   return true;
 }
 
@@ -478,7 +483,7 @@
 BatchRun::finish(core::ItemResult result)
 {
   const auto item = result.item;
-  if (!mProgress.finish(item)) {
+  if (!mProgress.finish(item, result.outcome)) {
     return;
   }
   StoredResult stored{ item, mContext.format.encodeResult(*mSpec, result) };
