Place items where they add least work and prompts are held

Load: batches with more items than slots. Each item went to the last server of its group or, if that was full, to the one with the lowest load, so nearly every freed slot read the prompt of another group again.

placementCost() adds up the work by slot of a server at its measured pace and the reading of the prompt if the server does not hold it. If the servers of a group have enough slots for the rest of the group, another waiting group that can use the free slot without opening a further server goes first; no slot stays free. Long items and the last two of a group run where they end first. The choice moves to batch_run_placement.cpp.

--- a/src/core/rollout_batch.cpp
+++ b/src/core/rollout_batch.cpp
@@ -1,5 +1,7 @@
 #include "core/rollout_batch.h"
 
+#include "core/scheduling/placement.h"
+
 #include <algorithm>
 #include <functional>
 #include <iterator>
@@ -13,6 +15,13 @@
 /// Long items determine when the step completes, so they must not wait for a
 /// slot.
 constexpr double kLongItemFactor = 2;
+/// Number of unfinished items of a group from which each is late.
+constexpr std::size_t kLateItems = 2;
+/// Expected events of an item before any is complete.
+constexpr double kDefaultEvents = 12;
+/// An item that has produced more events than expected is expected to produce
+/// this share of them in addition, because the lengths have a long tail.
+constexpr double kTailShare = 0.3;
 
 double
 medianLength(const std::vector<BatchItem>& items)
@@ -174,13 +183,45 @@
 }
 
 void
-BatchProgress::recordLength(std::int64_t events)
+BatchProgress::recordLength(std::int64_t events, double expectedLength)
 {
+  if (expectedLength > 0) {
+    mEventsOfKnownLength += static_cast<double>(events);
+    mKnownLength += expectedLength;
+  }
   ++mCompleteItems;
   mMeanEvents += (static_cast<double>(events) - mMeanEvents) /
                  static_cast<double>(mCompleteItems);
 }
 
+double
+BatchProgress::expectedEvents(std::size_t item, std::int64_t events) const
+{
+  const double length = mSpec->items[item].expectedLength;
+  double total = mCompleteItems > 0 ? mMeanEvents : kDefaultEvents;
+  if (length > 0 && mKnownLength > 0) {
+    total = length * mEventsOfKnownLength / mKnownLength;
+  } else if (length > 0 && mMedianLength > 0) {
+    total *= length / mMedianLength;
+  }
+  const auto produced = static_cast<double>(events);
+  return std::max(total - produced, kTailShare * std::max(total, produced));
+}
+
+PlacedItem
+BatchProgress::placedItem(std::size_t item,
+                          std::int64_t events,
+                          double promptTokens) const
+{
+  PlacedItem placed;
+  placed.group = mSpec->items[item].group;
+  placed.expectedEvents = expectedEvents(item, events);
+  placed.promptTokens = promptTokens;
+  placed.unfinishedOfGroup = mGroups[mItems[item].group].unfinished;
+  placed.isLate = mItems[item].isLong || placed.unfinishedOfGroup <= kLateItems;
+  return placed;
+}
+
 bool
 BatchProgress::isFinished(std::size_t item) const
 {
--- a/src/core/rollout_batch.h
+++ b/src/core/rollout_batch.h
@@ -14,6 +14,8 @@
 
 namespace lentilrack::core {
 
+struct PlacedItem;
+
 /// Call to the service that scores the text of an item.
 struct RewardCall
 {
@@ -123,8 +125,17 @@
   /// `events` is the number of events that it has produced so far. Long items
   /// determine when the step completes.
   bool isLong(std::size_t item, std::int64_t events) const;
-  /// Records the number of events of an item that is complete.
-  void recordLength(std::int64_t events);
+  /// Records the number of events of an item that is complete, and its expected
+  /// length; 0 if unknown.
+  void recordLength(std::int64_t events, double expectedLength = 0);
+  /// Returns how many events an item is expected to produce after the first
+  /// `events`, judging by its expected length and the complete items.
+  double expectedEvents(std::size_t item, std::int64_t events) const;
+  /// Returns what the placement of an item depends on, if it has produced
+  /// `events` so far.
+  PlacedItem placedItem(std::size_t item,
+                        std::int64_t events,
+                        double promptTokens) const;
 
   bool isFinished(std::size_t item) const;
   /// Whether all items are finished.
@@ -171,6 +182,9 @@
   /// Mean number of events of the complete items, and their number.
   double mMeanEvents = 0;
   std::size_t mCompleteItems = 0;
+  /// Events and expected lengths of the complete items with an expected length.
+  double mEventsOfKnownLength = 0;
+  double mKnownLength = 0;
 };
 
 } // namespace lentilrack::core
--- a/src/core/scheduling/group_order.h
+++ b/src/core/scheduling/group_order.h
@@ -7,10 +7,10 @@
 
 namespace lentilrack::core {
 
-/// Items of groups that the trainer does not wait for start only in batches that
-/// are older than this. Without faults the needed groups are complete by then,
-/// and there is time to run the others before a step is late, 7.5 s after its
-/// submission in known deployments.
+/// Items of groups that the trainer does not wait for start only in batches
+/// that are older than this. Without faults the needed groups are complete by
+/// then, and there is time to run the others before a step is late, 7.5 s after
+/// its submission in known deployments.
 inline constexpr Millis kSpareGroupDelay{ 2'000 };
 
 /// How far the items of one group of a batch are.
--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -219,7 +219,8 @@
   const double median = medianMillisPerUnit(requirements.service);
   return *std::ranges::min_element(
     candidates, {}, [&](const RegisteredServer* s) {
-      return cost(*s, requirements, median);
+      return requirements.cost ? requirements.cost(*s, median)
+                               : cost(*s, requirements, median);
     });
 }
 
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -110,6 +110,10 @@
   /// while after it has refused one of them, so that they do not take the slots
   /// of requests that cannot wait.
   bool isDeferrable = false;
+  /// If set, the server with the lowest cost is chosen. Takes the server and
+  /// the median time per unit of work of its service; 0 without observations.
+  std::function<double(const RegisteredServer&, double medianMillisPerUnit)>
+    cost;
 };
 
 /// The backend servers listed in the directory, together with this process's
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -74,6 +74,7 @@
   , mSubmittedAt(record.submittedAt)
   , mProgress(mSpec)
   , mItemStates(mSpec->items.size())
+  , mPrompts(mSpec->model)
   , mResults(context, cluster, mSpec->id, std::move(record), ownerRevision)
   , mWorkChanged(context.io)
 {
@@ -181,56 +182,6 @@
   }
 }
 
-core::ServerRequirements
-BatchRun::slotRequirements(std::string service) const
-{
-  core::ServerRequirements requirements;
-  requirements.service = std::move(service);
-  requirements.model = mSpec->model;
-  requirements.minVersion = mSpec->minVersion;
-  requirements.freeSlotOnly = true;
-  requirements.permitPriority = core::PermitPriority::Background;
-  return requirements;
-}
-
-bool
-BatchRun::startNextItem()
-{
-  const auto now = Clock::now();
-  const auto waiting = mProgress.waitingItems(now);
-  const auto* batchRoute = route();
-  if (waiting.empty() || batchRoute == nullptr) {
-    return false;
-  }
-  const auto [item, isSpare] = waiting.front();
-  if (isSpare && unixNow() - mSubmittedAt < core::kSpareGroupDelay) {
-    return false;
-  }
-  const auto& spec = mSpec->items[item];
-  auto requirements =
-    slotRequirements(batchRoute->pickService(mContext.uniformRandom()));
-  requirements.preferredDomain = mContext.settings.failureDomain;
-  requirements.preferredServer = mServerByGroup[spec.group];
-  requirements.leavesSlotsFree = isSpare;
-  auto* server =
-    mContext.registry.choose(requirements, now, mContext.uniformRandom());
-  if (server == nullptr) {
-    return false;
-  }
-  mServerByGroup[spec.group] = server->entry.id;
-  mProgress.markRunning(item);
-  auto& run = mItemStates[item];
-  run.cancel = std::make_shared<net::CancelSignal>();
-  run.server = server->entry;
-  run.isGenerating = true;
-  run.startedAt = now;
-  run.lastActivity = now;
-  run.eventsInRun = 0;
-  mContext.registry.requestStarted(server->entry);
-  net::spawn(mContext.io, runItem(item, server->entry), shared_from_this());
-  return true;
-}
-
 net::HttpCall
 BatchRun::prepareCall(std::size_t item,
                       const core::ServerEntry& server,
@@ -284,6 +235,7 @@
     if (run->isAccepted) {
       mItemStates[item].text.startRun(version);
       mContext.registry.recordVersion(run->server, mSpec->model, version);
+      recordPrompt(item, run->server);
     }
     return run->isAccepted;
   };
@@ -361,7 +313,8 @@
                                  !run->isOutOfOrder &&
                                  !run->eventParser.hasPartialEvent();
   if (hasCompleteOutput) {
-    mProgress.recordLength(mItemStates[item].text.lastNumber());
+    mProgress.recordLength(mItemStates[item].text.lastNumber(),
+                           mSpec->items[item].expectedLength);
     mContext.metrics.observe("item_run_ms",
                              std::chrono::duration<double, std::milli>(
                                Clock::now() - mItemStates[item].startedAt)
@@ -398,7 +351,7 @@
     recordFailedAttempt(mContext.registry, server, attemptOutcome, now);
     if (attemptOutcome != AttemptOutcome::Cancelled &&
         attemptOutcome != AttemptOutcome::ClosedWhenIdle) {
-      mServerByGroup.erase(mSpec->items[item].group);
+      mPrompts.recordFailure(mSpec->items[item].group, server);
     }
     requeue(item, result.error ? kFailureRetryDelay : kRefusalRetryDelay);
   } else if (result.response.status == net::status::kUnprocessable) {
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -2,6 +2,7 @@
 
 #include "core/event_stream.h"
 #include "core/rollout_batch.h"
+#include "core/scheduling/placement.h"
 #include "gateway/cluster_view.h"
 #include "gateway/forwarder.h"
 #include "gateway/result_log.h"
@@ -16,8 +17,9 @@
 
 /// Runs a batch in the process that owns it: sends the items to backend
 /// servers, has the generated texts scored, and adds the results to the result
-/// log. batch_run_supervision.cpp moves items away from servers that are
-/// silent, slow or loading.
+/// log. batch_run_placement.cpp chooses the items and servers,
+/// batch_run_supervision.cpp moves items away from servers that are silent,
+/// slow or loading.
 class BatchRun : public std::enable_shared_from_this<BatchRun>
 {
 public:
@@ -76,6 +78,8 @@
     /// When the item was last moved away from a slow server; the default value
     /// if it never was.
     core::TimePoint lastMovedAt{};
+    /// Id of the server to which the item is being moved; empty if it is not.
+    std::string moveTarget;
     /// Number of events received in the current run.
     std::int64_t eventsInRun = 0;
   };
@@ -92,10 +96,22 @@
   net::Awaitable<void> writeResults();
   /// Returns what an item requires of a server of the service.
   core::ServerRequirements slotRequirements(std::string service) const;
-  /// Starts the next waiting item. Returns false if no item is waiting or no
-  /// server has a free slot.
+  /// Starts the waiting item that can use a free slot best. Returns false if no
+  /// item is waiting or no server has a free slot.
   bool startNextItem();
+  /// Chooses a server for a waiting item, or null if none has a slot for it.
+  core::RegisteredServer* chooseServer(const core::WaitingItem& waiting,
+                                       const core::PlacedItem& placed,
+                                       const std::string& service,
+                                       core::TimePoint now);
+  core::PlacedItem placedItem(std::size_t item) const;
+  void startItem(std::size_t item,
+                 const core::ServerEntry& server,
+                 core::TimePoint now);
   net::Awaitable<void> runItem(std::size_t item, core::ServerEntry server);
+  /// Records that the server has the prompt of the item with its present
+  /// weights.
+  void recordPrompt(std::size_t item, const core::ServerEntry& server);
   net::HttpCall prepareCall(std::size_t item,
                             const core::ServerEntry& server,
                             std::shared_ptr<ServerRun> run);
@@ -138,8 +154,7 @@
   core::Millis mSubmittedAt;
   core::BatchProgress mProgress;
   std::vector<ItemState> mItemStates;
-  /// Id of the server that is preferred for the items of a group, by group.
-  std::map<std::string, std::string> mServerByGroup;
+  core::PromptLocations mPrompts;
   ResultLog mResults;
   /// Notified when an item may have become ready to run, or a slot free.
   net::Notifier mWorkChanged;
--- a/src/gateway/batch_run_supervision.cpp
+++ b/src/gateway/batch_run_supervision.cpp
@@ -115,7 +115,7 @@
   const auto* source =
     mContext.registry.find(run.server.id, run.server.startedAt);
   run.lastMovedAt = now;
-  mServerByGroup[mSpec->items[item].group] = target.entry.id;
+  run.moveTarget = target.entry.id;
   mContext.log.info(
     "item_moved",
     { { "batch", mSpec->id },
--- a/tests/core/scheduling/group_order_test.cpp
+++ b/tests/core/scheduling/group_order_test.cpp
@@ -61,9 +61,9 @@
   return [&simulation](StepSimulation::Batch& batch,
                        TimePoint now) -> std::optional<StepSimulation::Start> {
     const auto waiting = batch.progress->waitingItems(now);
-    const bool isWithoutUse = waiting.empty() ||
-                              (waiting.front().isSpare &&
-                               now - batch.submittedAt < kSpareGroupDelay);
+    const bool isWithoutUse =
+      waiting.empty() ||
+      (waiting.front().isSpare && now - batch.submittedAt < kSpareGroupDelay);
     if (isWithoutUse) {
       return std::nullopt;
     }
--- a/tests/core/scheduling/step_simulation.cpp
+++ b/tests/core/scheduling/step_simulation.cpp
@@ -130,7 +130,8 @@
   mProduced += events;
   mWork[run.server] += events * run.millisPerEvent;
   batch.progress->finish(run.item);
-  batch.progress->recordLength(batch.events[run.item]);
+  batch.progress->recordLength(batch.events[run.item],
+                               batch.spec->items[run.item].expectedLength);
   batch.completeGroups += batch.progress->isGroupComplete(run.item) ? 1 : 0;
   if (batch.completeGroups == batch.spec->desiredGroups) {
     endBatch(batch, now);
