Move runs only if the gain exceeds the cost, and count lost events

Load: servers that are slow or load weights while batches run. A run was moved from a server at half the median pace, and a long item from any loading server, however few events were left, and a run without a first event after 1.5 s was abandoned although the whole service took that long.

item_events_total, item_events_discarded_total{cause} and item_runs_moved_total{reason} count what is produced, lost and moved. The effect on the number of moves is not measured here.

--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -3,6 +3,7 @@
 #include "core/concurrency_window.h"
 #include "core/endpoint.h"
 #include "core/request_rate.h"
+#include "core/scheduling/first_event_bound.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -193,6 +194,11 @@
   /// Returns the median of RegisteredServer::millisPerUnit over the servers of
   /// a service; 0 if none has an observation.
   double medianMillisPerUnit(const std::string& service) const;
+  /// Returns the bound on the time until the first event of a run, by service.
+  FirstEventBound& firstEventBound(const std::string& service)
+  {
+    return mFirstEventBounds[service];
+  }
 
 private:
   bool canServe(const RegisteredServer& server,
@@ -214,6 +220,7 @@
   std::map<std::string, RegisteredServer> mServers;
   /// When servers that are missing in the directory were first missed, by id.
   std::map<std::string, TimePoint> mMissingSince;
+  std::map<std::string, FirstEventBound> mFirstEventBounds;
   /// Time of the last failed read of the directory.
   std::optional<TimePoint> mLastFailure;
 };
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -118,6 +118,7 @@
       run.cancel->cancel();
     }
   }
+  countDiscardedAtEnd(reason);
   mWorkChanged.notify();
   mResults.stop();
 }
@@ -212,7 +213,9 @@
   call.request.headers.emplace_back(names.expectedServer, server.id);
   const auto* batchRoute = route();
   if (batchRoute != nullptr && batchRoute->singleVersion) {
+    countDiscarded(state.text.lastNumber(), state.endCause);
     state.text.clear();
+    state.endCause.clear();
   }
   if (state.text.lastNumber() > 0) {
     call.request.headers.emplace_back(names.lastEvent,
@@ -264,11 +267,17 @@
       return;
     }
     if (state.text.text().size() > kMaxItemTextBytes) {
+      countDiscarded(state.text.lastNumber(), "too_long");
       state.text.clear();
       run.isOutOfOrder = true;
       state.cancel->cancel();
       return;
     }
+    mContext.metrics.increment("item_events_total");
+    if (state.eventsInRun == 0) {
+      mContext.registry.firstEventBound(run.server.service)
+        .record(std::chrono::duration_cast<Millis>(now - state.startedAt));
+    }
     if (event.version > 0) {
       mContext.registry.recordVersion(run.server, mSpec->model, event.version);
     }
@@ -372,6 +381,10 @@
     mContext.registry.failed(server, now);
     requeue(item, kFailureRetryDelay);
   }
+  auto& endCause = mItemStates[item].endCause;
+  if (attemptOutcome != AttemptOutcome::Cancelled || endCause.empty()) {
+    endCause = "server";
+  }
   if (reason != "answered") {
     mContext.metrics.increment("item_runs_broken_total");
     mContext.log.info("item_run",
@@ -397,6 +410,7 @@
   const auto* batchRoute = route();
   if (batchRoute != nullptr && batchRoute->singleVersion &&
       result.versions.size() > 1) {
+    state.endCause = "versions";
     requeue(item, kFailureRetryDelay);
     co_return;
   }
@@ -442,9 +456,15 @@
   if (!mProgress.finish(item, result.outcome)) {
     return;
   }
+  auto& state = mItemStates[item];
+  if (result.outcome == core::ItemOutcome::Completed) {
+    state.completeEvents = state.text.lastNumber();
+  } else {
+    countDiscarded(state.text.lastNumber(), "given_up");
+  }
   StoredResult stored{ item, mContext.format.encodeResult(*mSpec, result) };
   mResults.add(std::move(stored), mProgress.isGroupComplete(item));
-  mItemStates[item].text.clear();
+  state.text.clear();
   mContext.metrics.increment(result.outcome == core::ItemOutcome::Completed
                                ? "items_completed_total"
                                : "items_dead_total");
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -80,6 +80,10 @@
     core::TimePoint lastMovedAt{};
     /// Id of the server to which the item is being moved; empty if it is not.
     std::string moveTarget;
+    /// Why the last run ended without a complete text; empty if none did.
+    std::string endCause;
+    /// Number of events of the complete text; 0 before.
+    std::int64_t completeEvents = 0;
     /// Number of events received in the current run.
     std::int64_t eventsInRun = 0;
   };
@@ -128,17 +132,28 @@
   /// Queues the item again. Its next run starts after `pause` at the earliest.
   void requeue(std::size_t item, core::Millis pause);
   void finish(core::ItemResult result);
+  /// Counts events that servers have produced and the trainer does not get.
+  void countDiscarded(std::int64_t events, const std::string& cause);
+  /// Counts the events of items without a result, and of complete items of
+  /// groups that the trainer cannot count, when the batch has ended.
+  void countDiscardedAtEnd(const std::string& cause);
   /// Finishes the item as dead and cancels its run.
   void abandonItem(std::size_t item, const std::string& reason);
-  /// Cancels the run of an item if its server is silent or much slower than
-  /// others. The item then runs on another server.
+  /// Cancels the run of an item if its server is silent, or if the item is
+  /// expected to end earlier on another server. The item then runs there.
   void checkRunProgress(std::size_t item, core::TimePoint now);
   /// Returns another server with a free slot for an item that runs on `server`,
   /// or null.
   const core::RegisteredServer* findOtherServer(const core::ServerEntry& server,
                                                 core::TimePoint now) const;
-  /// Moves a long item away from a server that loads weights, since the load
-  /// stops it for longer than another server needs to read its text.
+  /// Whether the item gains by a move to the target, if its present server
+  /// produces no events for `sourcePause`.
+  bool gainsByMove(std::size_t item,
+                   const core::RegisteredServer& source,
+                   const core::RegisteredServer& target,
+                   core::Millis sourcePause) const;
+  /// Moves a long item away from a server that loads weights, if it gains by
+  /// that.
   void moveFromLoadingServer(std::size_t item, core::TimePoint now);
   /// Cancels the current run of an item, which then continues on the target.
   void moveItem(std::size_t item,
