Give more servers to models whose steps are going to be late

Load: several trainers that share too few servers, of which one has a backlog. The servers followed the demand of the last minute, so the backlog stayed while other models had time.

ModelAllocation raises the demand of a model to what its open steps need to be in time, from estimates of the work left and of the rate of a server. A step that cannot be in time counts with its later bound. The floor and the threshold for moves stay. The gauge model_fairness_index has Jain's index.

--- a/src/core/weight_load_planner.cpp
+++ b/src/core/weight_load_planner.cpp
@@ -280,6 +280,21 @@
   return std::max(shortest - mLimits.reportDelay, kMinLoadTime);
 }
 
+std::map<std::string, std::size_t>
+WeightLoadPlanner::serversByModel(
+  const std::vector<const RegisteredServer*>& servers) const
+{
+  Counts counts;
+  for (const auto* server : servers) {
+    const auto assigned = mModelByServer.find(server->entry.id);
+    const bool isServing = !server->entry.draining && !server->leaving;
+    if (isServing && assigned != mModelByServer.end()) {
+      ++counts[assigned->second];
+    }
+  }
+  return counts;
+}
+
 std::vector<WeightLoadPlanner::Load>
 WeightLoadPlanner::loads() const
 {
--- a/src/core/weight_load_planner.h
+++ b/src/core/weight_load_planner.h
@@ -63,6 +63,9 @@
   {
     mDemandByModel = std::move(demand);
   }
+  /// Returns how many of the servers are assigned to each model.
+  std::map<std::string, std::size_t> serversByModel(
+    const std::vector<const RegisteredServer*>& servers) const;
   /// Returns the orders that may be given now. The caller must report each
   /// order that it gives by calling loadStarted(), and each that it cannot give
   /// by calling loadRefused(). An order that is not reported is returned again
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -68,6 +68,8 @@
 void
 WeightLeader::start()
 {
+  mContext.metrics.addGauge("model_fairness_index",
+                            [this] { return mFairness; });
   net::spawn(mContext.io, maintainLeadership());
 }
 
@@ -149,14 +151,25 @@
 }
 
 std::map<std::string, double>
-WeightLeader::demandByModel() const
+WeightLeader::demandByModel()
 {
   std::vector<core::BatchDemand> batches;
+  std::vector<core::StepState> steps;
   for (const auto& [id, record] : mCluster.batches()) {
     batches.push_back(
       { record.model, record.estimatedTokens, record.submittedAt });
+    if (record.state == BatchState::Open) {
+      steps.push_back(
+        { id, record.model, record.estimatedTokens, record.submittedAt, true });
+    }
   }
-  return core::computeModelDemand(std::move(batches), unixNow());
+  const auto now = unixNow();
+  const auto servers = mPlanner.serversByModel(mContext.registry.all());
+  mAllocation.update(steps, servers, now);
+  auto demand =
+    mAllocation.demand(core::computeModelDemand(std::move(batches), now), now);
+  mFairness = core::ModelAllocation::fairness(servers, demand);
+  return demand;
 }
 
 Holder
--- a/src/gateway/weight_leader.h
+++ b/src/gateway/weight_leader.h
@@ -2,6 +2,7 @@
 
 #include "core/handover_delay.h"
 #include "core/order_audience.h"
+#include "core/scheduling/model_allocation.h"
 #include "core/weight_load_planner.h"
 #include "gateway/cluster_view.h"
 #include "gateway/peer_client.h"
@@ -60,8 +61,9 @@
   /// done, because storage machines hold no durable data. Called only on the
   /// leader, so that only one process reports.
   net::Awaitable<void> reportRetirements();
-  /// Returns the demand for each model, in expected output tokens per second.
-  std::map<std::string, double> demandByModel() const;
+  /// Returns the demand for each model by which to share the servers, in
+  /// expected output tokens per second.
+  std::map<std::string, double> demandByModel();
   /// Returns true while this process is the leader, has renewed its lease
   /// recently and is not shutting down.
   bool canSendOrders() const;
@@ -88,6 +90,9 @@
   StateApplier& mStateApplier;
   PeerClient& mPeers;
   core::WeightLoadPlanner mPlanner;
+  core::ModelAllocation mAllocation;
+  /// Fairness index of the servers of the models in proportion to the demand.
+  double mFairness = 1;
   /// Delays orders after a takeover until the former leader can send no more.
   core::HandoverDelay mHandoverDelay;
   core::OrderAudience mAudience;
