--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -3,6 +3,7 @@
 #include "core/concurrency_window.h"
 #include "core/endpoint.h"
 #include "core/request_rate.h"
+#include "core/scheduling/first_event_bound.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -96,6 +97,9 @@
   std::string preferredDomain;
   /// Whether only servers with a free slot are accepted.
   bool freeSlotOnly = false;
+  /// Whether the request is of little use, so that it leaves a part of each
+  /// server's slots free. Has an effect only with `freeSlotOnly`.
+  bool leavesSlotsFree = false;
   /// Server that has the prompt in its cache. It is chosen whenever it meets
   /// the requirements and is not being avoided.
   std::string preferredServer;
@@ -107,6 +111,10 @@
   /// while after it has refused one of them, so that they do not take the slots
   /// of requests that cannot wait.
   bool isDeferrable = false;
+  /// If set, the server with the lowest cost is chosen. Takes the server and
+  /// the median time per unit of work of its service; 0 without observations.
+  std::function<double(const RegisteredServer&, double medianMillisPerUnit)>
+    cost;
 };
 
 /// The backend servers listed in the directory, together with this process's
@@ -186,6 +194,11 @@
   /// Returns the median of RegisteredServer::millisPerUnit over the servers of
   /// a service; 0 if none has an observation.
   double medianMillisPerUnit(const std::string& service) const;
+  /// Returns the bound on the time until the first event of a run, by service.
+  FirstEventBound& firstEventBound(const std::string& service)
+  {
+    return mFirstEventBounds[service];
+  }
 
 private:
   bool canServe(const RegisteredServer& server,
@@ -207,6 +220,7 @@
   std::map<std::string, RegisteredServer> mServers;
   /// When servers that are missing in the directory were first missed, by id.
   std::map<std::string, TimePoint> mMissingSince;
+  std::map<std::string, FirstEventBound> mFirstEventBounds;
   /// Time of the last failed read of the directory.
   std::optional<TimePoint> mLastFailure;
 };
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -74,6 +74,7 @@
   , mSubmittedAt(record.submittedAt)
   , mProgress(mSpec)
   , mItemStates(mSpec->items.size())
+  , mPrompts(mSpec->model)
   , mResults(context, cluster, *mSpec, std::move(record), ownerRevision)
   , mWorkChanged(context.io)
 {
@@ -82,6 +83,9 @@
 void
 BatchRun::restore(std::vector<StoredResult> results)
 {
+  // The stored text does not tell which items were given up, so all of them
+  // count as completed. Other groups then run later than they should if the
+  // trainer does not count a group, but they do run.
   std::erase_if(results, [this](const StoredResult& result) {
     return result.item >= mProgress.size() || !mProgress.finish(result.item);
   });
@@ -114,6 +118,7 @@
       run.cancel->cancel();
     }
   }
+  countDiscardedAtEnd(reason);
   mWorkChanged.notify();
   mResults.stop();
 }
@@ -178,51 +183,6 @@
   }
 }
 
-core::ServerRequirements
-BatchRun::slotRequirements(std::string service) const
-{
-  core::ServerRequirements requirements;
-  requirements.service = std::move(service);
-  requirements.model = mSpec->model;
-  requirements.minVersion = mSpec->minVersion;
-  requirements.freeSlotOnly = true;
-  requirements.permitPriority = core::PermitPriority::Background;
-  return requirements;
-}
-
-bool
-BatchRun::startNextItem()
-{
-  const auto now = Clock::now();
-  const auto item = mProgress.nextItem(now);
-  const auto* batchRoute = route();
-  if (!item || batchRoute == nullptr) {
-    return false;
-  }
-  const auto& spec = mSpec->items[*item];
-  auto requirements =
-    slotRequirements(batchRoute->pickService(mContext.uniformRandom()));
-  requirements.preferredDomain = mContext.settings.failureDomain;
-  requirements.preferredServer = mServerByGroup[spec.group];
-  auto* server =
-    mContext.registry.choose(requirements, now, mContext.uniformRandom());
-  if (server == nullptr) {
-    return false;
-  }
-  mServerByGroup[spec.group] = server->entry.id;
-  mProgress.markRunning(*item);
-  auto& run = mItemStates[*item];
-  run.cancel = std::make_shared<net::CancelSignal>();
-  run.server = server->entry;
-  run.isGenerating = true;
-  run.startedAt = now;
-  run.lastActivity = now;
-  run.eventsInRun = 0;
-  mContext.registry.requestStarted(server->entry);
-  net::spawn(mContext.io, runItem(*item, server->entry), shared_from_this());
-  return true;
-}
-
 net::HttpCall
 BatchRun::prepareCall(std::size_t item,
                       const core::ServerEntry& server,
@@ -253,7 +213,9 @@
   call.request.headers.emplace_back(names.expectedServer, server.id);
   const auto* batchRoute = route();
   if (batchRoute != nullptr && batchRoute->singleVersion) {
+    countDiscarded(state.text.lastNumber(), state.endCause);
     state.text.clear();
+    state.endCause.clear();
   }
   if (state.text.lastNumber() > 0) {
     call.request.headers.emplace_back(names.lastEvent,
@@ -276,6 +238,7 @@
     if (run->isAccepted) {
       mItemStates[item].text.startRun(version);
       mContext.registry.recordVersion(run->server, mSpec->model, version);
+      recordPrompt(item, run->server);
     }
     return run->isAccepted;
   };
@@ -304,11 +267,17 @@
       return;
     }
     if (state.text.text().size() > kMaxItemTextBytes) {
+      countDiscarded(state.text.lastNumber(), "too_long");
       state.text.clear();
       run.isOutOfOrder = true;
       state.cancel->cancel();
       return;
     }
+    mContext.metrics.increment("item_events_total");
+    if (state.eventsInRun == 0) {
+      mContext.registry.firstEventBound(run.server.service)
+        .record(std::chrono::duration_cast<Millis>(now - state.startedAt));
+    }
     if (event.version > 0) {
       mContext.registry.recordVersion(run.server, mSpec->model, event.version);
     }
@@ -353,7 +322,8 @@
                                  !run->isOutOfOrder &&
                                  !run->eventParser.hasPartialEvent();
   if (hasCompleteOutput) {
-    mProgress.recordLength(mItemStates[item].text.lastNumber());
+    mProgress.recordLength(mItemStates[item].text.lastNumber(),
+                           mSpec->items[item].expectedLength);
     mContext.metrics.observe("item_run_ms",
                              std::chrono::duration<double, std::milli>(
                                Clock::now() - mItemStates[item].startedAt)
@@ -390,7 +360,7 @@
     recordFailedAttempt(mContext.registry, server, attemptOutcome, now);
     if (attemptOutcome != AttemptOutcome::Cancelled &&
         attemptOutcome != AttemptOutcome::ClosedWhenIdle) {
-      mServerByGroup.erase(mSpec->items[item].group);
+      mPrompts.recordFailure(mSpec->items[item].group, server);
     }
     requeue(item, result.error ? kFailureRetryDelay : kRefusalRetryDelay);
   } else if (result.response.status == net::status::kUnprocessable) {
@@ -411,6 +381,10 @@
     mContext.registry.failed(server, now);
     requeue(item, kFailureRetryDelay);
   }
+  auto& endCause = mItemStates[item].endCause;
+  if (attemptOutcome != AttemptOutcome::Cancelled || endCause.empty()) {
+    endCause = "server";
+  }
   if (reason != "answered") {
     mContext.metrics.increment("item_runs_broken_total");
     mContext.log.info("item_run",
@@ -436,6 +410,7 @@
   const auto* batchRoute = route();
   if (batchRoute != nullptr && batchRoute->singleVersion &&
       result.versions.size() > 1) {
+    state.endCause = "versions";
     requeue(item, kFailureRetryDelay);
     co_return;
   }
@@ -478,12 +453,18 @@
 BatchRun::finish(core::ItemResult result)
 {
   const auto item = result.item;
-  if (!mProgress.finish(item)) {
+  if (!mProgress.finish(item, result.outcome)) {
     return;
   }
+  auto& state = mItemStates[item];
+  if (result.outcome == core::ItemOutcome::Completed) {
+    state.completeEvents = state.text.lastNumber();
+  } else {
+    countDiscarded(state.text.lastNumber(), "given_up");
+  }
   StoredResult stored{ item, mContext.format.encodeResult(*mSpec, result) };
   mResults.add(std::move(stored));
-  mItemStates[item].text.clear();
+  state.text.clear();
   mContext.metrics.increment(result.outcome == core::ItemOutcome::Completed
                                ? "items_completed_total"
                                : "items_dead_total");
--- a/src/gateway/weight_leader.h
+++ b/src/gateway/weight_leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/order_audience.h"
+#include "core/scheduling/model_allocation.h"
 #include "core/weight_load_planner.h"
 #include "gateway/cluster_view.h"
 #include "gateway/leadership.h"
@@ -51,8 +52,9 @@
   /// done, because storage machines hold no durable data. Called only on the
   /// leader, so that only one process reports.
   net::Awaitable<void> reportRetirements();
-  /// Returns the demand for each model, in expected output tokens per second.
-  std::map<std::string, double> demandByModel() const;
+  /// Returns the demand for each model by which to share the servers, in
+  /// expected output tokens per second.
+  std::map<std::string, double> demandByModel();
   /// State of a server's weights, as the leader reports it to its peers.
   struct WeightUpdate
   {
@@ -77,6 +79,9 @@
   StateApplier& mStateApplier;
   PeerClient& mPeers;
   core::WeightLoadPlanner mPlanner;
+  core::ModelAllocation mAllocation;
+  /// Fairness index of the servers of the models in proportion to the demand.
+  double mFairness = 1;
   core::OrderAudience mAudience;
   /// Updates that have not been sent yet, by model.
   std::map<std::string, std::vector<nlohmann::json>> mCollectedUpdates;
