Start processes from the state of others after one listing

A process that no seed had supplied within 1.5 s listed all three prefixes and then began a watch of two of them, although other processes had the state and the watches were given up at once for a process to follow. On the device lab half of the processes did so.

Such a process now lists only the members and asks up to two of them for the rest; it reads the store itself if they cannot supply it. Between a listing and the first watch it waits 60 ms for the choice of a process to follow. A change in that time is not lost, since the watch starts at the revision of the listing.

--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace lentilrack::gateway {
 
@@ -24,6 +25,14 @@
 constexpr Millis kChangeCollectionTime{ 30 };
 constexpr Millis kFailureRetryDelay{ 100 };
 constexpr Millis kIdlePollInterval{ 100 };
+/// How often a process without complete mirrors looks whether they are.
+constexpr Millis kCompletionPollInterval{ 20 };
+/// Pause between a listing and the first watch. It is longer than a process
+/// that has just completed its mirrors needs to find a process that it can
+/// follow, so that most processes need no watch.
+constexpr Millis kFirstWatchDelay{ 60 };
+/// Number of processes that are asked for the first state before the store is.
+constexpr int kMaxFirstSources = 2;
 /// How much longer than the source holds a request the follower waits for the
 /// response.
 constexpr Millis kFollowTimeoutMargin{ 250 };
@@ -106,7 +115,6 @@
 StateReplicator::start()
 {
   mStartedAt = Clock::now();
-  mReadsStoreDirectly = !mayAskSeeds();
   net::spawn(mContext.io, watchStore(mOperatorKeys));
   net::spawn(mContext.io, watchStore(mClusterKeys));
   net::spawn(mContext.io, pollStore(mServers));
@@ -160,17 +168,16 @@
 StateReplicator::followSource()
 {
   for (;;) {
-    if (!isComplete() && mayAskSeeds()) {
-      co_await fetchFromSeed();
+    if (!isComplete()) {
+      co_await completeMirrors();
       continue;
     }
     updateTree();
     const auto now = Clock::now();
     const bool isStale = mirrorAge() > mTiming.maxMirrorAge;
     const bool isCutReader = mTree.isReader() && !mIsStoreReachable && isStale;
-    const auto source = !isComplete() ? std::nullopt
-                        : isCutReader ? mTree.sourceForCutReader(now)
-                                      : mTree.source(now);
+    const auto source =
+      isCutReader ? mTree.sourceForCutReader(now) : mTree.source(now);
     // A process whose state is too old tries the store while it goes on asking
     // the sources: the store may turn away just the processes that supply it.
     mReadsStoreDirectly = !source || isStale;
@@ -178,20 +185,56 @@
       co_await net::sleepFor(kIdlePollInterval);
       continue;
     }
-    const auto peer = mCluster.peers().find(*source);
-    const bool isUpdated = peer != mCluster.peers().end() &&
-                           co_await fetchFrom(*peer->second.peerEndpoint);
+    const bool isUpdated = co_await follow(*source);
     if (!isUpdated) {
-      mContext.log.warning("reader",
-                           { { "instance", *source },
-                             { "age_ms", mirrorAge() },
-                             { "outcome", "failed" } });
-      mTree.recordFailure(*source, Clock::now());
       co_await net::sleepFor(kNextSourceDelay);
     }
   }
 }
 
+net::Awaitable<void>
+StateReplicator::completeMirrors()
+{
+  if (mayAskSeeds()) {
+    co_await fetchFromSeed();
+    co_return;
+  }
+  // One listing tells which processes can supply the rest.
+  mReadsMembers = true;
+  std::optional<std::string> source;
+  if (mClusterKeys.mirror.isComplete()) {
+    updateTree();
+    source = mTree.source(Clock::now());
+    mReadsStoreDirectly = mReadsStoreDirectly || !source;
+  }
+  if (!source) {
+    co_await net::sleepFor(kCompletionPollInterval);
+    co_return;
+  }
+  const bool isUpdated = co_await follow(*source);
+  if (!isUpdated) {
+    mReadsStoreDirectly =
+      mReadsStoreDirectly || ++mFailedFirstSources >= kMaxFirstSources;
+    co_await net::sleepFor(kNextSourceDelay);
+  }
+}
+
+net::Awaitable<bool>
+StateReplicator::follow(std::string source)
+{
+  const auto peer = mCluster.peers().find(source);
+  const bool isUpdated = peer != mCluster.peers().end() &&
+                         co_await fetchFrom(*peer->second.peerEndpoint);
+  if (!isUpdated) {
+    mContext.log.warning("reader",
+                         { { "instance", source },
+                           { "age_ms", mirrorAge() },
+                           { "outcome", "failed" } });
+    mTree.recordFailure(source, Clock::now());
+  }
+  co_return isUpdated;
+}
+
 net::Awaitable<void>
 StateReplicator::fetchFromSeed()
 {
@@ -312,6 +355,14 @@
   co_return response;
 }
 
+bool
+StateReplicator::mayRead(const Replica& replica) const
+{
+  const bool isFirstListing =
+    mReadsMembers && &replica == &mClusterKeys && !replica.mirror.isComplete();
+  return mReadsStoreDirectly || isFirstListing;
+}
+
 net::Awaitable<void>
 StateReplicator::watchStore(Replica& replica)
 {
@@ -319,10 +370,13 @@
   // not, so that the next watch delivers any changes that this response has
   // left out.
   std::int64_t revision = 0;
+  bool wasReading = false;
   for (;;) {
-    if (!mReadsStoreDirectly) {
+    if (!mayRead(replica)) {
       revision = 0;
-      co_await net::sleepFor(kIdlePollInterval);
+      wasReading = false;
+      co_await net::sleepFor(isComplete() ? kIdlePollInterval
+                                          : kCompletionPollInterval);
       continue;
     }
     if (revision == 0) {
@@ -339,6 +393,10 @@
       revision = listing.value().revision;
       replica.mirror.replace(items, revision);
       markConfirmed(replica, Millis(0));
+      if (!std::exchange(wasReading, true)) {
+        co_await net::sleepFor(kFirstWatchDelay);
+        continue;
+      }
     }
     auto changes = co_await mContext.store.watch(
       replica.prefix, revision, replica.watchTimeout);
@@ -378,8 +436,9 @@
 StateReplicator::pollStore(Replica& replica)
 {
   for (;;) {
-    if (!mReadsStoreDirectly) {
-      co_await net::sleepFor(kIdlePollInterval);
+    if (!mayRead(replica)) {
+      co_await net::sleepFor(isComplete() ? kIdlePollInterval
+                                          : kCompletionPollInterval);
       continue;
     }
     const auto askedAt = Clock::now();
--- a/src/gateway/state_replicator.h
+++ b/src/gateway/state_replicator.h
@@ -12,10 +12,10 @@
 /// Keeps the mirrors (local copies of the keys of the store) current. To limit
 /// the load on the store, only a few processes (the readers) read the store;
 /// the others fetch the changes from a process above them in the replication
-/// tree. A process that has just started first asks the seeds. A process that
-/// finds no working source, or whose state is too old, reads the store itself,
-/// and a reader that the store rejects fetches the changes from another
-/// process.
+/// tree. A process that has just started first asks the seeds, and then lists
+/// the members and asks one of them. A process that finds no working source, or
+/// whose state is too old, reads the store itself, and a reader that the store
+/// rejects fetches the changes from another process.
 class StateReplicator
 {
 public:
@@ -54,6 +54,11 @@
   /// changed.
   void updateTree();
   net::Awaitable<void> followSource();
+  /// Reads the mirrors for the first time, or a part of them.
+  net::Awaitable<void> completeMirrors();
+  /// Fetches the changes from the process once. Records the failure if that is
+  /// not possible.
+  net::Awaitable<bool> follow(std::string source);
   net::Awaitable<void> fetchFromSeed();
   /// Requests the changes from the process and applies them. Returns false if
   /// it does not respond or its mirrors were not confirmed recently.
@@ -64,6 +69,8 @@
   bool applySourceResponse(const std::string& source,
                            const std::string& body,
                            core::Millis elapsed);
+  /// Whether this process reads the keys of the mirror from the store now.
+  bool mayRead(const Replica& replica) const;
   /// Keep a mirror current, by watching its prefix or by listing it at
   /// intervals, while this process reads the store itself.
   net::Awaitable<void> watchStore(Replica& replica);
@@ -101,7 +108,11 @@
   /// one incarnation.
   std::optional<core::Endpoint> mFollowedEndpoint;
   std::string mFollowedIncarnation;
-  bool mReadsStoreDirectly = true;
+  bool mReadsStoreDirectly = false;
+  /// Whether a process without complete mirrors may list the members.
+  bool mReadsMembers = false;
+  /// Number of processes that could not supply the first state.
+  int mFailedFirstSources = 0;
   bool mIsStoreReachable = true;
 };
 
