Read registrations of a starting fleet in fewer watches

Each registration of a process ended a watch of the cluster keys at once, so that a reader made up to one call for each process that started. After a watch that delivered only registrations the reader now waits 250 ms instead of 30 ms, and the next watch is shorter by that pause, so that the mirror is confirmed as often as before. Changes of owners, batches, the leader and removals are read as before unless they follow a registration within 250 ms.

--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -23,6 +23,10 @@
 /// Pause after a watch that has delivered changes, so that changes in quick
 /// succession share one call.
 constexpr Millis kChangeCollectionTime{ 30 };
+/// Pause after a watch that has delivered only registrations of processes. They
+/// come in quick succession while a fleet starts, and nothing waits for them: a
+/// process gets work only when others know it.
+constexpr Millis kRegistrationCollectionTime{ 250 };
 constexpr Millis kFailureRetryDelay{ 100 };
 constexpr Millis kIdlePollInterval{ 100 };
 /// How often a process without complete mirrors looks whether they are.
@@ -81,6 +85,15 @@
   return delta;
 }
 
+/// Returns true if processes have only registered themselves anew.
+bool
+hasOnlyRegistrations(const StoreChanges& changes)
+{
+  return std::ranges::all_of(changes.changes, [](const StoreChange& change) {
+    return change.value && change.key.starts_with(keys::kInstances);
+  });
+}
+
 core::MirroredItem
 toMirroredItem(StoreItem item)
 {
@@ -371,6 +384,9 @@
   // left out.
   std::int64_t revision = 0;
   bool wasReading = false;
+  // The next watch is shorter by the pause before it, so that the mirror is
+  // confirmed as often as without a pause.
+  Millis pause(0);
   for (;;) {
     if (!mayRead(replica)) {
       revision = 0;
@@ -399,7 +415,8 @@
       }
     }
     auto changes = co_await mContext.store.watch(
-      replica.prefix, revision, replica.watchTimeout);
+      replica.prefix, revision, replica.watchTimeout - pause);
+    pause = Millis(0);
     if (!changes) {
       const bool isHistoryCompacted =
         changes.error() == StoreError::HistoryCompacted;
@@ -427,7 +444,10 @@
     replica.mirror.markCompleteTo(revision);
     markConfirmed(replica, Millis(0));
     if (!changes.value().changes.empty()) {
-      co_await net::sleepFor(kChangeCollectionTime);
+      pause = hasOnlyRegistrations(changes.value())
+                ? kRegistrationCollectionTime
+                : kChangeCollectionTime;
+      co_await net::sleepFor(pause);
     }
   }
 }
