Let one reader read the store and the others stand by

Two readers (three in large fleets) each listed the servers every 350 ms and watched two prefixes, although one of them could supply the other.

The first reader in the order of the tree reads the store. Each further reader follows the first working reader before it. It asks to be told of each confirmation at once, so that its mirrors are hardly older than those of the leading reader, and reads the store itself as soon as its mirrors are older than 750 ms (3/8 of the allowed time), or the leading reader does not answer. With that age its followers stay below the greatest age of a copy that is passed on; this limit is unchanged. A change takes one more hop to the processes below a reader that stands by.

--- a/src/core/replication_timing.h
+++ b/src/core/replication_timing.h
@@ -27,6 +27,10 @@
   /// another one. On a slow store a mirror may go unconfirmed for a watch and
   /// 0.3 s more.
   Millis maxMirrorAge{ 1'100 };
+  /// A reader that stands by reads the store itself once its mirrors are older
+  /// than this. It is longer than a watch takes, and so short that the mirrors
+  /// of the processes that follow the reader stay below maxMirrorAge.
+  Millis standbyAge{ 750 };
 
   /// Returns the intervals for a deployment in which a new desired state must
   /// be in force within `configTime`, and a leaving server must get no request
@@ -40,7 +44,8 @@
     return { .watchTimeout = allowed / 4,
              .serverPollInterval = allowed * 7 / 40,
              .followTimeout = allowed * 3 / 20,
-             .maxMirrorAge = allowed * 11 / 20 };
+             .maxMirrorAge = allowed * 11 / 20,
+             .standbyAge = allowed * 3 / 8 };
   }
 };
 
--- a/src/core/replication_tree.cpp
+++ b/src/core/replication_tree.cpp
@@ -59,16 +59,21 @@
   return names;
 }
 
+bool
+ReplicationTree::isUsable(const Member& member, TimePoint now) const
+{
+  const auto avoided = mAvoidUntil.find(member.name);
+  return member.name != mSelf &&
+         (avoided == mAvoidUntil.end() || now >= avoided->second);
+}
+
 std::optional<std::string>
 ReplicationTree::chooseFrom(const std::vector<Member>& candidates,
                             TimePoint now) const
 {
-  const auto isUsable = [&](const Member& member) {
-    const auto avoided = mAvoidUntil.find(member.name);
-    return member.name != mSelf &&
-           (avoided == mAvoidUntil.end() || now >= avoided->second);
-  };
-  auto usable = candidates | std::views::filter(isUsable);
+  auto usable = candidates | std::views::filter([&](const Member& member) {
+                  return isUsable(member, now);
+                });
   const auto chosen =
     std::ranges::max_element(usable, {}, [&](const Member& member) {
       return std::pair(member.failureDomain == mOwnDomain,
@@ -88,6 +93,21 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+ReplicationTree::leadingReader(TimePoint now) const
+{
+  if (mOwnLevel > 0 || mLevels.empty()) {
+    return std::nullopt;
+  }
+  const auto& readers = mLevels.front();
+  const auto self = std::ranges::find(readers, mSelf, &Member::name);
+  const auto leading =
+    std::find_if(readers.begin(), self, [&](const Member& member) {
+      return isUsable(member, now);
+    });
+  return leading == self ? std::nullopt : std::optional(leading->name);
+}
+
 std::optional<std::string>
 ReplicationTree::sourceForCutReader(TimePoint now) const
 {
--- a/src/core/replication_tree.h
+++ b/src/core/replication_tree.h
@@ -50,6 +50,11 @@
   /// the store itself, because it is a reader or because every process of the
   /// levels above has failed recently.
   std::optional<std::string> source(TimePoint now) const;
+  /// Returns the reader that reads the store for this one too, or nothing if
+  /// this process is not a reader, is the first one, or if all readers before
+  /// it have failed recently. Only the first reader reads the store as long as
+  /// it works; the others stand by.
+  std::optional<std::string> leadingReader(TimePoint now) const;
   /// Returns a process from which a reader that cannot reach the store fetches
   /// the changes, or nothing if there is none.
   std::optional<std::string> sourceForCutReader(TimePoint now) const;
@@ -68,6 +73,8 @@
 private:
   std::optional<std::string> chooseFrom(const std::vector<Member>& candidates,
                                         TimePoint now) const;
+  /// Whether the process is another one that has not failed recently.
+  bool isUsable(const Member& member, TimePoint now) const;
 
   std::string mSelf;
   std::string mOwnDomain;
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -134,14 +134,19 @@
   net::spawn(mContext.io, followSource());
 }
 
+core::TimePoint
+StateReplicator::confirmedAt() const
+{
+  const auto extraWait = kClusterWatchTimeout - mTiming.watchTimeout;
+  return std::min({ mOperatorKeys.confirmedAt,
+                    mServers.confirmedAt,
+                    mClusterKeys.confirmedAt + extraWait });
+}
+
 Millis
 StateReplicator::mirrorAge() const
 {
-  const auto extraWait = kClusterWatchTimeout - mTiming.watchTimeout;
-  const auto oldest = std::min({ mOperatorKeys.confirmedAt,
-                                 mServers.confirmedAt,
-                                 mClusterKeys.confirmedAt + extraWait });
-  return std::chrono::duration_cast<Millis>(Clock::now() - oldest);
+  return std::chrono::duration_cast<Millis>(Clock::now() - confirmedAt());
 }
 
 bool
@@ -189,16 +194,26 @@
     const auto now = Clock::now();
     const bool isStale = mirrorAge() > mTiming.maxMirrorAge;
     const bool isCutReader = mTree.isReader() && !mIsStoreReachable && isStale;
-    const auto source =
+    auto source =
       isCutReader ? mTree.sourceForCutReader(now) : mTree.source(now);
-    // A process whose state is too old tries the store while it goes on asking
-    // the sources: the store may turn away just the processes that supply it.
-    mReadsStoreDirectly = !source || isStale;
+    mStandsBy = !source && mTree.leadingReader(now).has_value();
+    if (mStandsBy) {
+      // Until the leading reader has answered, this reader goes on as before.
+      source = mTree.leadingReader(now);
+    } else {
+      // A process whose state is too old tries the store while it goes on
+      // asking the sources: the store may turn away just the processes that
+      // supply it.
+      mReadsStoreDirectly = !source || isStale;
+    }
     if (!source) {
       co_await net::sleepFor(kIdlePollInterval);
       continue;
     }
     const bool isUpdated = co_await follow(*source);
+    if (mStandsBy) {
+      mReadsStoreDirectly = !isUpdated || mirrorAge() > mTiming.standbyAge;
+    }
     if (!isUpdated) {
       co_await net::sleepFor(kNextSourceDelay);
     }
@@ -267,14 +282,15 @@
     mFollowedIncarnation.clear();
   }
   net::HttpRequest request;
-  request.target =
-    fmt::format("{}?lifetime={}&operator={}&servers={}&cluster={}&wait={}",
-                peer_paths::kState,
-                mFollowedIncarnation,
-                mOperatorKeys.followedSequence,
-                mServers.followedSequence,
-                mClusterKeys.followedSequence,
-                mTiming.followTimeout.count());
+  request.target = fmt::format(
+    "{}?lifetime={}&operator={}&servers={}&cluster={}&wait={}&confirm={}",
+    peer_paths::kState,
+    mFollowedIncarnation,
+    mOperatorKeys.followedSequence,
+    mServers.followedSequence,
+    mClusterKeys.followedSequence,
+    mTiming.followTimeout.count(),
+    mStandsBy ? 1 : 0);
   const auto sentAt = Clock::now();
   const auto answer = co_await mPeers.sendRequest(
     source, std::move(request), mTiming.followTimeout + kFollowTimeoutMargin);
@@ -345,7 +361,14 @@
            mServers.mirror.sequence() != serverSequence ||
            mClusterKeys.mirror.sequence() != clusterSequence;
   };
-  while (!hasChanges() && Clock::now() < end) {
+  // A reader that stands by wants to know each confirmation at once, so that it
+  // reads the store only if there is none.
+  const bool wantsConfirmation = request.query("confirm") == "1";
+  const auto confirmedBefore = confirmedAt();
+  const auto isConfirmed = [&] {
+    return wantsConfirmation && confirmedAt() > confirmedBefore;
+  };
+  while (!hasChanges() && !isConfirmed() && Clock::now() < end) {
     co_await mWaitingFollowers.wait(
       mContext.io,
       std::chrono::duration_cast<Millis>(end - Clock::now()) + Millis(1));
@@ -371,9 +394,12 @@
 bool
 StateReplicator::mayRead(const Replica& replica) const
 {
+  // A request to the leading reader may be under way when its answer is
+  // overdue.
+  const bool isOverdue = mStandsBy && mirrorAge() > mTiming.standbyAge;
   const bool isFirstListing =
     mReadsMembers && &replica == &mClusterKeys && !replica.mirror.isComplete();
-  return mReadsStoreDirectly || isFirstListing;
+  return mReadsStoreDirectly || isOverdue || isFirstListing;
 }
 
 net::Awaitable<void>
--- a/src/gateway/state_replicator.h
+++ b/src/gateway/state_replicator.h
@@ -12,10 +12,12 @@
 /// Keeps the mirrors (local copies of the keys of the store) current. To limit
 /// the load on the store, only a few processes (the readers) read the store;
 /// the others fetch the changes from a process above them in the replication
-/// tree. A process that has just started first asks the seeds, and then lists
-/// the members and asks one of them. A process that finds no working source, or
-/// whose state is too old, reads the store itself, and a reader that the store
-/// rejects fetches the changes from another process.
+/// tree. Of the readers only the first one reads the store; the others follow
+/// it and stand by to read the store as soon as it does not confirm their
+/// mirrors in time. A process that has just started first asks the seeds,
+/// and then lists the members and asks one of them. A process that finds no
+/// working source, or whose state is too old, reads the store itself, and a
+/// reader that the store rejects fetches the changes from another process.
 class StateReplicator
 {
 public:
@@ -78,10 +80,12 @@
   /// Records that the mirror was current `age` ago.
   void markConfirmed(Replica& replica, core::Millis age);
   void recordStoreReachability(bool isReachable);
-  /// Returns how long ago the least recently confirmed mirror was confirmed. A
-  /// watch of the cluster keys may last longer than the others. The difference
-  /// is subtracted from the age of the mirror of these keys, so that an idle
-  /// watch does not make it look outdated.
+  /// Returns when the least recently confirmed mirror was confirmed. A watch of
+  /// the cluster keys may last longer than the others. The difference is added
+  /// to the time of the mirror of these keys, so that an idle watch does not
+  /// make it look outdated.
+  core::TimePoint confirmedAt() const;
+  /// Returns the time since confirmedAt().
   core::Millis mirrorAge() const;
 
   Context& mContext;
@@ -109,6 +113,8 @@
   std::optional<core::Endpoint> mFollowedEndpoint;
   std::string mFollowedIncarnation;
   bool mReadsStoreDirectly = false;
+  /// Whether this process is a reader that follows another reader.
+  bool mStandsBy = false;
   /// Whether a process without complete mirrors may list the members.
   bool mReadsMembers = false;
   /// Number of processes that could not supply the first state.
--- a/tests/core/replication_tree_test.cpp
+++ b/tests/core/replication_tree_test.cpp
@@ -148,6 +148,29 @@
   EXPECT_FALSE(treeOf("instance-0", 1).sourceForCutReader(kNow));
 }
 
+// Guards against readers that each read the store although one of them could
+// read it for all, against readers that follow each other in a circle, and
+// against a reader that keeps waiting for one that has failed.
+TEST(ReplicationTreeTest, ReadersFollowTheFirstWorkingOne)
+{
+  constexpr int kSize = 300;
+  const auto readers = treeOf("instance-0", kSize).level(0);
+  ASSERT_EQ(readers.size(), ReplicationTree::kMaxReaders);
+  EXPECT_FALSE(treeOf(readers[0], kSize).leadingReader(kNow));
+  EXPECT_EQ(treeOf(readers[1], kSize).leadingReader(kNow), readers[0]);
+  auto last = treeOf(readers[2], kSize);
+  EXPECT_EQ(last.leadingReader(kNow), readers[0]);
+  last.recordFailure(readers[0], kNow);
+  EXPECT_EQ(last.leadingReader(kNow), readers[1]);
+  last.recordFailure(readers[1], kNow);
+  EXPECT_FALSE(last.leadingReader(kNow));
+  EXPECT_EQ(last.leadingReader(kNow + ReplicationTree::kFailureAvoidTime),
+            readers[0]);
+  const auto other = treeOf(last.level(1).front(), kSize);
+  EXPECT_FALSE(other.leadingReader(kNow));
+  EXPECT_FALSE(treeOf("instance-0", 1).leadingReader(kNow));
+}
+
 // Guards against intervals that let a change take longer than the deployment
 // allows, and against needlessly frequent calls where it allows more time.
 TEST(ReplicationTimingTest, IntervalsFollowFromTheAllowedTime)
@@ -161,6 +184,12 @@
   const auto relaxed =
     ReplicationTiming::forBounds(Millis(4'000), Millis(4'000));
   EXPECT_EQ(relaxed.watchTimeout, Millis(1'000));
+  // A reader that stands by must neither read the store during an idle watch
+  // of the leading reader nor let its followers become outdated.
+  for (const auto& timing : { strict, relaxed }) {
+    EXPECT_GT(timing.standbyAge, timing.watchTimeout);
+    EXPECT_LE(timing.standbyAge + timing.followTimeout, timing.maxMirrorAge);
+  }
   EXPECT_LT(relaxed.maxMirrorAge + 2 * relaxed.followTimeout, Millis(4'000));
 }
 
