--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -373,4 +373,14 @@
   co_return result;
 }
 
+bool
+HttpClient::hasIdleConnection(const core::Endpoint& endpoint) const
+{
+  const auto found = mState->idle.find(endpoint);
+  return found != mState->idle.end() &&
+         std::ranges::any_of(found->second, [](const auto& connection) {
+           return core::Clock::now() < connection.expiry;
+         });
+}
+
 } // namespace lentilrack::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -79,6 +79,9 @@
 
   /// Sends the request and returns the response or the error.
   Awaitable<HttpResult> call(HttpCall call);
+  /// Returns true if there is an idle connection to the endpoint that may still
+  /// be reused. The server may have closed it in the meantime.
+  bool hasIdleConnection(const core::Endpoint& endpoint) const;
 
 private:
   struct State;
