Keep connections to backend servers for as long as possible

A connection that was opened for a request that must not be repeated was closed after its response, and an idle connection was dropped after 20 s even if the server announces a longer keep-alive time-out.

Such a request still opens its own connection, but the connection now serves later requests that may be repeated. An announced time-out holds less the margin of 500 ms, for at most 120 s; 20 s remain the limit without an announcement. A connection that has carried a request id still never carries it again. The metric server_connections_new_total counts requests with a new connection by kind.

In ServerClientTest a repeatable request after an unrepeatable one reuses its connection; the test fails without the change.

--- a/src/gateway/server_client.cpp
+++ b/src/gateway/server_client.cpp
@@ -92,6 +92,9 @@
   // Requests without an identifier share the empty key, since nothing tells
   // their responses apart.
   call.requestKey = id;
+  // A connection that was opened for a request that must not be repeated serves
+  // later requests that may be.
+  call.keepNewConnection = true;
   call.acceptHeader =
     [this, server, &names, id, accept = std::move(call.acceptHeader)](
       const net::HttpResponse& response, bool isConnectionReused) {
@@ -104,7 +107,12 @@
       }
       return isAccepted;
     };
-  co_return co_await mContext.http.call(std::move(call));
+  auto result = co_await mContext.http.call(std::move(call));
+  if (!result.reusedConnection) {
+    mContext.metrics.increment(
+      fmt::format("server_connections_new_total{{kind=\"{}\"}}", textOf(kind)));
+  }
+  co_return result;
 }
 
 void
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,8 +16,12 @@
 
 /// Maximum number of idle connections per endpoint.
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
-/// Time after which an idle connection is no longer reused.
-constexpr core::Millis kMaxIdleTime{ 20'000 };
+/// Time after which an idle connection is no longer reused if the server does
+/// not announce a keep-alive time-out.
+constexpr core::Millis kDefaultIdleTime{ 20'000 };
+/// Longest time for which an idle connection is kept, whatever the server
+/// announces.
+constexpr core::Millis kMaxIdleTime{ 120'000 };
 /// Number of requests whose keys a connection remembers. A late second copy of
 /// a response arrives in place of one of the next responses.
 constexpr std::size_t kRememberedKeys = 64;
@@ -29,7 +33,7 @@
 
 /// Returns for how long a connection may be reused: the time-out in the header
 /// `Keep-Alive: timeout=N` (N in whole seconds) less kKeepAliveMargin, at most
-/// kMaxIdleTime.
+/// kMaxIdleTime, or kDefaultIdleTime without the header.
 core::Millis
 idleTimeLimit(const Headers& headers)
 {
@@ -37,7 +41,7 @@
   const auto value = headerValue(headers, "Keep-Alive");
   const auto start = value.find(kParameter);
   if (start == std::string::npos) {
-    return kMaxIdleTime;
+    return kDefaultIdleTime;
   }
   int seconds = 0;
   const auto* first = value.data() + start + kParameter.size();
@@ -365,7 +369,8 @@
   ClientCall run(call, connection.stream);
   auto result = co_await run.run(isConnected);
   const auto idleLimit = idleTimeLimit(result.response.headers);
-  if (run.canReuseConnection() && !call.useNewConnection) {
+  const bool mayKeep = !call.useNewConnection || call.keepNewConnection;
+  if (run.canReuseConnection() && mayKeep) {
     state->addIdle(endpoint, std::move(connection), key, idleLimit);
   } else {
     connection.stream->close();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -26,10 +26,13 @@
   /// Time-out of the whole call, including reading the response.
   core::Millis timeout{ 5000 };
   core::Millis connectTimeout{ 1000 };
-  /// If true, the call opens a new connection and closes it afterwards. The
-  /// server may close an idle connection at any time. If the call reuses such a
-  /// connection, the client cannot tell whether the request was received.
+  /// If true, the call opens a new connection. The server may close an idle
+  /// connection at any time. If the call reuses such a connection, the client
+  /// cannot tell whether the request was received.
   bool useNewConnection = false;
+  /// Whether a connection opened for `useNewConnection` is kept for later calls
+  /// that may reuse one. Otherwise it is closed after the call.
+  bool keepNewConnection = false;
   /// Identifies the request over its repetitions. A connection that has carried
   /// a request with the same key is not used for it: a late second copy of the
   /// response to the earlier request would be taken for the new response. If it
--- a/tests/gateway/server_client_test.cpp
+++ b/tests/gateway/server_client_test.cpp
@@ -20,9 +20,12 @@
   }
 
   /// Sends a request with this identifier, or without one if it is empty.
-  net::Awaitable<net::HttpResult> call(std::string id, ServerRequestKind kind)
+  net::Awaitable<net::HttpResult> call(std::string id,
+                                       ServerRequestKind kind,
+                                       bool useNewConnection = false)
   {
     net::HttpCall call;
+    call.useNewConnection = useNewConnection;
     call.endpoint = mEntry.endpoint;
     if (!id.empty()) {
       call.request.headers = { { "X-Request-Id", std::move(id) } };
@@ -103,4 +106,26 @@
   });
 }
 
+// Guards against a request that must not be repeated on a connection that the
+// server may have closed, and against closing its connection although later
+// requests could reuse it. A repetition with the same id must not reuse it.
+TEST_F(ServerClientTest, ConnectionOfAnUnrepeatableRequestServesLaterRequests)
+{
+  FakeServer server(mIo, "s1");
+  mEntry.endpoint = server.endpoint();
+  run([&]() -> net::Awaitable<void> {
+    const auto kind = ServerRequestKind::Forward;
+    const auto first = co_await call("r1", kind, true);
+    EXPECT_FALSE(first.error);
+    EXPECT_FALSE(first.reusedConnection);
+    const auto repeatable = co_await call("r2", kind);
+    EXPECT_FALSE(repeatable.error);
+    EXPECT_TRUE(repeatable.reusedConnection);
+    const auto repeated = co_await call("r1", kind);
+    EXPECT_FALSE(repeated.reusedConnection);
+    const auto unrepeatable = co_await call("r3", kind, true);
+    EXPECT_FALSE(unrepeatable.reusedConnection);
+  });
+}
+
 } // namespace lentilrack::gateway
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -81,6 +81,35 @@
   });
 }
 
+// Guards against idle connections that are dropped earlier than the server
+// allows, or reused when the server may be about to close them, and against
+// keeping a connection of a call that asked for one of its own.
+TEST_F(NetTest, ConnectionIsKeptAsLongAsTheServerAllows)
+{
+  std::string keepAlive;
+  HttpServer server(mIo, {}, [&](HttpExchange& exchange) -> Awaitable<void> {
+    HttpResponse response;
+    response.headers.emplace_back("Keep-Alive", keepAlive);
+    co_await exchange.respond(std::move(response));
+  });
+  const auto endpoint = server.listen(kLoopback).value();
+  run([&]() -> Awaitable<void> {
+    for (const auto* header : { "timeout=0", "timeout=5", "max=3" }) {
+      HttpClient client(mIo);
+      keepAlive = header;
+      HttpCall call;
+      call.endpoint = endpoint;
+      call.request = { "GET", "/", {}, "" };
+      call.useNewConnection = true;
+      EXPECT_TRUE((co_await client.call(call)).isSuccess());
+      EXPECT_FALSE(client.hasIdleConnection(endpoint));
+      call.keepNewConnection = true;
+      EXPECT_TRUE((co_await client.call(call)).isSuccess());
+      EXPECT_EQ(client.hasIdleConnection(endpoint), keepAlive != "timeout=0");
+    }
+  });
+}
+
 // Guards against the client treating a chunked response as complete when the
 // handler returns without ending it.
 TEST_F(NetTest, StreamWithoutEndIsAnError)
