Write collected results when a batch is handed over

A process that leaves dropped the results that it had collected but not written, and their items ran again at the next owner.

The transaction that deletes the owner key now also writes these results, under the condition that the key is still ours and the position is free. If the position is taken, or a write is under way, only the key is deleted, as before. Results that complete the batch are left to the next owner, which records that it is finished.

--- a/src/gateway/result_log.cpp
+++ b/src/gateway/result_log.cpp
@@ -73,10 +73,24 @@
 net::Awaitable<std::error_code>
 ResultLog::release()
 {
-  StoreTransaction transaction;
-  transaction.preconditions = { { keys::owner(mBatch), mOwnerRevision } };
-  transaction.deletes = { keys::owner(mBatch) };
-  const auto commit = co_await mContext.store.commit(std::move(transaction));
+  StoreTransaction release;
+  release.preconditions = { { keys::owner(mBatch), mOwnerRevision } };
+  release.deletes = { keys::owner(mBatch) };
+  // The last results are left to the next owner, which also has to record that
+  // the batch is finished.
+  const bool areLast = mCommitted.size() + mPending.size() == mRecord.total;
+  if (!mPending.empty() && !mIsWriting && !areLast) {
+    const auto key = keys::results(mBatch, mCommitted.size());
+    auto withResults = release;
+    withResults.preconditions.push_back({ key, 0 });
+    withResults.writes = { { key, encodeChunk(takeChunk()), 0 } };
+    const auto commit = co_await mContext.store.commit(std::move(withResults));
+    // An earlier write whose response was lost may have taken the position.
+    if (commit.error != StoreError::Conflict) {
+      co_return commit.error;
+    }
+  }
+  const auto commit = co_await mContext.store.commit(std::move(release));
   co_return commit.error;
 }
 
@@ -125,7 +139,9 @@
       continue;
     }
     auto chunk = takeChunk();
+    mIsWriting = true;
     const bool isWritten = co_await commit(chunk);
+    mIsWriting = false;
     if (mIsStopped) {
       break;
     }
--- a/src/gateway/result_log.h
+++ b/src/gateway/result_log.h
@@ -39,10 +39,12 @@
   /// Writes added results to the store until the batch is complete, stop() is
   /// called, or another process owns the batch.
   net::Awaitable<Ending> write();
-  /// Stops writing. Results that are not committed are dropped.
+  /// Stops writing. Results that are not committed are dropped unless release()
+  /// writes them.
   void stop();
   /// Deletes the owner key of the batch, so that another process may take the
-  /// batch over. Returns the error of the store, if any.
+  /// batch over, and writes the results that were not written before stop().
+  /// Returns the error of the store, if any.
   net::Awaitable<std::error_code> release();
 
   /// Returns the results that are in the store, in order of their positions.
@@ -86,6 +88,8 @@
   /// Coroutines of readers that wait for further results.
   WaitList mWaitingReaders;
   net::Notifier mResultAdded;
+  /// Whether a write of results is under way. Its outcome is not known yet.
+  bool mIsWriting = false;
   bool mIsStopped = false;
 };
 
--- a/tests/gateway/batch_service_test.cpp
+++ b/tests/gateway/batch_service_test.cpp
@@ -505,4 +505,38 @@
   EXPECT_LT(sent, 32UL * 1024 * 1024);
 }
 
+// Guards against dropping finished results when a process leaves: they may have
+// been collected for up to a second, and their items would run again.
+TEST_F(BatchServiceTest, HandOverWritesTheResultsThatAreNotWrittenYet)
+{
+  FakeServer server(mIo, "s1");
+  server.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    const auto& request = exchange.request();
+    co_await exchange.beginStream(
+      200, "text/event-stream", FakeServer::streamHeaders(request, 1));
+    const bool isFirst = request.header("X-Request-Id") == "b1-0";
+    if (isFirst) {
+      co_await exchange.write(FakeServer::remainingEvents(request, 3));
+      co_await exchange.endStream();
+    }
+    while (!isFirst && !exchange.isClientDisconnected()) {
+      co_await net::sleepFor(Millis(5));
+    }
+  });
+  auto node = makeNode("a");
+  node->addServer(server, "engine", 4);
+  run([&]() -> net::Awaitable<void> {
+    co_await join(*node);
+    co_await submit(*node, submission("b1", 4));
+    co_await until([&] {
+      return node->context.metrics.counter("items_completed_total") > 0;
+    });
+    node->context.isLeaving = true;
+    co_await node->batches.handOverAll();
+    co_await until(
+      [&] { return !mTable->entries.contains(keys::owner("b1")); });
+    EXPECT_TRUE(mTable->entries.contains(keys::results("b1", 0)));
+  });
+}
+
 } // namespace lentilrack::gateway
