--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -115,6 +115,9 @@
   /// the median time per unit of work of its service; 0 without observations.
   std::function<double(const RegisteredServer&, double medianMillisPerUnit)>
     cost;
+  /// Whether the request needs a new connection, so that idle connections are
+  /// of no use to it.
+  bool needsNewConnection = false;
 };
 
 /// The backend servers listed in the directory, together with this process's
@@ -133,6 +136,14 @@
   /// Records that the directory could not be read.
   void recordDirectoryFailure(TimePoint now) { mLastFailure = now; }
 
+  /// Sets the test whether this process has an idle connection to an endpoint.
+  /// Of servers that are nearly equally good, one with an idle connection is
+  /// chosen, since new connections have a price.
+  void setIdleConnectionTest(std::function<bool(const Endpoint&)> test)
+  {
+    mHasIdleConnection = std::move(test);
+  }
+
   /// Returns the best server for the request, or null if there is none.
   /// `random` is in [0, 1) and selects among equally good servers. A server
   /// that states a request rate needs a permit; it is chosen only if no other
@@ -216,6 +227,7 @@
               const ServerRequirements& requirements,
               double medianMillisPerUnit) const;
 
+  std::function<bool(const Endpoint&)> mHasIdleConnection;
   /// Servers by id.
   std::map<std::string, RegisteredServer> mServers;
   /// When servers that are missing in the directory were first missed, by id.
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace lentilrack::gateway {
 
