Move ServiceCallRun into a file of its own

The class that runs one call with its attempts grows with hedging policies, while forwarder.cpp changes for other reasons. The bodies of the functions are unchanged; the class declaration moves to service_call_run.h.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -98,8 +98,6 @@
                                  const core::Route& route);
 
 private:
-  friend class ServiceCallRun;
-
   Context& mContext;
 };
 
--- /dev/null
+++ b/src/gateway/service_call_run.cpp
@@ -0,0 +1,332 @@
+#include "gateway/service_call_run.h"
+
+#include "net/error.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lentilrack::gateway {
+
+namespace {
+
+using core::Clock;
+using core::Millis;
+using core::TimePoint;
+
+/// Long enough, because a connection within a deployment is established in a
+/// few milliseconds.
+constexpr Millis kConnectTimeout{ 250 };
+/// A request that allows hedging is also sent to another server when its
+/// response takes this many times longer than the median for the service, but
+/// not before the minimum delay.
+constexpr double kHedgeFactor = 4;
+constexpr Millis kMinHedgeDelay{ 60 };
+/// Maximum number of refusals. Limited separately because refusals, which
+/// mostly come from servers without a free slot, do not count as attempts.
+constexpr int kMaxRefusals = 12;
+/// Delay before the next attempt after a refusal.
+constexpr Millis kRefusalRetryDelay{ 15 };
+/// No attempt is started if less than this time remains until the deadline.
+constexpr Millis kMinRemainingTime{ 5 };
+
+Millis
+timeUntil(TimePoint time)
+{
+  return std::chrono::duration_cast<Millis>(time - Clock::now());
+}
+
+bool
+isSuccess(int status)
+{
+  return status / 100 == 2;
+}
+
+} // namespace
+
+ServiceCallRun::ServiceCallRun(Context& context, ServiceCall call)
+  : mContext(context)
+  , mCall(std::move(call))
+  , mCancelAttempts(std::make_shared<net::CancelSignal>())
+  , mChanged(context.io)
+{
+}
+
+net::Awaitable<CallOutcome>
+ServiceCallRun::run()
+{
+  int hook = 0;
+  if (mCall.cancel) {
+    hook = mCall.cancel->addCallback([this] {
+      mIsCancelled = true;
+      mCancelAttempts->cancel();
+      mChanged.notify();
+    });
+  }
+  const int stopHook =
+    mContext.stopping->addCallback([this] { mChanged.notify(); });
+  co_await runAttempts();
+  mContext.stopping->removeCallback(stopHook);
+  mCancelAttempts->cancel();
+  if (mCall.cancel) {
+    mCall.cancel->removeCallback(hook);
+  }
+  mOutcome.attempts = mAttempts;
+  co_return mOutcome;
+}
+
+net::Awaitable<void>
+ServiceCallRun::runAttempts()
+{
+  while (!mIsDone && !mIsCancelled) {
+    const bool isStopping = mContext.stopping->isCancelRequested();
+    if (isStopping || timeUntil(mCall.deadline) < kMinRemainingTime) {
+      // A server that has not responded yet may still execute the request.
+      mMayHaveExecuted = mMayHaveExecuted || mRunningAttempts > 0;
+      recordNoResponse(isStopping ? "stopping" : "out_of_time");
+      co_return;
+    }
+    const bool isOver = mRunningAttempts == 0 && !canRetry();
+    if (isOver) {
+      co_return;
+    }
+    const bool startsHedge = mRunningAttempts == 1 && mCall.allowsHedging &&
+                             canRetry() && Clock::now() >= mHedgeAt;
+    if (mRunningAttempts == 0 || startsHedge) {
+      const bool isStarted = startAttempt();
+      if (!isStarted && mRunningAttempts == 0) {
+        const auto permitWait = waitForPermit();
+        if (!permitWait) {
+          co_return;
+        }
+        co_await mChanged.wait(*permitWait);
+        continue;
+      }
+    }
+    co_await mChanged.wait(waitTime());
+  }
+  if (mIsCancelled) {
+    mOutcome.conclusion = CallConclusion::Cancelled;
+    mOutcome.reason = "caller_gone";
+  }
+}
+
+Millis
+ServiceCallRun::waitTime() const
+{
+  const auto left = timeUntil(mCall.deadline);
+  const bool waitsForHedge = mRunningAttempts == 1 && mCall.allowsHedging &&
+                             mAttempts < mCall.maxAttempts &&
+                             !mHasNoOtherServer;
+  if (!waitsForHedge) {
+    return left;
+  }
+  return std::clamp(timeUntil(mHedgeAt), Millis(1), left);
+}
+
+std::optional<Millis>
+ServiceCallRun::waitForPermit()
+{
+  const auto now = Clock::now();
+  const auto next = mContext.registry.nextPermitTime(requirements(), now);
+  if (!next || !canRetry() || mCall.isDeferrable) {
+    return std::nullopt;
+  }
+  const auto wait = core::waitForPermit(*next, mStartedAt, mCall.deadline, now);
+  if (!wait) {
+    mOutcome.retryAfter = timeUntil(*next);
+    recordNoResponse("request_rate");
+  }
+  return wait;
+}
+
+core::ServerRequirements
+ServiceCallRun::requirements() const
+{
+  core::ServerRequirements requirements;
+  requirements.service = mCall.service;
+  requirements.preferredDomain = mContext.settings.failureDomain;
+  requirements.permitPriority = permitPriority(mCall.kind);
+  requirements.excludesRateLimited = mRunningAttempts > 0;
+  requirements.isDeferrable = mCall.isDeferrable;
+  return requirements;
+}
+
+core::ConcurrencyWindow*
+ServiceCallRun::deferrableWindow(const core::ServerEntry& server)
+{
+  auto* state = mContext.registry.find(server.id, server.startedAt);
+  return mCall.isDeferrable && state != nullptr ? &state->deferrable : nullptr;
+}
+
+void
+ServiceCallRun::recordCapacity(core::ConcurrencyWindow& window,
+                               AttemptOutcome outcome)
+{
+  if (outcome == AttemptOutcome::Answered) {
+    window.accepted();
+  } else if (outcome == AttemptOutcome::Refused ||
+             outcome == AttemptOutcome::NotSent ||
+             outcome == AttemptOutcome::Incomplete) {
+    window.refused(Clock::now());
+  }
+}
+
+bool
+ServiceCallRun::canRetry() const
+{
+  const bool isAllowed = mCall.isRepeatable || !mMayHaveExecuted;
+  return isAllowed && mAttempts < mCall.maxAttempts && mRefusals < kMaxRefusals;
+}
+
+bool
+ServiceCallRun::startAttempt()
+{
+  auto required = requirements();
+  required.exclude = mTriedServers;
+  auto* server =
+    mContext.registry.choose(required, Clock::now(), mContext.uniformRandom());
+  if (server == nullptr && mRunningAttempts == 0 && !mTriedServers.empty()) {
+    // All servers were tried. Another attempt at one of them may still
+    // succeed.
+    required.exclude.clear();
+    server = mContext.registry.choose(
+      required, Clock::now(), mContext.uniformRandom());
+  }
+  if (server == nullptr) {
+    mHasNoOtherServer = true;
+    if (mRunningAttempts == 0) {
+      recordNoResponse("no_server");
+    }
+    return false;
+  }
+  mTriedServers.insert(server->entry.id);
+  ++mAttempts;
+  ++mRunningAttempts;
+  const double usualTime = mContext.registry.medianMillisPerUnit(mCall.service);
+  mHedgeAt =
+    Clock::now() +
+    std::max(kMinHedgeDelay,
+             Millis(static_cast<std::int64_t>(kHedgeFactor * usualTime)));
+  net::spawn(mContext.io, attempt(server->entry), shared_from_this());
+  return true;
+}
+
+net::Awaitable<void>
+ServiceCallRun::attempt(core::ServerEntry server)
+{
+  const auto& names = mContext.format.headers();
+  net::HttpCall http;
+  http.endpoint = server.endpoint;
+  http.request = mCall.request;
+  http.connectTimeout = kConnectTimeout;
+  http.timeout = timeUntil(mCall.deadline);
+  http.bodyLimit = kMaxResponseBytes;
+  http.useNewConnection = !mCall.isRepeatable;
+  http.cancel = mCancelAttempts;
+  // Tell the server how much time remains until the deadline of the call.
+  http.request.headers.emplace_back(
+    names.timeLeft, std::to_string(timeUntil(mCall.deadline).count()));
+  http.request.headers.emplace_back(names.expectedServer, server.id);
+  const auto start = Clock::now();
+  mContext.registry.requestStarted(server);
+  if (auto* window = deferrableWindow(server)) {
+    window->started();
+  }
+  auto result =
+    co_await mContext.servers.call(server, std::move(http), mCall.kind);
+  mContext.registry.requestEnded(server);
+  if (auto* window = deferrableWindow(server)) {
+    window->ended();
+    recordCapacity(*window, classifyAttempt(result, names));
+  }
+  --mRunningAttempts;
+  if (!mIsDone && !mIsCancelled) {
+    handleResult(server, std::move(result), start);
+    if (mRetryDelay > Millis(0) && mRunningAttempts == 0) {
+      co_await net::sleepFor(std::exchange(mRetryDelay, Millis(0)));
+    }
+  }
+  mChanged.notify();
+}
+
+void
+ServiceCallRun::handleResult(const core::ServerEntry& server,
+                             net::HttpResult result,
+                             TimePoint start)
+{
+  const auto& names = mContext.format.headers();
+  const auto now = Clock::now();
+  mOutcome.server = server.id;
+  const auto& response = result.response;
+  const auto attemptOutcome = classifyAttempt(result, names);
+  if (attemptOutcome != AttemptOutcome::Answered) {
+    recordFailedAttempt(mContext.registry, server, attemptOutcome, now);
+    mMayHaveExecuted = mMayHaveExecuted || !provesNotExecuted(attemptOutcome);
+    if (attemptOutcome == AttemptOutcome::RateLimited) {
+      // The registry knows when the server takes the next request.
+      --mAttempts;
+      mTriedServers.erase(server.id);
+      recordNoResponse("request_rate");
+      return;
+    }
+    const bool isIdleClose = attemptOutcome == AttemptOutcome::ClosedWhenIdle;
+    if (isIdleClose || provesNotExecuted(attemptOutcome)) {
+      // The server has not executed the request or has closed an idle
+      // connection. Neither is a reason to give up earlier, so this attempt
+      // does not count.
+      uncountAttempt(server, isIdleClose);
+    }
+    if (!result.error) {
+      mRetryDelay = kRefusalRetryDelay;
+    }
+    recordNoResponse(result.error
+                       ? result.error.message()
+                       : fmt::format("server_refused_{}", response.status));
+    return;
+  }
+  mMayHaveExecuted = true;
+  const bool hasStamp =
+    !net::headerValue(response.headers, names.stamp).empty();
+  const bool isUnstamped = isSuccess(response.status) && !hasStamp;
+  if (isUnstamped) {
+    mContext.registry.failed(server, now);
+    recordNoResponse("answer_without_stamp");
+    return;
+  }
+  constexpr int kServerErrors = 5;
+  const bool isFailure = response.status / 100 == kServerErrors;
+  if (!isFailure) {
+    mContext.registry.succeeded(
+      server, std::chrono::duration<double, std::milli>(now - start).count());
+  }
+  mOutcome.conclusion = CallConclusion::Answered;
+  mOutcome.response = std::move(result.response);
+  mOutcome.reason = "answered";
+  const bool retriesElsewhere =
+    isFailure && mCall.retriesServerErrors && mCall.isRepeatable && canRetry();
+  mIsDone = !retriesElsewhere;
+}
+
+void
+ServiceCallRun::recordNoResponse(std::string reason)
+{
+  if (mOutcome.conclusion != CallConclusion::Answered) {
+    mOutcome.conclusion =
+      mMayHaveExecuted ? CallConclusion::Unknown : CallConclusion::NotExecuted;
+    mOutcome.reason = std::move(reason);
+  }
+}
+
+void
+ServiceCallRun::uncountAttempt(const core::ServerEntry& server,
+                               bool canReuseServer)
+{
+  --mAttempts;
+  ++mRefusals;
+  if (canReuseServer) {
+    mTriedServers.erase(server.id);
+  }
+}
+
+} // namespace lentilrack::gateway
