--- a/src/core/desired_state.h
+++ b/src/core/desired_state.h
@@ -77,7 +77,7 @@
   /// Tokens for which one server of the group has memory; 0 if unknown.
   std::int64_t memoryTokens = 0;
   /// Set if the number of servers is ordered from the provider.
-  std::optional<AutoscalingSpec> autoscaling;
+  std::optional<AutoscalingSpec> autoscaling{};
 };
 
 /// Limits on the size and duration of a caller's requests.
