--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -271,6 +271,19 @@
   }
 }
 
+void
+ServerRegistry::cancelled(const ServerEntry& server, double elapsedMillis)
+{
+  auto* state = find(server.id, server.startedAt);
+  if (state != nullptr && elapsedMillis > state->millisPerUnit) {
+    state->millisPerUnit =
+      state->millisPerUnit == 0
+        ? elapsedMillis
+        : state->millisPerUnit +
+            kObservationWeight * (elapsedMillis - state->millisPerUnit);
+  }
+}
+
 void
 ServerRegistry::failed(const ServerEntry& server, TimePoint now)
 {
--- a/src/core/server_registry.h
+++ b/src/core/server_registry.h
@@ -159,6 +159,9 @@
   /// Records that the server has processed one unit of work (an event of a
   /// stream, or a forwarded request) in `millisPerUnit` milliseconds.
   void succeeded(const ServerEntry& server, double millisPerUnit);
+  /// Records that a request was cancelled after the server had worked on it for
+  /// this long, in milliseconds. Changes the average only if it is lower.
+  void cancelled(const ServerEntry& server, double elapsedMillis);
   /// Records that the server did not answer properly. It is avoided for a time
   /// that grows with repeated failures.
   void failed(const ServerEntry& server, TimePoint now);
