Hedge within the operator's limit

Second attempts were neither limited nor switchable. An error response no longer ends a call while the other attempt is running. Metrics by service count second attempts, wins, losses and work.

--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -105,6 +105,8 @@
 inline constexpr std::string_view kOwners = "lentilrack/owners/";
 inline constexpr std::string_view kLeader = "lentilrack/leader";
 inline constexpr std::string_view kRates = "lentilrack/rates/";
+/// Limit on hedging, which the operator writes; see core::HedgeLimit.
+inline constexpr std::string_view kHedging = "lentilrack/hedging";
 
 /// Returns the prefix of all keys that every process mirrors.
 std::string
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -220,6 +220,8 @@
     }
   } else if (key == keys::kLeader) {
     mLeader = Holder::decode({ item.key, item.value, item.revision });
+  } else if (key == keys::kHedging) {
+    mContext.hedging.applyStoredLimit(item.value, item.revision);
   }
   if (mOnChange) {
     mOnChange();
@@ -251,6 +253,8 @@
     }
   } else if (key == keys::kLeader) {
     mLeader.reset();
+  } else if (key == keys::kHedging) {
+    mContext.hedging.removeStoredLimit(revision);
   }
 }
 
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -12,6 +12,7 @@
   , format(wireFormat)
   , store(coordinationStore)
   , log(decisionLog)
+  , hedging(settings.hedgeLimitPercent, metrics, log)
   , http(context)
   , servers(*this)
   , incarnation(std::to_string(random()))
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -5,6 +5,7 @@
 #include "core/server_registry.h"
 #include "gateway/coordination_store.h"
 #include "gateway/decision_log.h"
+#include "gateway/hedging.h"
 #include "gateway/server_client.h"
 #include "gateway/wire_format.h"
 #include "net/cancel_signal.h"
@@ -40,6 +41,7 @@
   CoordinationStore& store;
   DecisionLog& log;
   net::Metrics metrics;
+  Hedging hedging;
   net::HttpClient http;
   core::ServerRegistry registry;
   ServerClient servers;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -37,6 +37,7 @@
 {
   std::string settings;
   std::uint16_t metricsPort = 0;
+  std::optional<double> hedgeLimitPercent;
 };
 
 std::optional<CommandLine>
@@ -44,7 +45,19 @@
 {
   char* path = nullptr;
   int metricsPort = 0;
-  const std::array<poptOption, 4> options{
+  double hedgeLimit = 0;
+  constexpr int kHedgeLimitOption = 1;
+  const std::array<poptOption, 5> options{
+    poptOption{ "hedge-limit",
+                '\0',
+                POPT_ARG_DOUBLE,
+                &hedgeLimit,
+                kHedgeLimitOption,
+                "Extra work by second attempts, in percent of the work of a "
+                "service; 0 disables them (default: a fixed rule without a "
+                "limit). The key lentilrack/hedging in the store takes "
+                "precedence",
+                "PERCENT" },
     poptOption{ "metrics-port",
                 'm',
                 POPT_ARG_INT,
@@ -63,17 +76,23 @@
   };
   const auto context =
     poptGetContext("lentilrack-gateway", argc, argv, options.data(), 0);
-  const int parsed = poptGetNextOpt(context);
+  int parsed = poptGetNextOpt(context);
+  const bool hasHedgeLimit = parsed == kHedgeLimitOption;
+  while (parsed >= 0) {
+    parsed = poptGetNextOpt(context);
+  }
   const char* extra = poptGetArg(context);
   const bool isPort = metricsPort >= 0 &&
                       metricsPort <= std::numeric_limits<std::uint16_t>::max();
-  const bool isBad = parsed < -1 || extra != nullptr || !isPort;
+  const bool isLimit = !hasHedgeLimit || core::HedgeLimit::isValid(hedgeLimit);
+  const bool isBad = parsed < -1 || extra != nullptr || !isPort || !isLimit;
   if (isBad) {
     fmt::print(stderr,
                "lentilrack-gateway: {}\n",
                parsed < -1 ? poptStrerror(parsed)
-               : isPort    ? "unexpected argument"
-                           : "--metrics-port must be between 0 and 65535");
+               : !isPort   ? "--metrics-port must be between 0 and 65535"
+               : !isLimit  ? "--hedge-limit must be between 0 and 100"
+                           : "unexpected argument");
   }
   poptFreeContext(context);
   if (isBad) {
@@ -81,6 +100,9 @@
   }
   CommandLine commandLine;
   commandLine.metricsPort = static_cast<std::uint16_t>(metricsPort);
+  if (hasHedgeLimit) {
+    commandLine.hedgeLimitPercent = hedgeLimit;
+  }
   if (path != nullptr) {
     commandLine.settings = path;
     std::free(path);
@@ -134,6 +156,7 @@
     return EXIT_FAILURE;
   }
   settings->metricsPort = commandLine->metricsPort;
+  settings->hedgeLimitPercent = commandLine->hedgeLimitPercent;
   std::signal(SIGPIPE, SIG_IGN);
   DecisionLog log;
   log.info("started",
--- a/src/gateway/service_call_run.cpp
+++ b/src/gateway/service_call_run.cpp
@@ -36,6 +36,13 @@
   return std::chrono::duration_cast<Millis>(time - Clock::now());
 }
 
+bool
+isFailure(int status)
+{
+  constexpr int kServerErrors = 5;
+  return status / 100 == kServerErrors;
+}
+
 bool
 isSuccess(int status)
 {
@@ -49,6 +56,7 @@
   , mCall(std::move(call))
   , mCancelAttempts(std::make_shared<net::CancelSignal>())
   , mChanged(context.io)
+  , mHasHedgeLimit(context.hedging.hasLimit())
 {
 }
 
@@ -93,7 +101,8 @@
     const bool startsHedge = mRunningAttempts == 1 && mCall.allowsHedging &&
                              canRetry() && Clock::now() >= mHedgeAt;
     if (mRunningAttempts == 0 || startsHedge) {
-      const bool isStarted = startAttempt();
+      const bool isStarted =
+        startsHedge && mHasHedgeLimit ? startHedge() : startAttempt();
       if (!isStarted && mRunningAttempts == 0) {
         const auto permitWait = waitForPermit();
         if (!permitWait) {
@@ -200,21 +209,109 @@
     }
     return false;
   }
-  mTriedServers.insert(server->entry.id);
-  ++mAttempts;
-  ++mRunningAttempts;
+  mHedgeAt = nextHedgeTime();
+  launch({ server->entry, mRunningAttempts > 0, std::nullopt });
+  return true;
+}
+
+core::HedgePolicy::Subject
+ServiceCallRun::hedgeSubject() const
+{
+  return { mCall.service,
+           mCall.kind == ServerRequestKind::Reward ? "reward" : "forward" };
+}
+
+TimePoint
+ServiceCallRun::nextHedgeTime()
+{
+  if (mHasHedgeLimit) {
+    mHedgePlan = mCall.allowsHedging ? mContext.hedging.plan(hedgeSubject())
+                                     : std::nullopt;
+    return mHedgePlan ? Clock::now() +
+                          std::chrono::round<Clock::duration>(mHedgePlan->delay)
+                      : TimePoint::max();
+  }
   const double usualTime = mContext.registry.medianMillisPerUnit(mCall.service);
-  mHedgeAt =
-    Clock::now() +
-    std::max(kMinHedgeDelay,
-             Millis(static_cast<std::int64_t>(kHedgeFactor * usualTime)));
-  net::spawn(mContext.io, attempt(server->entry), shared_from_this());
+  return Clock::now() +
+         std::max(kMinHedgeDelay,
+                  Millis(static_cast<std::int64_t>(kHedgeFactor * usualTime)));
+}
+
+bool
+ServiceCallRun::startHedge()
+{
+  // The decision is not repeated. A budget or load that forbids the attempt now
+  // would otherwise be asked again at every event of this call.
+  mHedgeAt = TimePoint::max();
+  if (!mHedgePlan) {
+    return false;
+  }
+  core::HedgeController::Question question;
+  question.service = mCall.service;
+  question.plan = *mHedgePlan;
+  question.target = { mTriedServers,
+                      mLastDomain,
+                      mContext.settings.failureDomain,
+                      mCall.isDeferrable };
+  question.serverRandom = mContext.uniformRandom();
+  question.budgetRandom = mContext.uniformRandom();
+  const auto decision =
+    mContext.hedging.decide(question, mContext.registry.serving(mCall.service));
+  if (decision.server == nullptr) {
+    return false;
+  }
+  launch({ decision.server->entry, true, decision.hedge });
   return true;
 }
 
+void
+ServiceCallRun::launch(Attempt started)
+{
+  mTriedServers.insert(started.server.id);
+  mLastDomain = started.server.failureDomain;
+  ++mAttempts;
+  ++mRunningAttempts;
+  if (started.isHedge) {
+    mContext.hedging.countStart(mCall.service);
+  }
+  net::spawn(mContext.io, attempt(std::move(started)), shared_from_this());
+}
+
+void
+ServiceCallRun::recordEnd(const Attempt& ended,
+                          AttemptOutcome outcome,
+                          bool isServerError,
+                          bool hasWon,
+                          TimePoint start)
+{
+  core::HedgeController::Attempt record;
+  record.took = Clock::now() - start;
+  record.slots = ended.server.slots;
+  record.hasWon = hasWon;
+  record.hedge = ended.hedge;
+  if (outcome == AttemptOutcome::Answered && !isServerError) {
+    record.end = core::AttemptEnd::Answered;
+  } else if (outcome == AttemptOutcome::Cancelled ||
+             outcome == AttemptOutcome::Incomplete) {
+    record.end = core::AttemptEnd::GivenUp;
+  } else if (provesNotExecuted(outcome)) {
+    record.end = outcome == AttemptOutcome::Refused
+                   ? core::AttemptEnd::Refused
+                   : core::AttemptEnd::NotExecuted;
+  }
+  const bool hasLost = mIsDone && !hasWon && !ended.isHedge;
+  if (mHasHedgeLimit && hasLost && outcome == AttemptOutcome::Cancelled) {
+    // Without this, a server whose slow attempts are all cancelled would keep
+    // the average of its fast ones and be chosen first again.
+    mContext.registry.cancelled(ended.server, record.took.count());
+  }
+  mContext.hedging.recordAttempt(hedgeSubject(), record, ended.isHedge);
+}
+
 net::Awaitable<void>
-ServiceCallRun::attempt(core::ServerEntry server)
+ServiceCallRun::attempt(Attempt started)
 {
+  const auto& server = started.server;
   const auto& names = mContext.format.headers();
   net::HttpCall http;
   http.endpoint = server.endpoint;
@@ -241,8 +338,18 @@
     recordCapacity(*window, classifyAttempt(result, names));
   }
   --mRunningAttempts;
-  if (!mIsDone && !mIsCancelled) {
+  const auto attemptOutcome = classifyAttempt(result, names);
+  const bool isServerError = isFailure(result.response.status);
+  const bool isAwaited = !mIsDone && !mIsCancelled;
+  if (isAwaited) {
     handleResult(server, std::move(result), start);
+  }
+  recordEnd(started,
+            attemptOutcome,
+            isServerError,
+            isAwaited && mIsDone && !isServerError,
+            start);
+  if (isAwaited) {
     if (mRetryDelay > Millis(0) && mRunningAttempts == 0) {
       co_await net::sleepFor(std::exchange(mRetryDelay, Millis(0)));
     }
@@ -294,18 +401,20 @@
     recordNoResponse("answer_without_stamp");
     return;
   }
-  constexpr int kServerErrors = 5;
-  const bool isFailure = response.status / 100 == kServerErrors;
-  if (!isFailure) {
+  const bool isServerError = isFailure(response.status);
+  if (!isServerError) {
     mContext.registry.succeeded(
       server, std::chrono::duration<double, std::milli>(now - start).count());
   }
   mOutcome.conclusion = CallConclusion::Answered;
   mOutcome.response = std::move(result.response);
   mOutcome.reason = "answered";
-  const bool retriesElsewhere =
-    isFailure && mCall.retriesServerErrors && mCall.isRepeatable && canRetry();
-  mIsDone = !retriesElsewhere;
+  const bool retriesElsewhere = isServerError && mCall.retriesServerErrors &&
+                                mCall.isRepeatable && canRetry();
+  // A running hedge may still yield a better response than the error.
+  const bool awaitsOther = mHasHedgeLimit && isServerError &&
+                           mCall.retriesServerErrors && mRunningAttempts > 0;
+  mIsDone = !retriesElsewhere && !awaitsOther;
 }
 
 void
--- a/src/gateway/service_call_run.h
+++ b/src/gateway/service_call_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/hedging/hedge_controller.h"
 #include "gateway/attempt_outcome.h"
 #include "gateway/forwarder.h"
 #include "net/notifier.h"
@@ -20,6 +21,16 @@
   net::Awaitable<CallOutcome> run();
 
 private:
+  /// An attempt at one server.
+  struct Attempt
+  {
+    core::ServerEntry server;
+    /// Whether another attempt is running at its start.
+    bool isHedge = false;
+    /// What is expected of the hedge, if hedging is limited.
+    std::optional<core::HedgeController::Hedge> hedge;
+  };
+
   net::Awaitable<void> runAttempts();
 
   /// Returns the time until the next hedged attempt or, if there will be none,
@@ -48,7 +59,27 @@
   /// there is no server.
   bool startAttempt();
 
-  net::Awaitable<void> attempt(core::ServerEntry server);
+  /// Sends the request to a second server if the limit on hedging allows it.
+  /// Returns false if it does not.
+  bool startHedge();
+
+  /// Returns when a second attempt of an attempt that starts now is due.
+  core::TimePoint nextHedgeTime();
+
+  /// Service and kind of the request, for which durations are compared.
+  core::HedgePolicy::Subject hedgeSubject() const;
+
+  void launch(Attempt started);
+
+  net::Awaitable<void> attempt(Attempt started);
+
+  /// Records how long the attempt took and whether its response is the result
+  /// of the call.
+  void recordEnd(const Attempt& ended,
+                 AttemptOutcome outcome,
+                 bool isServerError,
+                 bool hasWon,
+                 core::TimePoint start);
 
   void handleResult(const core::ServerEntry& server,
                     net::HttpResult result,
@@ -73,6 +104,12 @@
   /// When the request may also be sent to another server, if hedging is
   /// allowed.
   core::TimePoint mHedgeAt{};
+  /// Whether hedging is limited. It does not change during a call.
+  bool mHasHedgeLimit = false;
+  /// Second attempt of the last first attempt, if it pays off.
+  std::optional<core::HedgePlan> mHedgePlan;
+  /// Failure domain of the server of the last attempt.
+  std::string mLastDomain;
   core::Millis mRetryDelay{ 0 };
   int mAttempts = 0;
   int mRefusals = 0;
