Charge hedges of small processes for all of their excess work

A process that got a second attempt by lot was charged only the same part of the work beyond the expectation, although refusals pay for the expected work only.

--- a/src/core/hedging/hedge_budget.cpp
+++ b/src/core/hedging/hedge_budget.cpp
@@ -92,22 +92,21 @@
   if (random >= part) {
     return std::nullopt;
   }
-  return Reservation{ left, part, number };
+  return Reservation{ expected, part, number };
 }
 
 void
 HedgeBudget::settle(const Reservation& reservation, PreciseMillis done)
 {
-  const auto difference = reservation.part * done - reservation.charged;
-  if (difference > PreciseMillis(0)) {
-    mDebt += difference;
+  if (done > reservation.expected) {
+    mDebt += done - reservation.expected;
     return;
   }
   auto& slot =
     mSlots[static_cast<std::size_t>(reservation.slot) % mSlots.size()];
   // The reservation may have left the window already.
   if (slot.number == reservation.slot) {
-    slot.spent += difference;
+    slot.spent -= reservation.part * (reservation.expected - done);
   }
 }
 
--- a/src/core/hedging/hedge_budget.h
+++ b/src/core/hedging/hedge_budget.h
@@ -24,9 +24,8 @@
   /// Work that a second attempt was allowed to do.
   struct Reservation
   {
-    PreciseMillis charged{ 0 };
-    /// Part of the attempt's work that counts against the budget of this
-    /// process; see tryReserve().
+    PreciseMillis expected{ 0 };
+    /// Part of the expected work that was charged; see tryReserve().
     double part = 1;
     std::int64_t slot = 0;
   };
@@ -51,7 +50,9 @@
                                         double random,
                                         TimePoint now);
   /// Replaces the expected work by the work that was done. The remainder is
-  /// given back; work beyond the reservation is charged.
+  /// given back. Work beyond the expectation is charged in full, also if only a
+  /// part of the expected work was: refusals have paid for the rest of the
+  /// expectation, but not for the excess.
   void settle(const Reservation& reservation, PreciseMillis done);
   /// Returns the work that may be reserved now; negative if attempts did more
   /// work than expected.
