--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -107,6 +107,8 @@
 inline constexpr std::string_view kRates = "lentilrack/rates/";
 inline constexpr std::string_view kServerOverrides =
   "lentilrack/server-overrides/";
+/// Limit on hedging, which the operator writes; see core::HedgeLimit.
+inline constexpr std::string_view kHedging = "lentilrack/hedging";
 
 /// Returns the prefix of all keys that every process mirrors.
 std::string
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -102,8 +102,6 @@
                                  const core::Route& route);
 
 private:
-  friend class ServiceCallRun;
-
   Context& mContext;
 };
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -40,6 +40,7 @@
   std::uint16_t metricsPort = 0;
   double waitingValue = ProcessSettings().waitingValue;
   bool isServerOrderDryRun = false;
+  std::optional<double> hedgeLimitPercent;
 };
 
 std::optional<CommandLine>
@@ -48,8 +49,20 @@
   char* path = nullptr;
   int metricsPort = 0;
   int dryRun = 0;
+  double hedgeLimit = 0;
+  constexpr int kHedgeLimitOption = 1;
   CommandLine commandLine;
-  const std::array<poptOption, 6> options{
+  const std::array<poptOption, 7> options{
+    poptOption{ "hedge-limit",
+                '\0',
+                POPT_ARG_DOUBLE,
+                &hedgeLimit,
+                kHedgeLimitOption,
+                "Extra work by second attempts, in percent of the work of a "
+                "service; 0 disables them (default: a fixed rule without a "
+                "limit). The key lentilrack/hedging in the store takes "
+                "precedence",
+                "PERCENT" },
     poptOption{ "metrics-port",
                 'm',
                 POPT_ARG_INT,
@@ -84,19 +97,25 @@
   };
   const auto context =
     poptGetContext("lentilrack-gateway", argc, argv, options.data(), 0);
-  const int parsed = poptGetNextOpt(context);
+  int parsed = poptGetNextOpt(context);
+  const bool hasHedgeLimit = parsed == kHedgeLimitOption;
+  while (parsed >= 0) {
+    parsed = poptGetNextOpt(context);
+  }
   const char* extra = poptGetArg(context);
   const bool isPort = metricsPort >= 0 &&
                       metricsPort <= std::numeric_limits<std::uint16_t>::max();
+  const bool isLimit = !hasHedgeLimit || core::HedgeLimit::isValid(hedgeLimit);
   const bool isWaitingValue = commandLine.waitingValue >= 0 &&
                               commandLine.waitingValue <= kMaxWaitingValue;
   const bool isBad =
-    parsed < -1 || extra != nullptr || !isPort || !isWaitingValue;
+    parsed < -1 || extra != nullptr || !isPort || !isLimit || !isWaitingValue;
   if (isBad) {
     fmt::print(stderr,
                "lentilrack-gateway: {}\n",
                parsed < -1       ? poptStrerror(parsed)
                : !isPort         ? "--metrics-port must be between 0 and 65535"
+               : !isLimit        ? "--hedge-limit must be between 0 and 100"
                : !isWaitingValue ? "--waiting-value must be between 0 and 10000"
                                  : "unexpected argument");
   }
@@ -106,6 +125,9 @@
   }
   commandLine.isServerOrderDryRun = dryRun != 0;
   commandLine.metricsPort = static_cast<std::uint16_t>(metricsPort);
+  if (hasHedgeLimit) {
+    commandLine.hedgeLimitPercent = hedgeLimit;
+  }
   if (path != nullptr) {
     commandLine.settings = path;
     std::free(path);
@@ -161,6 +183,7 @@
   settings->metricsPort = commandLine->metricsPort;
   settings->waitingValue = commandLine->waitingValue;
   settings->isServerOrderDryRun = commandLine->isServerOrderDryRun;
+  settings->hedgeLimitPercent = commandLine->hedgeLimitPercent;
   std::signal(SIGPIPE, SIG_IGN);
   DecisionLog log;
   log.info("started",
