--- a/src/core/autoscaling/server_count_planner.h
+++ b/src/core/autoscaling/server_count_planner.h
@@ -14,7 +14,7 @@
 /// What is known of a service when the numbers of its servers are planned.
 struct ServiceObservation
 {
-  ServiceLoad load;
+  ServiceWorkload load;
   /// Servers that accept work.
   CountsByDomain serving;
   /// False if the list of servers could not be read. The numbers then stay as
--- a/src/core/autoscaling/server_demand.h
+++ b/src/core/autoscaling/server_demand.h
@@ -24,7 +24,7 @@
 };
 
 /// What is observed of the work of a service and the speed of its servers.
-struct ServiceLoad
+struct ServiceWorkload
 {
   std::vector<RecentBatch> batches;
   /// False if the service has other work than batches, whose amount is not
@@ -106,7 +106,7 @@
 
   /// Returns the estimate, or nothing while it is unknown. `unixNow` is the
   /// Unix time.
-  std::optional<Estimate> estimate(const ServiceLoad& load,
+  std::optional<Estimate> estimate(const ServiceWorkload& load,
                                    TimePoint now,
                                    Millis unixNow);
   /// Factor by which the offered load is corrected.
