Share the slots of a model's servers between organisations

Batches of one model run in one process. A batch now asks FairShare before it takes a slot; without organisations nothing changes.

--- a/src/core/autoscaling/server_demand.cpp
+++ b/src/core/autoscaling/server_demand.cpp
@@ -162,7 +162,9 @@
 }
 
 std::optional<ServerDemand::Estimate>
-ServerDemand::estimate(const ServiceWorkload& load, TimePoint now, Millis unixNow)
+ServerDemand::estimate(const ServiceWorkload& load,
+                       TimePoint now,
+                       Millis unixNow)
 {
   const auto batches = onSteadyClock(load.batches, now, unixNow);
   learnFromBatches(batches, steadyMillis(now));
--- a/src/core/organisations/organisation_directory.cpp
+++ b/src/core/organisations/organisation_directory.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cstring>
-#include <map>
 #include <set>
 
 namespace lentilrack::core {
@@ -62,7 +61,6 @@
 OrganisationDirectory::OrganisationDirectory(
   const std::vector<Organisation>& organisations)
 {
-  std::map<std::string, std::size_t> indexByName;
   std::set<Digest> sharedKeys;
   for (const auto& organisation : organisations) {
     if (!isValidName(organisation.name)) {
@@ -70,7 +68,7 @@
       continue;
     }
     const auto [entry, isNew] =
-      indexByName.try_emplace(organisation.name, mOrganisations.size());
+      mIndexByName.try_emplace(organisation.name, mOrganisations.size());
     if (isNew) {
       mOrganisations.push_back(
         { organisation.name, {}, organisation.priority });
@@ -104,4 +102,11 @@
   return found == mIndexByKey.end() ? nullptr : &mOrganisations[found->second];
 }
 
+const Organisation*
+OrganisationDirectory::findByName(const std::string& name) const
+{
+  const auto found = mIndexByName.find(name);
+  return found == mIndexByName.end() ? nullptr : &mOrganisations[found->second];
+}
+
 } // namespace lentilrack::core
--- a/src/core/organisations/organisation_directory.h
+++ b/src/core/organisations/organisation_directory.h
@@ -29,6 +29,8 @@
 
   /// Returns the organisation that holds the key, without its keys, or null.
   const Organisation* findByKey(std::string_view key) const;
+  /// Returns the organisation, without its keys, or null.
+  const Organisation* findByName(const std::string& name) const;
   /// Returns the number of organisations.
   std::size_t size() const { return mOrganisations.size(); }
   /// Returns the number of organisations and keys that were ignored.
@@ -45,6 +47,8 @@
 
   /// Without the keys.
   std::vector<Organisation> mOrganisations;
+  /// Index of each organisation by its name.
+  std::unordered_map<std::string, std::size_t> mIndexByName;
   /// Index of the organisation of each key.
   std::unordered_map<Digest, std::size_t, DigestHash> mIndexByKey;
   std::size_t mIgnoredEntries = 0;
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -311,7 +311,7 @@
   auto call = prepareCall(item, server, run);
   auto result = co_await mContext.servers.call(
     server, std::move(call), ServerRequestKind::Item);
-  mContext.registry.requestEnded(server);
+  releaseSlot(item, server);
   mItemStates[item].isGenerating = false;
   mWorkChanged.notify();
   if (mIsStopped) {
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -72,6 +72,8 @@
     bool isGenerating = false;
     /// When the current run started.
     core::TimePoint startedAt{};
+    /// Slot time that was charged to the organisation for the current run.
+    core::Millis chargedTime{ 0 };
     /// When the current run last received an event. Moved forward while the
     /// server loads weights, so that the run does not count as silent.
     core::TimePoint lastActivity{};
@@ -103,6 +105,14 @@
   /// Starts the waiting item that can use a free slot best. Returns false if no
   /// item is waiting or no server has a free slot.
   bool startNextItem();
+  /// Records that the current run of the item no longer occupies a slot of the
+  /// server.
+  void releaseSlot(std::size_t item, const core::ServerEntry& server);
+  /// Returns how the slots of the model's servers are shared between
+  /// organisations; null if the deployment has none.
+  core::FairShare* slotShare();
+  /// Returns the priority of the batch among those of other organisations.
+  int sharePriority() const;
   /// Chooses a server for a waiting item, or null if none has a slot for it.
   core::RegisteredServer* chooseServer(const core::WaitingItem& waiting,
                                        const core::PlacedItem& placed,
--- a/src/gateway/batch_run_placement.cpp
+++ b/src/gateway/batch_run_placement.cpp
@@ -58,12 +58,37 @@
   return mContext.registry.choose(requirements, now, mContext.uniformRandom());
 }
 
+core::FairShare*
+BatchRun::slotShare()
+{
+  return mSpec->organisation.empty() ? nullptr
+                                     : &mContext.slotShares[mSpec->model];
+}
+
+int
+BatchRun::sharePriority() const
+{
+  const auto* batchRoute = route();
+  const int routePriority = batchRoute != nullptr ? batchRoute->priority : 0;
+  const auto* organisations =
+    mContext.desired ? mContext.desired->organisations() : nullptr;
+  const auto* organisation = organisations != nullptr
+                               ? organisations->findByName(mSpec->organisation)
+                               : nullptr;
+  return organisation != nullptr
+           ? organisation->priority.value_or(routePriority)
+           : routePriority;
+}
+
 bool
 BatchRun::startNextItem()
 {
   const auto now = Clock::now();
   const auto* batchRoute = route();
-  if (batchRoute == nullptr) {
+  auto* share = slotShare();
+  if (batchRoute == nullptr ||
+      (share != nullptr &&
+       !share->mayStart(mSpec->organisation, sharePriority(), now))) {
     return false;
   }
   const auto service = batchRoute->pickService(mContext.uniformRandom());
@@ -80,6 +105,9 @@
     const auto placed = placedItem(waiting.item);
     const auto* best = chooseServer(waiting, placed, service, now);
     if (best == nullptr) {
+      if (share != nullptr) {
+        share->recordWaiting(mSpec->organisation, sharePriority(), now);
+      }
       break;
     }
     // A permit of a server that states a rate must not be left unused.
@@ -117,10 +145,26 @@
   run.startedAt = now;
   run.lastActivity = now;
   run.eventsInRun = 0;
+  if (auto* share = slotShare()) {
+    run.chargedTime = share->runStarted(mSpec->organisation, now);
+  }
   mContext.registry.requestStarted(server);
   net::spawn(mContext.io, runItem(item, server), shared_from_this());
 }
 
+void
+BatchRun::releaseSlot(std::size_t item, const core::ServerEntry& server)
+{
+  mContext.registry.requestEnded(server);
+  if (auto* share = slotShare()) {
+    const auto& run = mItemStates[item];
+    share->runEnded(
+      mSpec->organisation,
+      run.chargedTime,
+      std::chrono::duration_cast<Millis>(Clock::now() - run.startedAt));
+  }
+}
+
 void
 BatchRun::recordPrompt(std::size_t item, const core::ServerEntry& server)
 {
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -2,6 +2,7 @@
 
 #include "core/desired_state.h"
 #include "core/key_mirror.h"
+#include "core/organisations/fair_share.h"
 #include "core/server_registry.h"
 #include "gateway/coordination_store.h"
 #include "gateway/decision_log.h"
@@ -49,6 +50,9 @@
   Mirrors mirrors;
   /// The desired state in force; null until the first one is received.
   std::shared_ptr<const core::DesiredState> desired;
+  /// Shares of the slots of each model's servers between organisations, by
+  /// model.
+  std::map<std::string, core::FairShare> slotShares;
   /// Newest version of the weights that trainers have announced, by model.
   std::map<std::string, std::int64_t> announcedVersions;
   /// Called once for each request of an organisation's caller, when it is known
--- a/tests/gateway/organisations_test.cpp
+++ b/tests/gateway/organisations_test.cpp
@@ -231,4 +231,38 @@
   });
 }
 
+// Guards against an organisation with many batches that takes each slot as it
+// becomes free, while the batch of another organisation waits.
+TEST_F(OrganisationsTest, BatchOfASmallOrganisationIsNotPushedOut)
+{
+  constexpr int kLargeBatches = 8;
+  constexpr int kItems = 6;
+  mEngine.onRequest(
+    [this](net::HttpExchange& exchange) -> net::Awaitable<void> {
+      const auto request = exchange.request();
+      co_await exchange.beginStream(
+        200, "text/event-stream", FakeServer::streamHeaders(request, 1));
+      co_await net::sleepFor(Millis(20));
+      co_await exchange.write(FakeServer::remainingEvents(request, 2));
+      co_await exchange.endStream();
+    });
+  run([&]() -> net::Awaitable<void> {
+    co_await until([&] { return mGateway.isReady(); });
+    for (int i = 0; i < kLargeBatches; ++i) {
+      const auto id = "large-" + std::to_string(i);
+      co_await send(submission(id, kItems), "n1");
+    }
+    co_await send(submission("small", kItems), "s1");
+    const auto ranOf = [&](const std::string& organisation) {
+      return std::ranges::count_if(
+        mEngine.requests(), [&](const auto& message) {
+          return organisationsIn(message) ==
+                 std::vector<std::string>{ organisation };
+        });
+    };
+    co_await until([&] { return ranOf("south") == kItems; });
+    EXPECT_LT(ranOf("north"), kLargeBatches * kItems);
+  });
+}
+
 } // namespace lentilrack::gateway
