--- a/src/gateway/process_settings.h
+++ b/src/gateway/process_settings.h
@@ -84,8 +84,8 @@
   /// Share of a processor core that the process may use.
   double processorShare = 0;
   /// Extra work that second attempts (hedges) may cause, in percent of the work
-  /// of a service. Without a limit, hedging follows a fixed rule. A limit in the
-  /// store takes precedence.
+  /// of a service. Without a limit, hedging follows a fixed rule. A limit in
+  /// the store takes precedence.
   std::optional<double> hedgeLimitPercent;
   DeploymentBounds bounds;
 };
