--- a/src/gateway/batch_run_placement.cpp
+++ b/src/gateway/batch_run_placement.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 using core::Clock;
+using core::Millis;
 using core::TimePoint;
 
 /// Waiting items that are considered for a free slot. Bounds the processor time
