--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -43,94 +43,114 @@
   std::optional<double> hedgeLimitPercent;
 };
 
-std::optional<CommandLine>
-readCommandLine(int argc, const char** argv)
+/// Values as popt writes them.
+struct OptionValues
 {
   char* path = nullptr;
   int metricsPort = 0;
-  int dryRun = 0;
+  int isDryRun = 0;
+  double waitingValue = ProcessSettings().waitingValue;
   double hedgeLimit = 0;
-  constexpr int kHedgeLimitOption = 1;
-  CommandLine commandLine;
-  const std::array<poptOption, 7> options{
-    poptOption{ "hedge-limit",
-                '\0',
-                POPT_ARG_DOUBLE,
-                &hedgeLimit,
-                kHedgeLimitOption,
-                "Extra work by second attempts, in percent of the work of a "
-                "service; 0 disables them (default: a fixed rule without a "
-                "limit). The key lentilrack/hedging in the store takes "
-                "precedence",
-                "PERCENT" },
-    poptOption{ "metrics-port",
-                'm',
-                POPT_ARG_INT,
-                &metricsPort,
-                0,
-                "Port for GET /metrics (default: 0, not served)",
-                "PORT" },
-    poptOption{ "settings",
-                's',
-                POPT_ARG_STRING,
-                &path,
-                0,
-                "Settings file (default: the path in LENTILRACK_NODE_FILE)",
-                "FILE" },
-    poptOption{ "waiting-value",
-                'w',
-                POPT_ARG_DOUBLE,
-                &commandLine.waitingValue,
-                0,
-                "Value of a second of waiting of the work of one backend "
-                "server, relative to the price of a server for a second "
-                "(default: 16)",
-                "RATIO" },
-    poptOption{ "dry-run-server-orders",
-                'n',
-                POPT_ARG_NONE,
-                &dryRun,
-                0,
-                "Log orders for backend servers instead of sending them",
-                nullptr },
-    POPT_AUTOHELP{ nullptr, 0, 0, nullptr, 0, nullptr, nullptr }
-  };
+  bool hasHedgeLimit = false;
+};
+
+/// Value that poptGetNextOpt() returns for --hedge-limit, which has no default.
+constexpr int kHedgeLimitOption = 1;
+
+std::array<poptOption, 7>
+optionTable(OptionValues& values)
+{
+  return { poptOption{ "hedge-limit",
+                       '\0',
+                       POPT_ARG_DOUBLE,
+                       &values.hedgeLimit,
+                       kHedgeLimitOption,
+                       "Extra work by second attempts, in percent of the work "
+                       "of a service; 0 disables them (default: a fixed rule "
+                       "without a limit). The key lentilrack/hedging in the "
+                       "store takes precedence",
+                       "PERCENT" },
+           poptOption{ "metrics-port",
+                       'm',
+                       POPT_ARG_INT,
+                       &values.metricsPort,
+                       0,
+                       "Port for GET /metrics (default: 0, not served)",
+                       "PORT" },
+           poptOption{ "settings",
+                       's',
+                       POPT_ARG_STRING,
+                       &values.path,
+                       0,
+                       "Settings file (default: the path in "
+                       "LENTILRACK_NODE_FILE)",
+                       "FILE" },
+           poptOption{ "waiting-value",
+                       'w',
+                       POPT_ARG_DOUBLE,
+                       &values.waitingValue,
+                       0,
+                       "Value of a second of waiting of the work of one "
+                       "backend server, relative to the price of a server for "
+                       "a second (default: 16)",
+                       "RATIO" },
+           poptOption{ "dry-run-server-orders",
+                       'n',
+                       POPT_ARG_NONE,
+                       &values.isDryRun,
+                       0,
+                       "Log orders for backend servers instead of sending them",
+                       nullptr },
+           POPT_AUTOHELP{ nullptr, 0, 0, nullptr, 0, nullptr, nullptr } };
+}
+
+/// Returns what is wrong with the values, or null.
+const char*
+problemIn(const OptionValues& values)
+{
+  if (values.metricsPort < 0 ||
+      values.metricsPort > std::numeric_limits<std::uint16_t>::max()) {
+    return "--metrics-port must be between 0 and 65535";
+  }
+  if (values.hasHedgeLimit && !core::HedgeLimit::isValid(values.hedgeLimit)) {
+    return "--hedge-limit must be between 0 and 100";
+  }
+  if (values.waitingValue < 0 || values.waitingValue > kMaxWaitingValue) {
+    return "--waiting-value must be between 0 and 10000";
+  }
+  return nullptr;
+}
+
+std::optional<CommandLine>
+readCommandLine(int argc, const char** argv)
+{
+  OptionValues values;
+  const auto options = optionTable(values);
   const auto context =
     poptGetContext("lentilrack-gateway", argc, argv, options.data(), 0);
   int parsed = poptGetNextOpt(context);
-  const bool hasHedgeLimit = parsed == kHedgeLimitOption;
   while (parsed >= 0) {
+    values.hasHedgeLimit = values.hasHedgeLimit || parsed == kHedgeLimitOption;
     parsed = poptGetNextOpt(context);
   }
-  const char* extra = poptGetArg(context);
-  const bool isPort = metricsPort >= 0 &&
-                      metricsPort <= std::numeric_limits<std::uint16_t>::max();
-  const bool isLimit = !hasHedgeLimit || core::HedgeLimit::isValid(hedgeLimit);
-  const bool isWaitingValue = commandLine.waitingValue >= 0 &&
-                              commandLine.waitingValue <= kMaxWaitingValue;
-  const bool isBad =
-    parsed < -1 || extra != nullptr || !isPort || !isLimit || !isWaitingValue;
-  if (isBad) {
-    fmt::print(stderr,
-               "lentilrack-gateway: {}\n",
-               parsed < -1       ? poptStrerror(parsed)
-               : !isPort         ? "--metrics-port must be between 0 and 65535"
-               : !isLimit        ? "--hedge-limit must be between 0 and 100"
-               : !isWaitingValue ? "--waiting-value must be between 0 and 10000"
-                                 : "unexpected argument");
-  }
+  const char* problem = parsed < -1                      ? poptStrerror(parsed)
+                        : poptGetArg(context) != nullptr ? "unexpected argument"
+                                                         : problemIn(values);
   poptFreeContext(context);
-  if (isBad) {
+  if (problem != nullptr) {
+    fmt::print(stderr, "lentilrack-gateway: {}\n", problem);
     return std::nullopt;
   }
-  commandLine.isServerOrderDryRun = dryRun != 0;
-  commandLine.metricsPort = static_cast<std::uint16_t>(metricsPort);
-  if (hasHedgeLimit) {
-    commandLine.hedgeLimitPercent = hedgeLimit;
+  CommandLine commandLine;
+  commandLine.isServerOrderDryRun = values.isDryRun != 0;
+  commandLine.metricsPort = static_cast<std::uint16_t>(values.metricsPort);
+  commandLine.waitingValue = values.waitingValue;
+  if (values.hasHedgeLimit) {
+    commandLine.hedgeLimitPercent = values.hedgeLimit;
   }
-  if (path != nullptr) {
-    commandLine.settings = path;
-    std::free(path);
+  if (values.path != nullptr) {
+    commandLine.settings = values.path;
+    std::free(values.path);
     return commandLine;
   }
   const char* variable = std::getenv(kSettingsVariable);
