--- a/tests/core/scheduling/group_order_test.cpp
+++ b/tests/core/scheduling/group_order_test.cpp
@@ -40,7 +40,8 @@
       std::iota(order->second.rbegin(), order->second.rend(), 0);
       std::ranges::stable_sort(order->second, {}, [&](std::size_t i) {
         const double length = items[i].expectedLength;
-        const auto group = static_cast<double>(i / 8);
+        const auto groupIndex = i / 8;
+        const auto group = static_cast<double>(groupIndex);
         return length > 22 ? std::pair(1.0, length) : std::pair(-group, length);
       });
     }
--- a/tests/core/scheduling/model_allocation_test.cpp
+++ b/tests/core/scheduling/model_allocation_test.cpp
@@ -28,97 +28,146 @@
 /// Simulates trainers that submit a step every 4 s. A server that is moved does
 /// no work for a second. Each trainer in turn submits more work than usual for
 /// three steps, as after a fault. Servers move when a model lacks 15% of them.
-Outcome
-simulate(std::size_t serverCount, double load, std::uint64_t seed, bool bySlack)
+class AllocationSimulation
 {
-  const std::vector<std::string> models = { "a", "b", "c" };
-  const std::map<std::string, double> sizes = { { "a", 0.5 },
-                                                { "b", 1.1 },
-                                                { "c", 1.4 } };
-  pcg64 random(seed);
-  std::lognormal_distribution<double> variation(0, 0.2);
+public:
+  AllocationSimulation(std::size_t serverCount,
+                       double load,
+                       std::uint64_t seed,
+                       bool bySlack)
+    : mServerCount(serverCount)
+    , mLoad(load)
+    , mBySlack(bySlack)
+    , mRandom(seed)
+    , mServers(allocateServers(serverCount, mModels, {}))
+  {
+  }
+
+  Outcome run()
+  {
+    constexpr int kTicks = 1'200;
+    for (int tick = 0; tick < kTicks; ++tick) {
+      const auto now = kStart + tick * kTick;
+      submit(tick, now);
+      std::ranges::for_each(mModels,
+                            [&](const auto& model) { work(model, now); });
+      allocate(now);
+    }
+    return mOutcome;
+  }
+
+private:
   struct Step
   {
     StepState state;
     double remaining = 0;
   };
-  std::vector<Step> steps;
-  auto servers = allocateServers(serverCount, models, {});
-  std::map<std::string, double> idleServerTicks;
-  ModelAllocation allocation;
-  Outcome outcome;
-  for (int tick = 0; tick < 1'200; ++tick) {
-    const auto now = kStart + tick * kTick;
-    for (std::size_t i = 0; i < models.size(); ++i) {
-      if (tick % 40 == static_cast<int>(13 * i)) {
-        const int number = tick / 40;
-        const bool isBacklog = number % 9 >= 3 * static_cast<int>(i) &&
-                               number % 9 < 3 * static_cast<int>(i) + 2 &&
-                               number > 3;
-        const double tokens = variation(random) * sizes.at(models[i]) *
-                              (isBacklog ? 1.8 : 1.0) * load * kServerRate * 4 /
-                              3 * static_cast<double>(serverCount);
-        const StepState state{
-          fmt::format("{}{}", models[i], number), models[i], tokens, now, true
-        };
-        steps.push_back({ state, tokens });
+
+  void submit(int tick, Millis now)
+  {
+    for (std::size_t i = 0; i < mModels.size(); ++i) {
+      if (tick % 40 != static_cast<int>(13 * i)) {
+        continue;
       }
+      const int number = tick / 40;
+      const bool isBacklog = number % 9 >= 3 * static_cast<int>(i) &&
+                             number % 9 < 3 * static_cast<int>(i) + 2 &&
+                             number > 3;
+      const double tokens = mVariation(mRandom) * mSizes.at(mModels[i]) *
+                            (isBacklog ? 1.8 : 1.0) * mLoad * kServerRate * 4 /
+                            3 * static_cast<double>(mServerCount);
+      const StepState state{
+        fmt::format("{}{}", mModels[i], number), mModels[i], tokens, now, true
+      };
+      mSteps.push_back({ state, tokens });
     }
-    for (const auto& model : models) {
-      auto& idle = idleServerTicks[model];
-      const auto held = static_cast<double>(servers.at(model));
-      const double idleNow = std::min(held, idle / 10);
-      idle = std::max(0.0, idle - idleNow);
-      double work = (held - idleNow) * kServerRate * 0.1;
-      for (auto& step : steps) {
-        if (step.state.model == model && step.state.isOpen) {
-          const double done = std::min(work, step.remaining);
-          step.remaining -= done;
-          work -= done;
-          const auto age = now - step.state.submittedAt;
-          if (step.remaining <= 0 || age > Millis(12'000)) {
-            step.state.isOpen = false;
-            const double late =
-              std::chrono::duration<double>(age).count() - 7.5;
-            outcome.value += step.remaining > 0 ? 0
-                             : late <= 0        ? 1
-                                                : 0.7 * (1 - late / 4.5);
-            ++outcome.steps;
-          }
-        }
+  }
+
+  void work(const std::string& model, Millis now)
+  {
+    auto& idle = mIdleServerTicks[model];
+    const auto held = static_cast<double>(mServers.at(model));
+    const double idleNow = std::min(held, idle / 10);
+    idle = std::max(0.0, idle - idleNow);
+    double capacity = (held - idleNow) * kServerRate * 0.1;
+    for (auto& step : mSteps) {
+      if (step.state.model != model || !step.state.isOpen) {
+        continue;
+      }
+      const double done = std::min(capacity, step.remaining);
+      step.remaining -= done;
+      capacity -= done;
+      const auto age = now - step.state.submittedAt;
+      if (step.remaining <= 0 || age > Millis(12'000)) {
+        close(step, age);
       }
     }
+  }
+
+  void close(Step& step, Millis age)
+  {
+    step.state.isOpen = false;
+    const double late = std::chrono::duration<double>(age).count() - 7.5;
+    mOutcome.value += step.remaining > 0 ? 0
+                      : late <= 0        ? 1
+                                         : 0.7 * (1 - late / 4.5);
+    ++mOutcome.steps;
+  }
+
+  void allocate(Millis now)
+  {
     std::vector<StepState> states;
     std::vector<BatchDemand> batches;
-    for (const auto& step : steps) {
+    for (const auto& step : mSteps) {
       states.push_back(step.state);
       batches.push_back({ step.state.model,
                           step.state.expectedTokens,
                           step.state.submittedAt });
     }
     auto demand = computeModelDemand(std::move(batches), now);
-    if (bySlack) {
-      allocation.update(states, servers, now);
-      demand = allocation.demand(demand, now);
+    if (mBySlack) {
+      mAllocation.update(states, mServers, now);
+      demand = mAllocation.demand(demand, now);
     }
-    const auto wanted = allocateServers(serverCount, models, demand);
+    const auto wanted = allocateServers(mServerCount, mModels, demand);
     const bool lacksServers =
-      std::ranges::any_of(models, [&](const auto& model) {
+      std::ranges::any_of(mModels, [&](const auto& model) {
         const auto target = static_cast<double>(wanted.at(model));
-        return target - static_cast<double>(servers.at(model)) >
+        return target - static_cast<double>(mServers.at(model)) >
                std::max(1.0, 0.15 * target);
       });
-    if (lacksServers) {
-      for (const auto& model : models) {
-        const auto added =
-          wanted.at(model) - std::min(wanted.at(model), servers.at(model));
-        outcome.moves += static_cast<int>(added);
-        idleServerTicks[model] += 10 * static_cast<double>(added);
-      }
-      servers = wanted;
+    if (!lacksServers) {
+      return;
     }
+    for (const auto& model : mModels) {
+      const auto added =
+        wanted.at(model) - std::min(wanted.at(model), mServers.at(model));
+      mOutcome.moves += static_cast<int>(added);
+      mIdleServerTicks[model] += 10 * static_cast<double>(added);
+    }
+    mServers = wanted;
   }
-  return outcome;
+
+  std::size_t mServerCount;
+  double mLoad;
+  bool mBySlack;
+  pcg64 mRandom;
+  std::lognormal_distribution<double> mVariation{ 0, 0.2 };
+  std::vector<std::string> mModels{ "a", "b", "c" };
+  std::map<std::string, double> mSizes{ { "a", 0.5 },
+                                        { "b", 1.1 },
+                                        { "c", 1.4 } };
+  std::vector<Step> mSteps;
+  std::map<std::string, std::size_t> mServers;
+  std::map<std::string, double> mIdleServerTicks;
+  ModelAllocation mAllocation;
+  Outcome mOutcome;
+};
+
+Outcome
+simulate(std::size_t serverCount, double load, std::uint64_t seed, bool bySlack)
+{
+  return AllocationSimulation(serverCount, load, seed, bySlack).run();
 }
 
 std::vector<StepState>
