--- a/tests/gateway/organisations_test.cpp
+++ b/tests/gateway/organisations_test.cpp
@@ -237,15 +237,14 @@
 {
   constexpr int kLargeBatches = 8;
   constexpr int kItems = 6;
-  mEngine.onRequest(
-    [this](net::HttpExchange& exchange) -> net::Awaitable<void> {
-      const auto request = exchange.request();
-      co_await exchange.beginStream(
-        200, "text/event-stream", FakeServer::streamHeaders(request, 1));
-      co_await net::sleepFor(Millis(20));
-      co_await exchange.write(FakeServer::remainingEvents(request, 2));
-      co_await exchange.endStream();
-    });
+  mEngine.onRequest([](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    const auto request = exchange.request();
+    co_await exchange.beginStream(
+      200, "text/event-stream", FakeServer::streamHeaders(request, 1));
+    co_await net::sleepFor(Millis(20));
+    co_await exchange.write(FakeServer::remainingEvents(request, 2));
+    co_await exchange.endStream();
+  });
   run([&]() -> net::Awaitable<void> {
     co_await until([&] { return mGateway.isReady(); });
     for (int i = 0; i < kLargeBatches; ++i) {
