--- a/src/core/autoscaling/server_demand.h
+++ b/src/core/autoscaling/server_demand.h
@@ -11,18 +11,6 @@
 
 namespace lentilrack::core {
 
-/// A recent batch for a model of the service.
-struct RecentBatch
-{
-  std::string id;
-  std::string model;
-  double expectedTokens = 0;
-  /// Unix time of the submission.
-  Millis submittedAt{ 0 };
-  /// Whether its trainer still waits for results.
-  bool isOpen = true;
-};
-
 /// What is observed of the work of a service and the speed of its servers.
 struct ServiceWorkload
 {
--- a/src/core/hedging/hedge_target.cpp
+++ b/src/core/hedging/hedge_target.cpp
@@ -1,5 +1,7 @@
 #include "core/hedging/hedge_target.h"
 
+#include "core/statistics/median.h"
+
 #include <algorithm>
 
 namespace lentilrack::core {
@@ -24,13 +26,7 @@
       times.push_back(server->millisPerUnit);
     }
   }
-  if (times.empty()) {
-    return 0;
-  }
-  const auto middle =
-    times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-  std::ranges::nth_element(times, middle);
-  return *middle;
+  return medianOf(std::move(times));
 }
 
 } // namespace
--- a/src/core/model_demand.h
+++ b/src/core/model_demand.h
@@ -20,6 +20,19 @@
   Millis submittedAt{ 0 };
 };
 
+/// A batch of the recent past, as its record in the store shows it.
+struct RecentBatch
+{
+  std::string id;
+  std::string model;
+  /// Expected number of tokens of the batch.
+  double expectedTokens = 0;
+  /// Unix time of the submission.
+  Millis submittedAt{ 0 };
+  /// Whether its trainer still waits for results.
+  bool isOpen = true;
+};
+
 /// Returns the demand for each model in expected tokens per second, as it would
 /// be if its trainer never had to wait. A trainer that waits for slow steps
 /// submits batches less often. Its model would then seem to be in less demand
--- a/src/core/organisations/fair_share.cpp
+++ b/src/core/organisations/fair_share.cpp
@@ -98,7 +98,6 @@
   flow.virtualStart =
     start + static_cast<double>(estimate.count()) / flow.weight;
   flow.waitingSince = now;
-  mUsed[organisation] += estimate;
   return estimate;
 }
 
@@ -110,7 +109,6 @@
   auto& flow = mFlows[organisation];
   const auto difference = static_cast<double>((took - estimate).count());
   flow.virtualStart += difference / flow.weight;
-  mUsed[organisation] += took - estimate;
   const auto cost = static_cast<double>(took.count());
   flow.meanCost = flow.meanCost == 0 ? cost
                                      : flow.meanCost + kObservationWeight *
--- a/src/core/organisations/fair_share.h
+++ b/src/core/organisations/fair_share.h
@@ -50,9 +50,6 @@
   /// Replaces the estimate of a run that has ended by the time that it took.
   void runEnded(const std::string& organisation, Millis estimate, Millis took);
 
-  /// Returns the slot time that each organisation has used.
-  const std::map<std::string, Millis>& used() const { return mUsed; }
-
 private:
   struct Flow
   {
@@ -75,7 +72,6 @@
 
   Limits mLimits;
   std::map<std::string, Flow> mFlows;
-  std::map<std::string, Millis> mUsed;
   /// Virtual start time of the run that started last.
   double mVirtualTime = 0;
 };
--- a/src/core/rollout_batch.cpp
+++ b/src/core/rollout_batch.cpp
@@ -1,6 +1,7 @@
 #include "core/rollout_batch.h"
 
 #include "core/scheduling/placement.h"
+#include "core/statistics/median.h"
 
 #include <algorithm>
 #include <functional>
@@ -29,13 +30,7 @@
   std::vector<double> lengths;
   std::ranges::transform(
     items, std::back_inserter(lengths), &BatchItem::expectedLength);
-  if (lengths.empty()) {
-    return 0;
-  }
-  const auto middle =
-    lengths.begin() + static_cast<std::ptrdiff_t>(lengths.size() / 2);
-  std::ranges::nth_element(lengths, middle);
-  return *middle;
+  return medianOf(std::move(lengths));
 }
 
 } // namespace
--- a/src/core/scheduling/first_event_bound.cpp
+++ b/src/core/scheduling/first_event_bound.cpp
@@ -1,5 +1,7 @@
 #include "core/scheduling/first_event_bound.h"
 
+#include "core/statistics/median.h"
+
 #include <algorithm>
 
 namespace lentilrack::core {
@@ -30,11 +32,7 @@
   if (mRecent.empty()) {
     return kFloor;
   }
-  auto times = mRecent;
-  const auto middle =
-    times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-  std::ranges::nth_element(times, middle);
-  return std::clamp(kMedianFactor * *middle, kFloor, kCeiling);
+  return std::clamp(kMedianFactor * medianOf(mRecent), kFloor, kCeiling);
 }
 
 } // namespace lentilrack::core
--- a/src/core/scheduling/model_allocation.cpp
+++ b/src/core/scheduling/model_allocation.cpp
@@ -67,7 +67,7 @@
 }
 
 void
-ModelAllocation::update(const std::vector<StepState>& steps,
+ModelAllocation::update(const std::vector<RecentBatch>& steps,
                         const Servers& servers,
                         Millis now)
 {
@@ -85,11 +85,11 @@
     if (!state.isOpen || state.expectedTokens <= 0 || age > kLateTime) {
       continue;
     }
-    open.insert(state.batch);
+    open.insert(state.id);
     // A step that a new leader finds has been worked on before.
     const double share =
       std::clamp(1 - seconds(age) / seconds(kDueTime), kMinRemainingShare, 1.0);
-    mSteps.try_emplace(state.batch,
+    mSteps.try_emplace(state.id,
                        Step{ state.model,
                              state.expectedTokens,
                              share * state.expectedTokens,
--- a/src/core/scheduling/model_allocation.h
+++ b/src/core/scheduling/model_allocation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/model_demand.h"
 #include "core/time.h"
 
 #include <cstddef>
@@ -9,18 +10,6 @@
 
 namespace lentilrack::core {
 
-/// A step of a trainer, as its batch record in the store shows it.
-struct StepState
-{
-  std::string batch;
-  std::string model;
-  double expectedTokens = 0;
-  /// Unix time of the submission.
-  Millis submittedAt{ 0 };
-  /// Whether the trainer still waits for results.
-  bool isOpen = false;
-};
-
 /// Raises the demand of models whose open steps are going to be late with the
 /// servers that the models have. The work that is left of a step is not
 /// recorded anywhere, so it is estimated from the time since its submission and
@@ -32,7 +21,7 @@
   using Servers = std::map<std::string, std::size_t>;
 
   /// Updates the estimates. `servers` holds the number of servers by model.
-  void update(const std::vector<StepState>& steps,
+  void update(const std::vector<RecentBatch>& steps,
               const Servers& servers,
               Millis now);
   /// Returns the demand by which to share the servers, in tokens per second:
--- a/src/core/server_registry.cpp
+++ b/src/core/server_registry.cpp
@@ -1,5 +1,7 @@
 #include "core/server_registry.h"
 
+#include "core/statistics/median.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -411,13 +413,7 @@
       values.push_back(server.millisPerUnit);
     }
   }
-  if (values.empty()) {
-    return 0;
-  }
-  const auto middle =
-    values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-  std::ranges::nth_element(values, middle);
-  return *middle;
+  return medianOf(std::move(values));
 }
 
 } // namespace lentilrack::core
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -201,12 +201,8 @@
   call.request.headers = spec.headers;
   if (!mSpec->organisation.empty()) {
     // An item must not name another organisation or carry a key.
-    std::erase_if(call.request.headers, [&](const auto& header) {
-      const net::Headers one{ header };
-      return !net::headerValues(one, names.apiKey).empty() ||
-             !net::headerValues(one, names.organisation).empty();
-    });
-    call.request.headers.emplace_back(names.organisation, mSpec->organisation);
+    call.request.headers = Forwarder::identifiedHeaders(
+      std::move(call.request.headers), names, mSpec->organisation);
   }
   call.request.headers.emplace_back("Host", mSpec->host);
   call.request.headers.emplace_back(names.requestId, spec.id);
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -59,25 +59,20 @@
 Forwarder::forwardedRequest(const net::HttpRequest& request) const
 {
   const auto& names = mContext.format.headers();
-  const std::array<std::string, 10> droppedHeaders{
+  const std::array<std::string_view, 10> droppedHeaders{
     "Connection",        "Keep-Alive", "Transfer-Encoding",
     "Content-Length",    "Upgrade",    "TE",
     "Proxy-Connection",  "Expect",     names.timeLeft,
     names.expectedServer
   };
   auto forwarded = request;
+  net::removeHeaders(forwarded.headers, droppedHeaders);
   // The Connection header names further hop-by-hop headers, which must not be
   // forwarded either.
   const auto connection = request.header("Connection");
   std::erase_if(forwarded.headers, [&](const auto& header) {
-    const net::Headers one{ header };
-    const bool isDropped =
-      std::ranges::any_of(droppedHeaders, [&](const auto& name) {
-        return !net::headerValue({ { header.first, "x" } }, name).empty();
-      });
-    const bool isNamed = !connection.empty() && header.first.size() > 1 &&
-                         connection.find(header.first) != std::string::npos;
-    return isDropped || isNamed;
+    return !connection.empty() && header.first.size() > 1 &&
+           connection.find(header.first) != std::string::npos;
   });
   return forwarded;
 }
@@ -85,16 +80,28 @@
 net::Headers
 Forwarder::endToEndHeaders(net::Headers headers)
 {
-  static const std::array<std::string, 5> kHopByHopHeaders{ "Connection",
-                                                            "Keep-Alive",
-                                                            "Transfer-Encoding",
-                                                            "Content-Length",
-                                                            "Content-Type" };
-  std::erase_if(headers, [](const auto& header) {
-    return std::ranges::any_of(kHopByHopHeaders, [&](const auto& name) {
-      return !net::headerValue({ { header.first, "x" } }, name).empty();
-    });
-  });
+  static constexpr std::array<std::string_view, 5> kHopByHopHeaders{
+    "Connection",
+    "Keep-Alive",
+    "Transfer-Encoding",
+    "Content-Length",
+    "Content-Type"
+  };
+  net::removeHeaders(headers, kHopByHopHeaders);
+  return headers;
+}
+
+net::Headers
+Forwarder::identifiedHeaders(net::Headers headers,
+                             const HeaderNames& names,
+                             const std::string& organisation)
+{
+  const std::array<std::string_view, 2> replacedHeaders{ names.apiKey,
+                                                         names.organisation };
+  net::removeHeaders(headers, replacedHeaders);
+  if (!organisation.empty()) {
+    headers.emplace_back(names.organisation, organisation);
+  }
   return headers;
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -91,6 +91,12 @@
   /// Returns the headers without the hop-by-hop headers and without the content
   /// type.
   static net::Headers endToEndHeaders(net::Headers headers);
+  /// Returns the headers without the API key, and with the name of the
+  /// organisation in place of any that they contain. An empty name stands for
+  /// none.
+  static net::Headers identifiedHeaders(net::Headers headers,
+                                        const HeaderNames& names,
+                                        const std::string& organisation);
   /// Returns the time that the caller allows for the request, at most the
   /// timeout of the route.
   static core::Millis allowedTime(const Context& context,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,24 +42,6 @@
 /// others learn it from the store.
 constexpr std::size_t kMaxLeavingRecipients = 64;
 
-/// Returns the headers without the API key, and with the name of the
-/// organisation in place of what the caller may have sent there.
-net::Headers
-identifiedHeaders(net::Headers headers,
-                  const HeaderNames& names,
-                  const std::string& organisation)
-{
-  std::erase_if(headers, [&](const auto& header) {
-    const net::Headers one{ header };
-    return !net::headerValues(one, names.apiKey).empty() ||
-           !net::headerValues(one, names.organisation).empty();
-  });
-  if (!organisation.empty()) {
-    headers.emplace_back(names.organisation, organisation);
-  }
-  return headers;
-}
-
 } // namespace
 
 Gateway::Gateway(Context& context)
@@ -298,8 +280,8 @@
     co_return;
   }
   if (authentication.outcome != core::AuthenticationOutcome::NotRequired) {
-    exchange.setRequestHeaders(
-      identifiedHeaders(request.headers, names, authentication.organisation));
+    exchange.setRequestHeaders(Forwarder::identifiedHeaders(
+      request.headers, names, authentication.organisation));
   }
   if (mustRejectWhileLeaving(exchange, *route)) {
     mContext.log.info("request",
--- a/src/gateway/leadership.cpp
+++ b/src/gateway/leadership.cpp
@@ -125,27 +125,40 @@
       { "outcome", leader.isSettled ? "settled" : "delayed" } });
 }
 
-net::Awaitable<void>
-Leadership::recordSettled(const Holder& leader)
+net::Awaitable<std::optional<StoreCommit>>
+Leadership::storeHolder(Holder holder, std::int64_t presentRevision)
 {
-  const auto revision = leader.revision;
   const auto lease = co_await mCluster.acquireLease();
   if (lease == 0) {
     // Without a lease the key would outlive this process.
-    co_return;
+    co_return std::nullopt;
   }
-  const auto settled = makeHolder(true);
   StoreTransaction transaction;
-  transaction.preconditions = { { keys::leader(), revision } };
-  transaction.writes = { { keys::leader(), settled.encode(), lease } };
+  transaction.preconditions = { { keys::leader(), presentRevision } };
+  transaction.writes = { { keys::leader(), holder.encode(), lease } };
   const auto commit = co_await mContext.store.commit(std::move(transaction));
+  if (commit.outcome() == WriteOutcome::Done) {
+    mCluster.recordItem({ keys::leader(), holder.encode(), commit.revision });
+  }
+  co_return commit;
+}
+
+net::Awaitable<void>
+Leadership::recordSettled(const Holder& leader)
+{
+  const auto commit = co_await storeHolder(makeHolder(true), leader.revision);
+  if (commit) {
+    logCommit("leader_settled", *commit);
+  }
+}
+
+void
+Leadership::logCommit(std::string_view event, const StoreCommit& commit) const
+{
   mContext.log.info(
-    "leader_settled",
+    event,
     { { "fence", commit.revision },
       { "outcome", commit.error ? commit.error.message() : "done" } });
-  if (commit.outcome() == WriteOutcome::Done) {
-    mCluster.recordItem({ keys::leader(), settled.encode(), commit.revision });
-  }
 }
 
 net::Awaitable<void>
@@ -173,24 +186,15 @@
   const bool isSameMachine =
     isOwnInstance && leader->address == mContext.settings.address;
   const bool isSettled = isSameMachine && leader->isSettled;
-  const auto lease = co_await mCluster.acquireLease();
-  if (lease == 0) {
+  const auto commit =
+    co_await storeHolder(makeHolder(isSettled), presentRevision);
+  if (!commit) {
     co_return;
   }
-  const auto self = makeHolder(isSettled);
-  StoreTransaction transaction;
-  transaction.preconditions = { { keys::leader(), presentRevision } };
-  transaction.writes = { { keys::leader(), self.encode(), lease } };
-  const auto commit = co_await mContext.store.commit(std::move(transaction));
-  mContext.log.info(
-    "leader_claimed",
-    { { "fence", commit.revision },
-      { "outcome", commit.error ? commit.error.message() : "done" } });
-  if (!commit.error) {
-    mCluster.recordItem({ keys::leader(), self.encode(), commit.revision });
-  } else {
+  logCommit("leader_claimed", *commit);
+  if (commit->error) {
     std::ranges::for_each(
-      commit.current, [this](const auto& item) { mCluster.recordItem(item); });
+      commit->current, [this](const auto& item) { mCluster.recordItem(item); });
   }
 }
 
--- a/src/gateway/leadership.h
+++ b/src/gateway/leadership.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <string_view>
 
 namespace lentilrack::gateway {
 
@@ -54,6 +56,12 @@
   Holder makeHolder(bool isSettled) const;
   /// Begins to lead with the leader key that the store holds for this process.
   void beginTerm(const Holder& leader);
+  /// Writes the holder to the leader key if the key still has this revision (0:
+  /// does not exist). Returns nothing if there is no lease to bind the key to.
+  net::Awaitable<std::optional<StoreCommit>> storeHolder(
+    Holder holder,
+    std::int64_t presentRevision);
+  void logCommit(std::string_view event, const StoreCommit& commit) const;
   /// Records in the store that the delay after the takeover is over, so that a
   /// restarted process of this instance need not wait again.
   net::Awaitable<void> recordSettled(const Holder& leader);
--- a/src/gateway/server_orders.cpp
+++ b/src/gateway/server_orders.cpp
@@ -1,6 +1,7 @@
 #include "gateway/server_orders.h"
 
 #include "core/json_limits.h"
+#include "core/statistics/median.h"
 #include "gateway/read_limits.h"
 #include "net/http_status.h"
 
@@ -225,13 +226,7 @@
       speeds.push_back(speed.millisPerUnit);
     }
   }
-  if (speeds.empty()) {
-    return 0;
-  }
-  const auto middle =
-    speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
-  std::ranges::nth_element(speeds, middle);
-  return *middle;
+  return core::medianOf(std::move(speeds));
 }
 
 core::ServiceObservation
--- a/src/gateway/service_call_run.cpp
+++ b/src/gateway/service_call_run.cpp
@@ -337,19 +337,19 @@
   auto result =
     co_await mContext.servers.call(server, std::move(http), mCall.kind);
   mContext.registry.requestEnded(server);
+  const auto attemptOutcome = classifyAttempt(result, names);
   if (auto* window = deferrableWindow(server)) {
     window->ended();
-    recordCapacity(*window, classifyAttempt(result, names));
+    recordCapacity(*window, attemptOutcome);
   }
   --mRunningAttempts;
-  const auto attemptOutcome = classifyAttempt(result, names);
   if (hasMostLikelyRun(attemptOutcome, result)) {
     reportRun(start);
   }
   const bool isServerError = isFailure(result.response.status);
   const bool isAwaited = !mIsDone && !mIsCancelled;
   if (isAwaited) {
-    handleResult(server, std::move(result), start);
+    handleResult(server, std::move(result), attemptOutcome, start);
   }
   recordEnd(started,
             attemptOutcome,
@@ -375,13 +375,13 @@
 void
 ServiceCallRun::handleResult(const core::ServerEntry& server,
                              net::HttpResult result,
+                             AttemptOutcome attemptOutcome,
                              TimePoint start)
 {
   const auto& names = mContext.format.headers();
   const auto now = Clock::now();
   mOutcome.server = server.id;
   const auto& response = result.response;
-  const auto attemptOutcome = classifyAttempt(result, names);
   if (attemptOutcome != AttemptOutcome::Answered) {
     recordFailedAttempt(mContext.registry, server, attemptOutcome, now);
     mMayHaveExecuted = mMayHaveExecuted || !provesNotExecuted(attemptOutcome);
--- a/src/gateway/service_call_run.h
+++ b/src/gateway/service_call_run.h
@@ -86,6 +86,7 @@
 
   void handleResult(const core::ServerEntry& server,
                     net::HttpResult result,
+                    AttemptOutcome attemptOutcome,
                     core::TimePoint start);
 
   /// Records why there is no response. Does nothing if a server has responded
--- a/src/gateway/weight_leader.cpp
+++ b/src/gateway/weight_leader.cpp
@@ -117,7 +117,7 @@
 WeightLeader::demandByModel()
 {
   std::vector<core::BatchDemand> batches;
-  std::vector<core::StepState> steps;
+  std::vector<core::RecentBatch> steps;
   for (const auto& [id, record] : mCluster.batches()) {
     batches.push_back(
       { record.model, record.estimatedTokens, record.submittedAt });
--- a/src/net/http_types.cpp
+++ b/src/net/http_types.cpp
@@ -57,6 +57,16 @@
   return values;
 }
 
+void
+removeHeaders(Headers& headers, std::span<const std::string_view> names)
+{
+  std::erase_if(headers, [&](const auto& header) {
+    return std::ranges::any_of(names, [&](std::string_view name) {
+      return equalsIgnoringCase(header.first, name);
+    });
+  });
+}
+
 std::string
 HttpRequest::path() const
 {
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +22,11 @@
 std::vector<std::string_view>
 headerValues(const Headers& headers, std::string_view name);
 
+/// Removes all headers with one of these names, which are compared without
+/// regard to case.
+void
+removeHeaders(Headers& headers, std::span<const std::string_view> names);
+
 struct HttpRequest
 {
   std::string method = "GET";
--- a/tests/core/scheduling/model_allocation_test.cpp
+++ b/tests/core/scheduling/model_allocation_test.cpp
@@ -59,7 +59,7 @@
 private:
   struct Step
   {
-    StepState state;
+    RecentBatch state;
     double remaining = 0;
   };
 
@@ -76,7 +76,7 @@
       const double tokens = mVariation(mRandom) * mSizes.at(mModels[i]) *
                             (isBacklog ? 1.8 : 1.0) * mLoad * kServerRate * 4 /
                             3 * static_cast<double>(mServerCount);
-      const StepState state{
+      const RecentBatch state{
         fmt::format("{}{}", mModels[i], number), mModels[i], tokens, now, true
       };
       mSteps.push_back({ state, tokens });
@@ -116,7 +116,7 @@
 
   void allocate(Millis now)
   {
-    std::vector<StepState> states;
+    std::vector<RecentBatch> states;
     std::vector<BatchDemand> batches;
     for (const auto& step : mSteps) {
       states.push_back(step.state);
@@ -170,7 +170,7 @@
   return AllocationSimulation(serverCount, load, seed, bySlack).run();
 }
 
-std::vector<StepState>
+std::vector<RecentBatch>
 openStep(const std::string& id, const std::string& model, double tokens)
 {
   return { { id, model, tokens, kStart, true } };
