--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -47,8 +47,6 @@
   std::string apiKey;
   /// Names the organisation of the caller to a server.
   std::string organisation;
-  /// Tells a server how urgent a request is, from 0 (first) to 9.
-  std::string priority;
 };
 
 /// Reads the results of a batch from position `after` on. If there are none
--- a/tests/adapter/organisations_format_test.cpp
+++ b/tests/adapter/organisations_format_test.cpp
@@ -35,6 +35,7 @@
   const auto* organisations = state.value().organisations();
   ASSERT_NE(organisations, nullptr);
   EXPECT_EQ(organisations->size(), 1U);
+  EXPECT_EQ(organisations->ignoredEntries(), 3U);
   EXPECT_EQ(organisations->findByKey("a"), nullptr);
   ASSERT_NE(organisations->findByKey("c"), nullptr);
   EXPECT_EQ(organisations->findByKey("c")->name, "y");
