--- a/src/core/result_write_schedule.cpp
+++ b/src/core/batches/result_write_schedule.cpp
@@ -1,4 +1,4 @@
-#include "core/result_write_schedule.h"
+#include "core/batches/result_write_schedule.h"
 
 #include <algorithm>
 #include <map>
--- a/src/gateway/result_log.h
+++ b/src/gateway/result_log.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/result_write_schedule.h"
+#include "core/batches/result_write_schedule.h"
 #include "gateway/cluster_view.h"
 #include "gateway/result_chunk.h"
 #include "gateway/wait_list.h"
