--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -10,24 +10,6 @@
 class ForwarderTest : public GatewayTest
 {
 protected:
-  static FakeServer::Handler respondWith(int status, net::Headers extra = {})
-  {
-    return
-      [status, extra](net::HttpExchange& exchange) -> net::Awaitable<void> {
-        auto answer = FakeServer::makeResponse(exchange.request(), status);
-        answer.headers.insert(answer.headers.end(), extra.begin(), extra.end());
-        co_await exchange.respond(std::move(answer));
-      };
-  }
-
-  static FakeServer::Handler dropConnection()
-  {
-    return [](net::HttpExchange& exchange) -> net::Awaitable<void> {
-      exchange.abort();
-      co_return;
-    };
-  }
-
   /// Forwards a resumable stream whose first server answers as the handler
   /// does, and expects that another server completes it.
   void expectStreamToContinueElsewhere(FakeServer::Handler handler)
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -135,6 +135,25 @@
   co_await until([&] { return node.cluster.isRegistered(); });
 }
 
+FakeServer::Handler
+GatewayTest::respondWith(int status, net::Headers extra)
+{
+  return [status, extra](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    auto answer = FakeServer::makeResponse(exchange.request(), status);
+    answer.headers.insert(answer.headers.end(), extra.begin(), extra.end());
+    co_await exchange.respond(std::move(answer));
+  };
+}
+
+FakeServer::Handler
+GatewayTest::dropConnection()
+{
+  return [](net::HttpExchange& exchange) -> net::Awaitable<void> {
+    exchange.abort();
+    co_return;
+  };
+}
+
 std::unique_ptr<TestNode>
 GatewayTest::makeNode(const std::string& instance)
 {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -120,6 +120,11 @@
   /// Returns the submission of a batch whose items have no reward calls.
   static net::HttpRequest submission(const std::string& id, int items);
 
+  /// Return handlers that answer every request with a status, or that close the
+  /// connection without a response.
+  static FakeServer::Handler respondWith(int status, net::Headers extra = {});
+  static FakeServer::Handler dropConnection();
+
   std::unique_ptr<TestNode> makeNode(const std::string& instance);
   /// Starts all of the node that takes part in the election of a leader, and
   /// waits until the node is registered.
--- a/tests/gateway/usage_reporter_test.cpp
+++ b/tests/gateway/usage_reporter_test.cpp
@@ -122,23 +122,6 @@
     return sum;
   }
 
-  static FakeServer::Handler respondWith(int status, net::Headers extra = {})
-  {
-    return
-      [status, extra](net::HttpExchange& exchange) -> net::Awaitable<void> {
-        auto answer = FakeServer::makeResponse(exchange.request(), status);
-        answer.headers.insert(answer.headers.end(), extra.begin(), extra.end());
-        co_await exchange.respond(std::move(answer));
-      };
-  }
-  static FakeServer::Handler dropConnection()
-  {
-    return [](net::HttpExchange& exchange) -> net::Awaitable<void> {
-      exchange.abort();
-      co_return;
-    };
-  }
-
   FakeServer mProvider{ mIo, "provider" };
   std::vector<Report> mReports;
   /// Number of reports that the provider receives but does not answer.
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -1,6 +1,7 @@
 #include "soak_servers.h"
 
 #include "core/decimal.h"
+#include "platform/format.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -25,6 +26,13 @@
 constexpr double kFailedShare = 0.02;
 constexpr double kCutShare = 0.02;
 
+const gateway::HeaderNames&
+names()
+{
+  static const platform::Format kFormat;
+  return kFormat.headers();
+}
+
 double
 draw(pcg64& random)
 {
@@ -141,11 +149,12 @@
 net::Headers
 SoakServer::answerHeaders(const net::HttpRequest& request) const
 {
-  net::Headers headers{ { "X-Request-Id", request.header("X-Request-Id") },
-                        { "X-Server-Stamp", mId + ".stamp" },
-                        { "X-Weight-Versions", std::to_string(mVersion) } };
+  net::Headers headers{ { names().requestId,
+                          request.header(names().requestId) },
+                        { names().stamp, mId + ".stamp" },
+                        { names().weightVersion, std::to_string(mVersion) } };
   if (mIsLeaving) {
-    headers.emplace_back("Server-Leaving", "1");
+    headers.emplace_back(names().leaving, "1");
   }
   return headers;
 }
@@ -154,11 +163,12 @@
 SoakServer::checkHeaders(const net::HttpRequest& request,
                          const std::string& batch)
 {
-  const auto id = request.header("X-Request-Id");
-  if (!request.header("Authorization").empty()) {
+  const auto id = request.header(names().requestId);
+  if (!request.header(names().apiKey).empty()) {
     mChecker.serverSawKey(id);
   }
-  const auto organisations = net::headerValues(request.headers, "X-Tenant");
+  const auto organisations =
+    net::headerValues(request.headers, names().organisation);
   if (id.ends_with("-reward")) {
     return;
   }
@@ -173,7 +183,7 @@
 SoakServer::handle(net::HttpExchange& exchange)
 {
   const auto& request = exchange.request();
-  const auto expected = request.header("X-Expect-Instance");
+  const auto expected = request.header(names().expectedServer);
   if (!expected.empty() && expected != mId) {
     auto response = emptyResponse(421);
     response.headers.emplace_back("X-Instance-Id", mId);
@@ -185,7 +195,7 @@
   } else if (happens(kRefusedShare)) {
     auto response = emptyResponse(503);
     response.headers = answerHeaders(request);
-    response.headers.emplace_back("X-Not-Executed", "1");
+    response.headers.emplace_back(names().notExecuted, "1");
     co_await exchange.respond(std::move(response));
   } else if (request.path().starts_with("/batch/")) {
     co_await runItem(exchange);
@@ -207,7 +217,7 @@
   }
   auto response = emptyResponse(happens(kFailedShare) ? 500 : 200);
   response.headers = answerHeaders(request);
-  response.body = "echo " + request.header("X-Request-Id");
+  response.body = "echo " + request.header(names().requestId);
   co_await exchange.respond(std::move(response));
 }
 
@@ -216,12 +226,12 @@
 {
   constexpr Millis kLongestPause{ 40 };
   const auto request = exchange.request();
-  const auto id = request.header("X-Request-Id");
+  const auto id = request.header(names().requestId);
   checkHeaders(request, id.substr(0, id.rfind('-')));
   co_await exchange.beginStream(
     200, "text/event-stream", answerHeaders(request));
   const auto last =
-    core::parseDecimal<int>(request.header("Last-Event-Id")).value_or(0);
+    core::parseDecimal<int>(request.header(names().lastEvent)).value_or(0);
   for (int i = last + 1; i <= eventsOf(id); ++i) {
     co_await net::sleepFor(drawTime(mRandom, kLongestPause));
     const bool isOpen = co_await exchange.write(
