--- /dev/null
+++ b/review/harness-2/cases.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "net/asio.h"
+
+namespace lentilrack::review {
+
+class Deployment;
+
+/// Each function runs a case and returns its exit status.
+net::Awaitable<int>
+runFormerOwner(Deployment& deployment);
+net::Awaitable<int>
+runLargeRequest(Deployment& deployment);
+
+} // namespace lentilrack::review
