Review case 6: a malformed request ends the process

Cause: toBeast() throws for a TRACE request with a body, in a coroutine without a handler for exceptions.

--- a/review/harness-2/cases.h
+++ b/review/harness-2/cases.h
@@ -8,8 +8,12 @@
 
 /// Each function runs a case and returns its exit status.
 net::Awaitable<int>
+runMalformedRequest(Deployment& deployment);
+net::Awaitable<int>
 runFormerOwner(Deployment& deployment);
 net::Awaitable<int>
-runLargeRequest(Deployment& deployment);
+runUnreadableBatch(Deployment& deployment);
+net::Awaitable<int>
+runAttemptLimit(Deployment& deployment);
 
 } // namespace lentilrack::review
--- a/review/harness-2/main.cpp
+++ b/review/harness-2/main.cpp
@@ -16,8 +16,10 @@
 run(int argc, const char** argv)
 {
   const std::map<std::string, std::function<net::Awaitable<int>(Deployment&)>>
-    cases{ { "former-owner", runFormerOwner },
-           { "large-request", runLargeRequest } };
+    cases{ { "malformed-request", runMalformedRequest },
+           { "former-owner", runFormerOwner },
+           { "unreadable-batch", runUnreadableBatch },
+           { "attempt-limit", runAttemptLimit } };
   constexpr int kArguments = 3;
   const auto found = argc == kArguments ? cases.find(argv[1]) : cases.end();
   if (found == cases.end()) {
