--- a/review/harness-2/cases.h
+++ b/review/harness-2/cases.h
@@ -10,10 +10,10 @@
 net::Awaitable<int>
 runMalformedRequest(Deployment& deployment);
 net::Awaitable<int>
-runFormerOwner(Deployment& deployment);
+runLargeSubmission(Deployment& deployment);
 net::Awaitable<int>
 runUnreadableBatch(Deployment& deployment);
 net::Awaitable<int>
-runAttemptLimit(Deployment& deployment);
+runFormerOwner(Deployment& deployment);
 
 } // namespace lentilrack::review
--- a/review/harness-2/malformed_request.cpp
+++ b/review/harness-2/lost_process.cpp
@@ -4,9 +4,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <set>
 
 namespace lentilrack::review {
@@ -16,6 +18,11 @@
 constexpr int kGateways = 3;
 constexpr int kClientsPerGateway = 6;
 constexpr Millis kWork{ 100 };
+constexpr std::size_t kMegabyte = 1024UL * 1024;
+constexpr int kMemoryMegabytes = 110;
+/// The desired state allows bodies of up to 32 MB.
+constexpr std::size_t kLargeSubmission = 30 * kMegabyte;
+constexpr std::size_t kSmallSubmission = kMegabyte / 4;
 constexpr Millis kBetweenMessages{ 3'000 };
 /// The platform starts a process that has ended again after this time.
 constexpr Millis kRestartDelay{ 500 };
@@ -29,6 +36,9 @@
   bool isAnswered = false;
 };
 
+using Message = std::function<
+  net::Awaitable<void>(Deployment&, Gateway& gateway, int number)>;
+
 struct State
 {
   std::vector<Sent> sent;
@@ -84,6 +94,61 @@
   }
 }
 
+/// Ends a process that uses more memory than its machine allows, as the platform
+/// does.
+net::Awaitable<void>
+enforceMemoryLimit(Deployment& deployment, State& state)
+{
+  while (!state.isEnding) {
+    for (auto& gateway : deployment.gateways) {
+      const auto resident = gateway->residentBytes();
+      if (resident > kMemoryMegabytes * kMegabyte) {
+        deployment.record.line(
+          fmt::format("{} uses {} MB of {} and is killed",
+                      gateway->name(),
+                      resident / kMegabyte,
+                      kMemoryMegabytes));
+        gateway->kill();
+      }
+    }
+    co_await net::sleepFor(Millis(1));
+  }
+}
+
+/// Submits a batch. Its items have the size that makes the whole submission as
+/// large as given.
+net::Awaitable<void>
+submit(Deployment& deployment, Gateway& gateway, int number)
+{
+  constexpr int kGroups = 23;
+  constexpr int kGroupSize = 8;
+  const auto size = isCalm() ? kSmallSubmission : kLargeSubmission;
+  const auto id = fmt::format("b{}", number);
+  auto body = nlohmann::json::parse(
+    batchBody(id, kGroups, kGroupSize, kGroups - 2));
+  const std::string text(size / (kGroups * kGroupSize) / 4 * 4, 'A');
+  for (auto& item : body["items"]) {
+    item["body"] = text;
+  }
+  net::HttpClient client(deployment.io);
+  net::HttpCall call;
+  call.endpoint = gateway.front();
+  call.request.method = "POST";
+  call.request.target = "/batch/" + id;
+  call.request.headers = callerHeaders(id);
+  call.request.body = body.dump();
+  deployment.record.line(fmt::format("batch {} of {} bytes to {}",
+                                     id,
+                                     call.request.body.size(),
+                                     gateway.name()));
+  const auto result = co_await client.call(std::move(call));
+  deployment.record.line(
+    fmt::format("answer to batch {}: {}",
+                id,
+                result.error ? result.error.message()
+                             : std::to_string(result.response.status)));
+}
+
 /// Sends a TRACE request. With a body it is malformed: a client must not send
 /// content in a TRACE request.
 net::Awaitable<void>
@@ -118,19 +183,22 @@
                 error ? error.message() : text.substr(0, text.find('\r'))));
 }
 
-} // namespace
-
+/// Sends one message after the other to the gateways, beside the requests of
+/// other clients, and counts those that get no answer.
 net::Awaitable<int>
-runMalformedRequest(Deployment& deployment)
+runWithMessages(Deployment& deployment, Message message)
 {
   auto& record = deployment.record;
-  deployment.addGateways(kGateways);
+  deployment.addGateways(kGateways, kMemoryMegabytes);
   for (int i = 0; i < 4; ++i) {
     auto& sampler = deployment.addSampler("desk", "");
     sampler.slots = 6;
     sampler.queueLength = 24;
     sampler.work = kWork;
   }
+  for (int i = 0; i < 2; ++i) {
+    deployment.addSampler("engines", kModel).slots = 16;
+  }
   deployment.writeDesiredState();
   const bool isReady = co_await deployment.start();
   if (!isReady) {
@@ -138,12 +206,13 @@
   }
   State state;
   net::spawn(deployment.io, restartEnded(deployment, state));
+  net::spawn(deployment.io, enforceMemoryLimit(deployment, state));
   for (int i = 0; i < kGateways * kClientsPerGateway; ++i) {
     net::spawn(deployment.io, callRepeatedly(deployment, state, i));
   }
   co_await net::sleepFor(kBetweenMessages);
   for (int i = 0; i < kGateways; ++i) {
-    co_await sendTrace(deployment, *deployment.gateways[i], i);
+    co_await message(deployment, *deployment.gateways[i], i);
     co_await net::sleepFor(kBetweenMessages);
   }
   state.isEnding = true;
@@ -167,4 +236,18 @@
   co_return losses > kAllowedLosses ? kBroken : kHeld;
 }
 
+} // namespace
+
+net::Awaitable<int>
+runMalformedRequest(Deployment& deployment)
+{
+  co_return co_await runWithMessages(deployment, sendTrace);
+}
+
+net::Awaitable<int>
+runLargeSubmission(Deployment& deployment)
+{
+  co_return co_await runWithMessages(deployment, submit);
+}
+
 } // namespace lentilrack::review
--- a/review/harness-2/main.cpp
+++ b/review/harness-2/main.cpp
@@ -17,9 +17,9 @@
 {
   const std::map<std::string, std::function<net::Awaitable<int>(Deployment&)>>
     cases{ { "malformed-request", runMalformedRequest },
-           { "former-owner", runFormerOwner },
+           { "large-submission", runLargeSubmission },
            { "unreadable-batch", runUnreadableBatch },
-           { "attempt-limit", runAttemptLimit } };
+           { "former-owner", runFormerOwner } };
   constexpr int kArguments = 3;
   const auto found = argc == kArguments ? cases.find(argv[1]) : cases.end();
   if (found == cases.end()) {
