Refuse responses whose status is not between 100 and 599

Seen by callers: a server in trouble sent a response with status 000, and the caller got it as a response. Cause: Beast accepts any three digits as a status, and HttpClient took every status that Beast accepts. 0 is also the value that stands for "no response". Change: net::ResponseParser reads the bytes of all responses (callers' requests, streams, items, reward calls, reports, orders, peers, store) and refuses a status that RFC 9110 calls invalid. The attempt ends with BadMessage: its outcome is unknown, and its connection is closed. Evidence: BrokenAnswersTest sends such responses to each reader. Unregistered codes up to 599 are still accepted.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,9 +2,9 @@
 
 #include "net/beast.h"
 #include "net/error.h"
+#include "net/response_parser.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <map>
 
@@ -30,6 +30,8 @@
 /// arrive. Otherwise, the server could close the connection while the request
 /// is on its way.
 constexpr core::Millis kKeepAliveMargin{ 500 };
+/// Maximum size, in bytes, of one read from a connection.
+constexpr std::size_t kMaxReadBytes = 16UL * 1024;
 
 /// Returns for how long a connection may be reused: the time-out in the header
 /// `Keep-Alive: timeout=N` (N in whole seconds) less kKeepAliveMargin, at most
@@ -227,10 +229,6 @@
       mResult.error = NetError::Cancelled;
     } else if (error == beast::error::timeout) {
       mResult.error = NetError::TimedOut;
-    } else if (error == http::error::body_limit ||
-               error == http::error::header_limit ||
-               error == http::error::buffer_overflow) {
-      mResult.error = NetError::BadMessage;
     } else if (error) {
       mResult.error = fallback;
     }
@@ -270,55 +268,47 @@
 
   Awaitable<void> receive()
   {
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(mCall.bodyLimit);
+    ResponseParser parser(
+      mCall.bodyLimit,
+      { [this](HttpResponse head) { return handleHead(std::move(head)); },
+        [this](std::string_view data) { handleData(data); } });
     beast::flat_buffer buffer(kMaxUnparsedBytes);
-    boost::system::error_code error;
     mStream->expires_at(mDeadline);
-    co_await http::async_read_header(
-      *mStream,
-      buffer,
-      parser,
-      asio::redirect_error(asio::use_awaitable, error));
-    if (!check(error, NetError::ConnectionLost)) {
-      co_return;
-    }
-    const bool isAccepted = handleHeader(parser.get());
-    if (!isAccepted) {
-      mResult.error = NetError::BadMessage;
-      co_return;
-    }
-    std::array<char, 16 * 1024> piece{};
-    while (!parser.is_done()) {
-      parser.get().body().data = piece.data();
-      parser.get().body().size = piece.size();
-      co_await http::async_read_some(
-        *mStream,
-        buffer,
-        parser,
+    while (!parser.isComplete()) {
+      const auto room = buffer.max_size() - buffer.size();
+      if (room == 0) {
+        mResult.error = NetError::BadMessage;
+        co_return;
+      }
+      boost::system::error_code error;
+      const auto size = co_await mStream->async_read_some(
+        buffer.prepare(std::min(kMaxReadBytes, room)),
         asio::redirect_error(asio::use_awaitable, error));
-      if (error == http::error::need_buffer) {
-        error = {};
+      const bool isEnd = error == asio::error::eof && !isCancelled();
+      if (!isEnd && !check(error, NetError::ConnectionLost)) {
+        co_return;
       }
-      if (!check(error, NetError::ConnectionLost)) {
+      buffer.commit(size);
+      if (isEnd) {
+        parser.parseEndOfConnection();
+      } else {
+        const auto received = buffer.cdata();
+        buffer.consume(parser.parse(
+          { static_cast<const char*>(received.data()), received.size() }));
+      }
+      if (parser.error()) {
+        mResult.error = parser.error();
         co_return;
       }
-      handleData({ piece.data(), piece.size() - parser.get().body().size });
     }
     // Data after the end of the response does not belong to any request, so the
     // connection cannot be reused.
-    mReusable = parser.keep_alive() && buffer.size() == 0;
+    mReusable = parser.isConnectionReusable() && buffer.size() == 0;
   }
 
-  bool handleHeader(const http::response<http::buffer_body>& message)
+  bool handleHead(HttpResponse head)
   {
-    mResult.response.status = static_cast<int>(message.result_int());
-    for (const auto& field : message) {
-      mResult.response.headers.emplace_back(std::string(field.name_string()),
-                                            std::string(field.value()));
-    }
-    mResult.response.contentType =
-      headerValue(mResult.response.headers, "Content-Type");
+    mResult.response = std::move(head);
     if (mCall.onStatus) {
       mCall.onStatus(mResult.response.status);
     }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,11 +13,6 @@
 
 namespace lentilrack::net {
 
-/// Maximum size, in bytes, of received data that has not been parsed yet. It
-/// bounds a head, the size line and extension of a chunk, and a trailer, which
-/// are parsed only when they are complete.
-inline constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
-
 /// Request and options of HttpClient::call().
 struct HttpCall
 {
--- /dev/null
+++ b/src/net/response_parser.cpp
@@ -0,0 +1,173 @@
+#include "net/response_parser.h"
+
+#include "net/beast.h"
+#include "net/error.h"
+
+namespace lentilrack::net {
+
+namespace {
+
+/// RFC 9110, section 15: a status code outside this range is invalid.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+/// Size, in bytes, of the rest of a chunked body after a chunk, if it is as
+/// short as possible: the last chunk and the end of the trailer.
+constexpr std::size_t kMinRestOfChunks = 5;
+
+std::string
+toString(beast::string_view text)
+{
+  return { text.data(), text.size() };
+}
+
+} // namespace
+
+/// Parses one message with Beast and applies the checks that Beast leaves to
+/// its users.
+class ResponseParser::Message final : public http::basic_parser<false>
+{
+public:
+  Message(std::size_t bodyLimit, Hooks& hooks)
+    : mHooks(hooks)
+  {
+    header_limit(kMaxUnparsedBytes);
+    body_limit(bodyLimit);
+  }
+
+  /// Returns true if the next bytes are the head of a chunk.
+  bool isBeforeChunk() const
+  {
+    return is_header_done() && chunked() && mChunkBytesLeft == 0;
+  }
+
+private:
+  using Error = boost::system::error_code;
+
+  void on_request_impl(http::verb,
+                       beast::string_view,
+                       beast::string_view,
+                       int,
+                       Error&) override
+  {
+  }
+
+  void on_response_impl(int code,
+                        beast::string_view,
+                        int,
+                        Error& error) override
+  {
+    if (code < kMinStatus || code > kMaxStatus) {
+      error = http::error::bad_status;
+    }
+    mHead.status = code;
+  }
+
+  void on_field_impl(http::field,
+                     beast::string_view name,
+                     beast::string_view value,
+                     Error&) override
+  {
+    // The fields of a trailer are not used.
+    if (!mHasHead) {
+      mHead.headers.emplace_back(toString(name), toString(value));
+    }
+  }
+
+  void on_header_impl(Error& error) override
+  {
+    mHasHead = true;
+    mHead.contentType = headerValue(mHead.headers, "Content-Type");
+    if (!mHooks.onHead(std::move(mHead))) {
+      error = http::error::bad_value;
+    }
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override
+  {
+  }
+
+  std::size_t on_body_impl(beast::string_view data, Error&) override
+  {
+    mHooks.onData({ data.data(), data.size() });
+    return data.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t size,
+                            beast::string_view,
+                            Error&) override
+  {
+    mChunkBytesLeft = size;
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 beast::string_view data,
+                                 Error&) override
+  {
+    mChunkBytesLeft -= data.size();
+    mHooks.onData({ data.data(), data.size() });
+    return data.size();
+  }
+
+  void on_finish_impl(Error&) override {}
+
+  Hooks& mHooks;
+  HttpResponse mHead{ 0, "", {}, "" };
+  bool mHasHead = false;
+  std::uint64_t mChunkBytesLeft = 0;
+};
+
+ResponseParser::ResponseParser(std::size_t bodyLimit, Hooks hooks)
+  : mHooks(std::move(hooks))
+  , mMessage(std::make_unique<Message>(bodyLimit, mHooks))
+{
+}
+
+ResponseParser::~ResponseParser() = default;
+
+std::size_t
+ResponseParser::parse(std::string_view bytes)
+{
+  std::size_t used = 0;
+  while (!mError && !isComplete() && used < bytes.size()) {
+    const auto rest = bytes.substr(used);
+    // Beast 1.74 asserts that it is given the whole end of the last chunk.
+    if (mMessage->isBeforeChunk() && rest.size() < kMinRestOfChunks) {
+      break;
+    }
+    boost::system::error_code error;
+    used += mMessage->put(asio::buffer(rest), error);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      mError = NetError::BadMessage;
+    }
+  }
+  return used;
+}
+
+void
+ResponseParser::parseEndOfConnection()
+{
+  boost::system::error_code error = http::error::partial_message;
+  if (!mError && mMessage->got_some()) {
+    mMessage->put_eof(error);
+  }
+  if (!mError && error) {
+    mError = NetError::ConnectionLost;
+  }
+}
+
+bool
+ResponseParser::isComplete() const
+{
+  return mMessage->is_done();
+}
+
+bool
+ResponseParser::isConnectionReusable() const
+{
+  return isComplete() && mMessage->keep_alive();
+}
+
+} // namespace lentilrack::net
