Tell a broken response from the close of an idle connection

Seen by callers: a request could reach more servers than its route allows. A server that answered on a connection in use again with bytes that are no response, or broke off within the status line, was not avoided. Cause: such an attempt ended with ConnectionLost and status 0, which was taken for a server that had closed an idle connection. These attempts do not count. Only a connection that ends without a byte counts as closed when idle. Evidence: BrokenResponseOnAUsedConnectionIsNotAnIdleClose does not compile before, as there was no such value; the case added to OnlyCloseBeforeAnyResponseIsIdle was classified as ClosedWhenIdle by reading the code. Both pass now.

--- a/src/gateway/attempt_outcome.cpp
+++ b/src/gateway/attempt_outcome.cpp
@@ -16,7 +16,8 @@
     return AttemptOutcome::RateLimited;
   }
   if (result.error) {
-    const bool isIdleClose = result.reusedConnection && response.status == 0 &&
+    const bool isIdleClose = result.reusedConnection &&
+                             !result.hasReceivedBytes &&
                              result.error == net::NetError::ConnectionLost;
     return !result.sent  ? AttemptOutcome::NotSent
            : isIdleClose ? AttemptOutcome::ClosedWhenIdle
--- a/src/gateway/attempt_outcome.h
+++ b/src/gateway/attempt_outcome.h
@@ -22,9 +22,9 @@
   /// The request was not sent, because the server states a request rate and
   /// there is no permit.
   RateLimited,
-  /// A kept-alive connection ended before any response. The server may have
-  /// closed the connection as idle while the request was on its way, which says
-  /// nothing about the health of the server.
+  /// A kept-alive connection ended before any byte of a response. The server
+  /// may have closed the connection as idle while the request was on its way,
+  /// which says nothing about the health of the server.
   ClosedWhenIdle,
   /// The request may have been executed, but the response is incomplete.
   Incomplete,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -284,6 +284,7 @@
       const auto size = co_await mStream->async_read_some(
         buffer.prepare(std::min(kMaxReadBytes, room)),
         asio::redirect_error(asio::use_awaitable, error));
+      mResult.hasReceivedBytes = mResult.hasReceivedBytes || size > 0;
       const bool isEnd = error == asio::error::eof && !isCancelled();
       if (!isEnd && !check(error, NetError::ConnectionLost)) {
         co_return;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -61,6 +61,8 @@
   /// True if the call reused an idle connection, which the server may have
   /// closed before the request arrived.
   bool reusedConnection = false;
+  /// True if any byte was received after the request.
+  bool hasReceivedBytes = false;
   /// Has status 0 if no response was received.
   HttpResponse response{ 0, "", {}, "" };
 
--- a/tests/gateway/attempt_outcome_test.cpp
+++ b/tests/gateway/attempt_outcome_test.cpp
@@ -23,6 +23,7 @@
     result.sent = sent;
     result.reusedConnection = reusedConnection;
     result.response.status = status;
+    result.hasReceivedBytes = status != 0;
     return result;
   }
 
@@ -76,6 +77,9 @@
   auto silent = lost(true, true, 0);
   silent.error = NetError::TimedOut;
   EXPECT_EQ(classifyResult(silent), AttemptOutcome::Incomplete);
+  auto broken = lost(true, true, 0);
+  broken.hasReceivedBytes = true;
+  EXPECT_EQ(classifyResult(broken), AttemptOutcome::Incomplete);
 }
 
 // Guards against avoiding a server because of an outcome that says nothing
--- a/tests/net/broken_exchange_test.cpp
+++ b/tests/net/broken_exchange_test.cpp
@@ -2,6 +2,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "support/cutting_server.h"
+#include "support/raw_server.h"
 
 #include <gtest/gtest.h>
 
@@ -153,6 +154,36 @@
   EXPECT_TRUE(callCuttingServer(response).isSuccess());
 }
 
+// Guards against taking a broken response on a connection that is used again
+// for the close of an idle connection: the request would be sent again without
+// counting the attempt, and the server would still be taken for healthy.
+TEST(BrokenExchangeTest, BrokenResponseOnAUsedConnectionIsNotAnIdleClose)
+{
+  asio::io_context io;
+  const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  testing::RawServer server(io, sound);
+  HttpClient client(io);
+  HttpResult broken;
+  HttpResult cut;
+  const auto run = [&]() -> Awaitable<void> {
+    co_await client.call(callTo(server.endpoint()));
+    server.sendNext("no HTTP\r\n\r\n");
+    broken = co_await client.call(callTo(server.endpoint()));
+    server.sendNext(sound);
+    co_await client.call(callTo(server.endpoint()));
+    server.closeAfterNext("HTTP/1.1 2");
+    cut = co_await client.call(callTo(server.endpoint()));
+    io.stop();
+  };
+  spawn(io, run());
+  io.run();
+  EXPECT_TRUE(broken.reusedConnection);
+  EXPECT_EQ(broken.error, NetError::BadMessage);
+  EXPECT_TRUE(cut.reusedConnection);
+  EXPECT_EQ(cut.error, NetError::ConnectionLost);
+  EXPECT_TRUE(cut.hasReceivedBytes);
+}
+
 // Guards against taking chunks without the last one for a complete body.
 TEST(BrokenExchangeTest, ChunksThatAreCutAreNotComplete)
 {
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -29,6 +29,14 @@
   {
     return { "127.0.0.1", mAcceptor.local_endpoint().port() };
   }
+  /// Sends other bytes for the next requests.
+  void sendNext(std::string bytes) { mBytes = std::move(bytes); }
+  /// Sends other bytes for the next requests, and then closes the connection.
+  void closeAfterNext(std::string bytes)
+  {
+    mBytes = std::move(bytes);
+    mIsClosing = true;
+  }
   int requests() const { return mRequests; }
   /// Number of connections that the client has not closed.
   int openConnections() const { return mOpenConnections; }
@@ -64,6 +72,9 @@
           net::asio::buffer(mBytes),
           net::asio::redirect_error(net::asio::use_awaitable, error));
       }
+      if (mIsClosing) {
+        break;
+      }
     }
     --mOpenConnections;
   }
@@ -71,6 +82,7 @@
   net::asio::io_context& mIo;
   net::asio::ip::tcp::acceptor mAcceptor;
   std::string mBytes;
+  bool mIsClosing = false;
   int mRequests = 0;
   int mOpenConnections = 0;
 };
