Refuse lines of a head that begin with a blank

Seen by callers: a response in whose head the name of a field began with a blank was passed on, with that line joined to the field before it. If the line was " Content-Length: 4", the body was not the server's. Cause: Beast joins such a line to the field before it as a folded line. RFC 9112, section 5.2, lets a gateway refuse it, and forbids servers to send it. Change: the parser refuses a line of a head or of a trailer that begins with a blank. Valid but unusual names, empty values, bytes above 0x7F and bodies that begin with a blank are accepted.

--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -14,6 +14,23 @@
 /// short as possible: the last chunk and the end of the trailer.
 constexpr std::size_t kMinRestOfChunks = 5;
 
+/// Returns true if a line begins with a blank. It would be joined to the field
+/// before it (RFC 9112, section 5.2), although a sender must not fold lines:
+/// the blank may as well belong to the name of a field.
+bool
+hasFoldedLine(std::string_view lines)
+{
+  return lines.find("\n ") != lines.npos || lines.find("\n\t") != lines.npos;
+}
+
+/// Returns the lines at the start of these bytes that belong to a head.
+std::string_view
+headLines(std::string_view bytes)
+{
+  return bytes.starts_with("\r\n") ? std::string_view()
+                                   : bytes.substr(0, bytes.find("\r\n\r\n"));
+}
+
 std::string
 toString(beast::string_view text)
 {
@@ -134,8 +151,17 @@
     if (mMessage->isBeforeChunk() && rest.size() < kMinRestOfChunks) {
       break;
     }
+    if (!mMessage->is_header_done() && hasFoldedLine(headLines(rest))) {
+      mError = NetError::BadMessage;
+      break;
+    }
     boost::system::error_code error;
-    used += mMessage->put(asio::buffer(rest), error);
+    const auto parsed = mMessage->put(asio::buffer(rest), error);
+    used += parsed;
+    const bool isTrailer = isComplete() && mMessage->chunked();
+    if (isTrailer && hasFoldedLine(rest.substr(0, parsed))) {
+      mError = NetError::BadMessage;
+    }
     if (error == http::error::need_more) {
       break;
     }
--- a/tests/gateway/broken_answers_test.cpp
+++ b/tests/gateway/broken_answers_test.cpp
@@ -31,6 +31,8 @@
          headers + "Content-Length: 4\r\n\r\ndone";
 }
 
+constexpr const char* kOk = "HTTP/1.1 200 OK";
+
 int
 countOf(std::string_view text, std::string_view part)
 {
@@ -48,7 +50,13 @@
   return { { "Status000", answerWith("HTTP/1.1 000 OK") },
            { "Status099", answerWith("HTTP/1.1 099 OK") },
            { "Status600", answerWith("HTTP/1.1 600 OK") },
-           { "Status999", answerWith("HTTP/1.1 999 OK") } };
+           { "Status999", answerWith("HTTP/1.1 999 OK") },
+           { "BlankInFieldName", answerWith(kOk, "Bad Name: value\r\n") },
+           { "BlankBeforeColon", answerWith(kOk, "Name : value\r\n") },
+           { "FieldNameAfterABlank", answerWith(kOk, " Name: value\r\n") },
+           { "FieldNameAfterATab", answerWith(kOk, "\tName: value\r\n") },
+           { "ControlByteInFieldName",
+             answerWith(kOk, "Na\x01me: value\r\n") } };
 }
 
 /// Each reader of responses with a server that sends bytes that are none.
--- a/tests/net/response_parser_test.cpp
+++ b/tests/net/response_parser_test.cpp
@@ -108,4 +108,50 @@
   }
 }
 
+// Guards against a line that is passed on, or that changes where the body ends,
+// although the name of its field holds a blank or a control byte. A line that
+// begins with a blank was joined to the field before it.
+TEST(ResponseParserTest, FieldNameWithABlankOrAControlByteIsRefused)
+{
+  for (const std::string line : { "Bad Name: value",
+                                  "Name : value",
+                                  "Name\t: value",
+                                  " Name: value",
+                                  "\tName: value",
+                                  " Content-Length: 4",
+                                  " ",
+                                  "Na\x01me: value",
+                                  "Na\x7Fme: value",
+                                  "\x1B: value",
+                                  ": value",
+                                  "Name" }) {
+    const std::string length = "Content-Length: 4\r\n";
+    expectRefused("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length + "\r\ndone");
+    expectRefused("HTTP/1.1 200 OK\r\n" + length + line + "\r\n\r\ndone");
+    expectRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "4\r\ndone\r\n0\r\nX-Trailer: 1\r\n" +
+                  line + "\r\n\r\n");
+  }
+  using namespace std::string_literals;
+  expectRefused("HTTP/1.1 200 OK\r\nNa\0me: value\r\n\r\ndone"s);
+  expectRefused("HTTP/1.1 200 OK\r\nName: va\0lue\r\n\r\ndone"s);
+  expectRefused("HTTP/1.1 200 OK\r\nName: va\rlue\r\n\r\ndone");
+  expectRefused("HTTP/1.1 200 O\x01K\r\nName: value\r\n\r\ndone");
+}
+
+// Guards against refusing fields that are unusual but valid, and bodies that
+// begin with a blank.
+TEST(ResponseParserTest, UnusualFieldsAreAccepted)
+{
+  expectBody("HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0:\t value \t\r\nEmpty:\r\n"
+             "Bytes: \xC3\xA9\r\nname: 1\r\nName: 2\r\n"
+             "Content-Length: 5\r\n\r\n done",
+             " done");
+  expectBody("HTTP/1.0 200 OK\r\n\r\n\tdone\r\n \r\n\r\n",
+             "\tdone\r\n \r\n\r\n");
+  expectBody("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "3\r\n\n \n\r\n0\r\nX-Trailer: 1\r\n\r\n",
+             "\n \n");
+}
+
 } // namespace lentilrack::net
