Refuse bodies whose framing is invalid, and skip interim responses

Seen by callers: a response with an interim status (100, 102, 103) was passed on in place of the response that follows it, and one with 101 as a response. With a transfer coding other than "chunked", the body was passed on encoded, or cut at a Content-Length that does not apply. A response to HEAD was waited for until the time-out. Cause: Beast leaves these rules to its users: it reads 1xx as a response without a body, ignores transfer codings that it does not know, and has to be told that a response answers HEAD. Change: the parser skips interim responses within the limit of a head, refuses 101 and any transfer coding but "chunked" (also with HTTP/1.0), and reads no body after HEAD. After 204 with the announcement of a body the connection is not used again. Evidence: the tests of response_parser_test.cpp for framing, interim responses and HEAD; valid but unusual framing (repeated equal lengths, chunk extensions, bodies that end with the connection, 304 with a length) is accepted, whatever the split into packets.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -257,6 +257,7 @@
     if (isCancelled()) {
       co_return check({}, NetError::Cancelled);
     }
+    mMethod = mCall.request.method;
     auto message = toBeast(std::move(mCall.request), mCall.endpoint);
     boost::system::error_code error;
     mStream->expires_at(mDeadline);
@@ -269,6 +270,7 @@
   Awaitable<void> receive()
   {
     ResponseParser parser(
+      mMethod,
       mCall.bodyLimit,
       { [this](HttpResponse head) { return handleHead(std::move(head)); },
         [this](std::string_view data) { handleData(data); } });
@@ -332,6 +334,7 @@
   HttpCall& mCall;
   std::shared_ptr<beast::tcp_stream> mStream;
   core::TimePoint mDeadline;
+  std::string mMethod;
   int mCancelCallback = 0;
   bool mReusable = false;
   HttpResult mResult;
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -3,8 +3,10 @@
 /// HTTP status codes used in several parts of the system.
 namespace lentilrack::net::status {
 
+inline constexpr int kSwitchingProtocols = 101;
 inline constexpr int kOk = 200;
 inline constexpr int kAccepted = 202;
+inline constexpr int kNoContent = 204;
 inline constexpr int kBadRequest = 400;
 inline constexpr int kUnauthorized = 401;
 inline constexpr int kForbidden = 403;
--- a/src/net/http_types.cpp
+++ b/src/net/http_types.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-bool
-equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-  return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) {
-    return std::tolower(x) == std::tolower(y);
-  });
-}
-
 std::string
 percentDecoded(std::string_view text)
 {
@@ -36,6 +28,14 @@
 
 } // namespace
 
+bool
+equalsIgnoringCase(std::string_view a, std::string_view b)
+{
+  return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) {
+    return std::tolower(x) == std::tolower(y);
+  });
+}
+
 std::string
 headerValue(const Headers& headers, std::string_view name)
 {
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -12,6 +12,9 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+bool
+equalsIgnoringCase(std::string_view a, std::string_view b);
+
 /// Returns the value of a header, whose name is compared without regard to
 /// case; empty if the header is absent.
 std::string
--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "net/beast.h"
 #include "net/error.h"
+#include "net/http_status.h"
 
 namespace lentilrack::net {
 
@@ -14,6 +15,18 @@
 /// short as possible: the last chunk and the end of the trailer.
 constexpr std::size_t kMinRestOfChunks = 5;
 
+/// Returns true if the transfer codings, if any, are just "chunked". Other
+/// codings may be sent only to clients that ask for them, and HTTP/1.0 has none
+/// (RFC 9112, sections 6.1 and 7). Beast ignores those that it does not know.
+bool
+hasValidTransferCoding(const Headers& headers, int version)
+{
+  constexpr int kHttp11 = 11;
+  const auto codings = headerValues(headers, "Transfer-Encoding");
+  return codings.empty() || (codings.size() == 1 && version >= kHttp11 &&
+                             equalsIgnoringCase(codings.front(), "chunked"));
+}
+
 /// Returns true if a line begins with a blank. It would be joined to the field
 /// before it (RFC 9112, section 5.2), although a sender must not fold lines:
 /// the blank may as well belong to the name of a field.
@@ -44,9 +57,10 @@
 class ResponseParser::Message final : public http::basic_parser<false>
 {
 public:
-  Message(std::size_t bodyLimit, Hooks& hooks)
+  Message(bool isResponseToHead, std::size_t bodyLimit, Hooks& hooks)
     : mHooks(hooks)
   {
+    skip(isResponseToHead);
     header_limit(kMaxUnparsedBytes);
     body_limit(bodyLimit);
   }
@@ -57,6 +71,17 @@
     return is_header_done() && chunked() && mChunkBytesLeft == 0;
   }
 
+  bool isInterim() const { return mStatus / 100 == 1; }
+  /// Returns true if the server may keep the connection open, and nothing that
+  /// belongs to this response can follow on it.
+  bool isConnectionReusable() const
+  {
+    // A response with this status has no body, whatever its head says.
+    const bool announcesBody = mStatus == status::kNoContent &&
+                               (chunked() || content_length().value_or(0) > 0);
+    return keep_alive() && !announcesBody;
+  }
+
 private:
   using Error = boost::system::error_code;
 
@@ -70,12 +95,17 @@
 
   void on_response_impl(int code,
                         beast::string_view,
-                        int,
+                        int version,
                         Error& error) override
   {
-    if (code < kMinStatus || code > kMaxStatus) {
+    // No request asks for another protocol.
+    const bool isValid = code >= kMinStatus && code <= kMaxStatus &&
+                         code != status::kSwitchingProtocols;
+    if (!isValid) {
       error = http::error::bad_status;
     }
+    mStatus = code;
+    mVersion = version;
     mHead.status = code;
   }
 
@@ -93,6 +123,13 @@
   void on_header_impl(Error& error) override
   {
     mHasHead = true;
+    if (!hasValidTransferCoding(mHead.headers, mVersion)) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
+    if (isInterim()) {
+      return;
+    }
     mHead.contentType = headerValue(mHead.headers, "Content-Type");
     if (!mHooks.onHead(std::move(mHead))) {
       error = http::error::bad_value;
@@ -129,13 +166,20 @@
 
   Hooks& mHooks;
   HttpResponse mHead{ 0, "", {}, "" };
+  int mStatus = 0;
+  int mVersion = 0;
   bool mHasHead = false;
   std::uint64_t mChunkBytesLeft = 0;
 };
 
-ResponseParser::ResponseParser(std::size_t bodyLimit, Hooks hooks)
+ResponseParser::ResponseParser(std::string_view method,
+                               std::size_t bodyLimit,
+                               Hooks hooks)
   : mHooks(std::move(hooks))
-  , mMessage(std::make_unique<Message>(bodyLimit, mHooks))
+  , mMakeMessage([this, bodyLimit, isHead = method == "HEAD"] {
+    return std::make_unique<Message>(isHead, bodyLimit, mHooks);
+  })
+  , mMessage(mMakeMessage())
 {
 }
 
@@ -155,9 +199,11 @@
       mError = NetError::BadMessage;
       break;
     }
+    const bool isHead = !mMessage->is_header_done();
     boost::system::error_code error;
     const auto parsed = mMessage->put(asio::buffer(rest), error);
     used += parsed;
+    mHeadBytes += isHead ? parsed : 0;
     const bool isTrailer = isComplete() && mMessage->chunked();
     if (isTrailer && hasFoldedLine(rest.substr(0, parsed))) {
       mError = NetError::BadMessage;
@@ -165,8 +211,10 @@
     if (error == http::error::need_more) {
       break;
     }
-    if (error) {
+    if (error || mHeadBytes > kMaxUnparsedBytes) {
       mError = NetError::BadMessage;
+    } else if (mMessage->is_done() && mMessage->isInterim()) {
+      mMessage = mMakeMessage();
     }
   }
   return used;
@@ -187,13 +235,13 @@
 bool
 ResponseParser::isComplete() const
 {
-  return mMessage->is_done();
+  return mMessage->is_done() && !mMessage->isInterim();
 }
 
 bool
 ResponseParser::isConnectionReusable() const
 {
-  return isComplete() && mMessage->keep_alive();
+  return isComplete() && mMessage->isConnectionReusable();
 }
 
 } // namespace lentilrack::net
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -17,7 +17,8 @@
 
 /// Reads one response and refuses what is no response by RFC 9110 and RFC 9112.
 /// Every response that a process reads passes through it, so this is the only
-/// place that decides what a valid response is. It does no I/O.
+/// place that decides what a valid response is. Skips interim responses (1xx).
+/// It does no I/O.
 class ResponseParser
 {
 public:
@@ -30,8 +31,9 @@
     std::function<void(std::string_view data)> onData;
   };
 
-  /// `bodyLimit` is the maximum size of the body in bytes.
-  ResponseParser(std::size_t bodyLimit, Hooks hooks);
+  /// `method` is that of the request. `bodyLimit` is the maximum size of the
+  /// body in bytes.
+  ResponseParser(std::string_view method, std::size_t bodyLimit, Hooks hooks);
   ~ResponseParser();
   ResponseParser(const ResponseParser&) = delete;
   ResponseParser& operator=(const ResponseParser&) = delete;
@@ -55,7 +57,10 @@
   class Message;
 
   Hooks mHooks;
+  std::function<std::unique_ptr<Message>()> mMakeMessage;
   std::unique_ptr<Message> mMessage;
+  /// Size of the heads parsed so far, including those of interim responses.
+  std::size_t mHeadBytes = 0;
   std::error_code mError;
 };
 
--- a/tests/gateway/broken_answers_test.cpp
+++ b/tests/gateway/broken_answers_test.cpp
@@ -47,16 +47,20 @@
 std::vector<BrokenAnswer>
 brokenAnswers()
 {
-  return { { "Status000", answerWith("HTTP/1.1 000 OK") },
-           { "Status099", answerWith("HTTP/1.1 099 OK") },
-           { "Status600", answerWith("HTTP/1.1 600 OK") },
-           { "Status999", answerWith("HTTP/1.1 999 OK") },
-           { "BlankInFieldName", answerWith(kOk, "Bad Name: value\r\n") },
-           { "BlankBeforeColon", answerWith(kOk, "Name : value\r\n") },
-           { "FieldNameAfterABlank", answerWith(kOk, " Name: value\r\n") },
-           { "FieldNameAfterATab", answerWith(kOk, "\tName: value\r\n") },
-           { "ControlByteInFieldName",
-             answerWith(kOk, "Na\x01me: value\r\n") } };
+  return {
+    { "Status000", answerWith("HTTP/1.1 000 OK") },
+    { "Status099", answerWith("HTTP/1.1 099 OK") },
+    { "Status600", answerWith("HTTP/1.1 600 OK") },
+    { "Status999", answerWith("HTTP/1.1 999 OK") },
+    { "SwitchingProtocols", answerWith("HTTP/1.1 101 Switching") },
+    { "UnknownTransferCoding", answerWith(kOk, "Transfer-Encoding: gzip\r\n") },
+    { "TwoLengths", answerWith(kOk, "Content-Length: 5\r\n") },
+    { "BlankInFieldName", answerWith(kOk, "Bad Name: value\r\n") },
+    { "BlankBeforeColon", answerWith(kOk, "Name : value\r\n") },
+    { "FieldNameAfterABlank", answerWith(kOk, " Name: value\r\n") },
+    { "FieldNameAfterATab", answerWith(kOk, "\tName: value\r\n") },
+    { "ControlByteInFieldName", answerWith(kOk, "Na\x01me: value\r\n") }
+  };
 }
 
 /// Each reader of responses with a server that sends bytes that are none.
--- a/tests/net/response_parser_test.cpp
+++ b/tests/net/response_parser_test.cpp
@@ -29,10 +29,13 @@
 
 /// Parses the bytes in pieces of this size.
 ParsedResponse
-parseInPieces(const std::string& bytes, std::size_t pieceSize)
+parseInPieces(const std::string& bytes,
+              std::size_t pieceSize,
+              const std::string& method = "GET")
 {
   ParsedResponse parsed;
   ResponseParser parser(
+    method,
     kBodyLimit,
     { [&](HttpResponse head) {
        parsed.response = std::move(head);
@@ -154,4 +157,110 @@
              "\n \n");
 }
 
+// Guards against a body that is not the server's: these heads do not say where
+// it ends, or with which coding it was sent.
+TEST(ResponseParserTest, InvalidFramingIsRefused)
+{
+  const std::string chunks = "\r\n4\r\ndone\r\n0\r\n\r\n";
+  for (const std::string headers :
+       { "Transfer-Encoding: gzip\r\n",
+         "Transfer-Encoding: gzip, chunked\r\n",
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: chunked, gzip\r\n",
+         "Transfer-Encoding: chunked, chunked\r\n",
+         "Transfer-Encoding: xchunked\r\n",
+         "Transfer-Encoding:\r\n",
+         "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+         "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+         "Content-Length: 4\r\nContent-Length: 5\r\n",
+         "Content-Length: 4, 5\r\n",
+         "Content-Length: +4\r\n",
+         "Content-Length: -4\r\n",
+         "Content-Length: 0x4\r\n",
+         "Content-Length:\r\n",
+         "Content-Length: 99999999999999999999\r\n" }) {
+    expectRefused("HTTP/1.1 200 OK\r\n" + headers + chunks);
+  }
+  expectRefused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks);
+  for (const std::string chunk : { "x\r\n",
+                                   "-4\r\ndone",
+                                   "+4\r\ndone",
+                                   "4 done\r\n",
+                                   "4\r\ndone!\r\n" }) {
+    expectRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                  chunk + "0\r\n\r\n");
+  }
+}
+
+// Guards against refusing valid ways to mark the end of a body.
+TEST(ResponseParserTest, UnusualFramingIsAccepted)
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  expectBody(ok + "\r\ndone", "done");
+  expectBody(ok + "Content-Length: 4, 4\r\n\r\ndone", "done");
+  expectBody(ok + "Content-Length: 4\r\nContent-Length: 004\r\n\r\ndone",
+             "done");
+  expectBody(ok + "transfer-encoding: Chunked\r\n\r\n0\r\n\r\n", "");
+  expectBody(ok + "Transfer-Encoding: chunked\r\n\r\n"
+                  "004 ;name;other=\"quoted; text\"\r\ndone\r\n000\r\n\r\n",
+             "done");
+  expectBody("HTTP/1.0 200 OK\r\n\r\ndone", "done");
+}
+
+// Guards against taking the body that follows a response without one for the
+// next response.
+TEST(ResponseParserTest, ConnectionIsNotReusedAfterAResponseThatAnnouncesABody)
+{
+  for (const std::string status : { "204", "304" }) {
+    const auto head = "HTTP/1.1 " + status + " Status\r\n";
+    for (const std::string headers :
+         { "", "Content-Length: 0\r\n", "Content-Length: 4\r\n" }) {
+      const auto parsed = parse(head + headers + "\r\n");
+      EXPECT_TRUE(parsed.isComplete);
+      EXPECT_EQ(parsed.response.body, "");
+      const bool isReusable =
+        status == "304" || headers.find('4') == headers.npos;
+      EXPECT_EQ(parsed.isConnectionReusable, isReusable) << head << headers;
+    }
+  }
+}
+
+// Guards against passing on an interim response in place of the response, and
+// against refusing a server that sends one unasked.
+TEST(ResponseParserTest, InterimResponsesAreSkipped)
+{
+  const std::string response =
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+  expectBody("HTTP/1.1 100 Continue\r\n\r\n" + response, "done");
+  expectBody("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+             "HTTP/1.1 102 Processing\r\n\r\n" +
+               response,
+             "done");
+  EXPECT_EQ(parse("HTTP/1.1 100 Continue\r\n\r\n").error,
+            NetError::ConnectionLost);
+  expectRefused("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" +
+                response);
+}
+
+// Guards against interim responses without end.
+TEST(ResponseParserTest, InterimResponsesAreBounded)
+{
+  std::string bytes;
+  while (bytes.size() <= kMaxUnparsedBytes) {
+    bytes += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  EXPECT_EQ(parseInPieces(bytes, bytes.size()).error, NetError::BadMessage);
+  EXPECT_EQ(parseInPieces(bytes, 100).error, NetError::BadMessage);
+}
+
+// Guards against waiting for a body that does not follow a response to HEAD.
+TEST(ResponseParserTest, ResponseToHeadHasNoBody)
+{
+  const auto parsed =
+    parseInPieces("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", 10, "HEAD");
+  EXPECT_TRUE(parsed.isComplete);
+  EXPECT_TRUE(parsed.isConnectionReusable);
+}
+
 } // namespace lentilrack::net
