Do not take a broken refusal of the store for a proof

Seen by callers: a write to the store whose refusal (503) was broken off or was no valid response was sent again, or reported as not executed, although the bytes prove nothing about it. Cause: KvTransport looked at the status of the response before its error. Change: the status counts only if the response is complete. Evidence: RefusalOfTheStoreThatIsBrokenProvesNothing got Unavailable (not executed) before and OutcomeUnknown now.

--- a/src/backends/kv_transport.cpp
+++ b/src/backends/kv_transport.cpp
@@ -145,7 +145,8 @@
     if (mFirstEndpoint == index) {
       mFirstEndpoint = (index + 1) % count;
     }
-    const bool isRefused = request.notExecutedOn503 &&
+    // The status of a response that is broken off proves nothing.
+    const bool isRefused = request.notExecutedOn503 && !result.error &&
                            result.response.status == net::status::kUnavailable;
     if (result.sent && !request.repeatable && !isRefused) {
       sweep.error = BackendError::OutcomeUnknown;
--- a/tests/gateway/broken_answers_test.cpp
+++ b/tests/gateway/broken_answers_test.cpp
@@ -259,6 +259,25 @@
   EXPECT_EQ(mBroken.requests(), 1);
 }
 
+// Guards against taking the status of a response that is broken for a proof
+// that a write was not executed, and sending the write again.
+TEST_F(GatewayTest, RefusalOfTheStoreThatIsBrokenProvesNothing)
+{
+  testing::RawServer broken(mIo,
+                            "HTTP/1.1 503 Busy\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\nno chunk\r\n");
+  backends::KvClientOptions options;
+  options.endpoints = { broken.endpoint() };
+  options.callsPerSecond = 1'000;
+  platform::StoreClient store(mIo, options);
+  run([&]() -> net::Awaitable<void> {
+    StoreTransaction transaction;
+    transaction.writes = { { "key", "value", 0 } };
+    const auto commit = co_await store.commit(std::move(transaction));
+    EXPECT_EQ(commit.error, StoreError::OutcomeUnknown);
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(AllBytes,
                          BrokenAnswersTest,
                          ::testing::ValuesIn(brokenAnswers()),
