Limit what all responses of a process hold together

Seen by callers: servers that send bytes without end make a process hold up to 16 MB for each request and 1 MB for each stream or item, until it is over its memory limit and ends with all its requests. A stream whose caller reads slowly kept all events that its server had sent. Cause: the limits of size hold for one response only; a read whose data is always ready had no time-out. Change: net::ReadMemory counts what each response holds (unparsed bytes, body, queued events, text of an item) until it is passed on, for all clients of a process, with a quarter of its memory as the limit. Over it, the unfinished response that holds the most is given up: its outcome is unknown. A stream is not read while 64 kB wait for its caller. The deadline of a call ends reads that do not wait; a head has 1,000 fields at most. The peak is in the metrics.

--- a/src/backends/kv_client.h
+++ b/src/backends/kv_client.h
@@ -49,6 +49,9 @@
   core::Millis maxBackoff{ 5000 };
   /// Seed of the jitter; 0 for a random seed.
   std::uint64_t seed = 0;
+  /// Limits what the responses hold, together with others of the process; see
+  /// net::HttpClient.
+  std::shared_ptr<net::ReadMemory> readMemory;
 };
 
 /// Client of the platform's key-value service. Tries the next endpoint when an
--- a/src/backends/kv_transport.cpp
+++ b/src/backends/kv_transport.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 KvTransport::KvTransport(net::asio::io_context& io, KvClientOptions options)
-  : mHttp(io)
+  : mHttp(io, options.readMemory)
   , mOptions(std::move(options))
   , mRateLimiter(mOptions.callsPerSecond)
   , mBackoff({ mOptions.initialBackoff, mOptions.maxBackoff, mOptions.timeout },
--- a/src/core/event_stream.h
+++ b/src/core/event_stream.h
@@ -40,6 +40,7 @@
   StreamEvent parseBlock(std::string_view block) const;
   /// Whether there are bytes of an incomplete event.
   bool hasPartialEvent() const { return !mPartialEvent.empty(); }
+  std::size_t partialBytes() const { return mPartialEvent.size(); }
   /// Whether the incomplete event is larger than an event may be. The stream
   /// must then be given up.
   bool isOverlong() const { return mPartialEvent.size() > kMaxEventBytes; }
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -238,6 +238,10 @@
     }
     return run->isAccepted;
   };
+  call.heldBytes = [this, item, run] {
+    return mItemStates[item].text.text().size() +
+           run->eventParser.partialBytes();
+  };
   call.onData = [this, item, run](std::string_view bytes) {
     if (run->isAccepted) {
       processEvents(item, *run, bytes);
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -1,19 +1,23 @@
 #include "gateway/context.h"
 
+#include "gateway/read_limits.h"
+
 namespace lentilrack::gateway {
 
 Context::Context(net::asio::io_context& context,
                  ProcessSettings processSettings,
                  const WireFormat& wireFormat,
                  CoordinationStore& coordinationStore,
-                 DecisionLog& decisionLog)
+                 DecisionLog& decisionLog,
+                 std::shared_ptr<net::ReadMemory> memory)
   : io(context)
   , settings(std::move(processSettings))
   , format(wireFormat)
   , store(coordinationStore)
   , log(decisionLog)
   , hedging(settings.hedgeLimitPercent, metrics, log)
-  , http(context)
+  , readMemory(memory ? std::move(memory) : makeReadMemory(settings))
+  , http(context, readMemory)
   , servers(*this)
   , incarnation(std::to_string(random()))
 {
@@ -22,6 +26,13 @@
   });
 }
 
+std::shared_ptr<net::ReadMemory>
+Context::makeReadMemory(const ProcessSettings& settings)
+{
+  return std::make_shared<net::ReadMemory>(settings.memoryLimitBytes /
+                                           kReadMemoryDivisor);
+}
+
 void
 Context::recordRun(const std::string& organisation,
                    core::TimePoint beganAt) const
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -44,6 +44,8 @@
   DecisionLog& log;
   net::Metrics metrics;
   Hedging hedging;
+  /// Limits what all responses that the process reads hold together.
+  std::shared_ptr<net::ReadMemory> readMemory;
   net::HttpClient http;
   core::ServerRegistry registry;
   ServerClient servers;
@@ -77,7 +79,11 @@
           ProcessSettings processSettings,
           const WireFormat& wireFormat,
           CoordinationStore& coordinationStore,
-          DecisionLog& decisionLog);
+          DecisionLog& decisionLog,
+          std::shared_ptr<net::ReadMemory> memory = nullptr);
+  /// Returns the limit of a process with these settings.
+  static std::shared_ptr<net::ReadMemory> makeReadMemory(
+    const ProcessSettings& settings);
 
   /// Records that a request of an organisation's caller has run at a backend
   /// server.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,6 +73,16 @@
   mContext.metrics.addGauge("log_lines_suppressed", [this] {
     return static_cast<double>(mContext.log.droppedLines());
   });
+  const auto& memory = mContext.readMemory;
+  mContext.metrics.addGauge("read_memory_bytes", [memory] {
+    return static_cast<double>(memory->used());
+  });
+  mContext.metrics.addGauge("read_memory_peak_bytes", [memory] {
+    return static_cast<double>(memory->peak());
+  });
+  mContext.metrics.addGauge("responses_given_up_for_memory", [memory] {
+    return static_cast<double>(memory->givenUp());
+  });
   mContext.metrics.addGauge("desired_state_version", [this] {
     return mContext.desired ? static_cast<double>(mContext.desired->version())
                             : 0.0;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -222,8 +222,9 @@
                                               settings->storeWritesPerSecond);
   options.initialBackoff = kMinStoreBackoff;
   options.maxBackoff = kMaxStoreBackoff;
+  options.readMemory = Context::makeReadMemory(*settings);
   platform::StoreClient store(io, options);
-  Context context(io, *settings, format, store, log);
+  Context context(io, *settings, format, store, log, options.readMemory);
   Gateway gateway(context);
   if (!gateway.start()) {
     return EXIT_FAILURE;
--- a/src/gateway/read_limits.h
+++ b/src/gateway/read_limits.h
@@ -8,6 +8,9 @@
 /// peers. Without them, a server in trouble that sends bytes without end would
 /// take the process over its memory limit.
 
+/// All responses that the process reads may hold together its memory limit
+/// divided by this.
+inline constexpr std::size_t kReadMemoryDivisor = 4;
 /// The body of a response that is forwarded as a whole. The whole body is held
 /// in memory until it is complete.
 inline constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
--- a/src/gateway/service_call_run.cpp
+++ b/src/gateway/service_call_run.cpp
@@ -83,7 +83,8 @@
     reportRun(mStartedAt);
   }
   mOutcome.attempts = mAttempts;
-  co_return mOutcome;
+  // The body may be large and must not be copied.
+  co_return std::move(mOutcome);
 }
 
 net::Awaitable<void>
--- a/src/gateway/stream_forward.cpp
+++ b/src/gateway/stream_forward.cpp
@@ -24,6 +24,9 @@
 constexpr Millis kRefusalRetryDelay{ 15 };
 constexpr Millis kRetryAfter{ 200 };
 constexpr int kMaxRefusals = 12;
+/// Size, in bytes, of the events waiting for the caller at which nothing more
+/// is read from the server.
+constexpr std::size_t kMaxQueuedBytes = 64UL * 1024;
 
 } // namespace
 
@@ -172,8 +175,8 @@
   }
   mTriedServers.insert(server->entry.id);
   ++mAttempts;
-  auto attempt =
-    std::make_shared<Attempt>(mContext.format.headers().weightVersionField);
+  auto attempt = std::make_shared<Attempt>(
+    mContext.io, mContext.format.headers().weightVersionField);
   attempt->server = server->entry;
   attempt->startedAt = now;
   attempt->lastActivity = now;
@@ -210,6 +213,11 @@
     attempt->head = response;
     return true;
   };
+  call.heldBytes = [attempt] {
+    return attempt->head.body.size() + attempt->queuedBytes +
+           attempt->eventParser.partialBytes();
+  };
+  call.waitForReceiver = [this, attempt] { return waitForCaller(attempt); };
   call.onData = [this, attempt](std::string_view bytes) {
     if (!attempt->isStream) {
       attempt->lastActivity = Clock::now();
@@ -225,6 +233,9 @@
     if (!blocks.empty()) {
       attempt->lastActivity = Clock::now();
     }
+    for (const auto& block : blocks) {
+      attempt->queuedBytes += block.size();
+    }
     std::ranges::move(blocks, std::back_inserter(attempt->events));
     if (attempt->eventParser.isOverlong()) {
       attempt->cancel->cancel();
@@ -238,6 +249,20 @@
   mChanged.notify();
 }
 
+net::Awaitable<void>
+StreamForward::waitForCaller(std::shared_ptr<Attempt> attempt) const
+{
+  while (attempt->queuedBytes > kMaxQueuedBytes && timeLeft() > Millis(0) &&
+         !attempt->cancel->isCancelRequested()) {
+    attempt->isPaused = true;
+    co_await attempt->eventsTaken.wait(
+      std::min(kSilenceCheckInterval, timeLeft()));
+  }
+  if (std::exchange(attempt->isPaused, false)) {
+    attempt->lastActivity = Clock::now();
+  }
+}
+
 net::Awaitable<void>
 StreamForward::relayEvents(std::shared_ptr<Attempt> attempt)
 {
@@ -245,6 +270,8 @@
     while (!attempt->events.empty()) {
       auto block = std::move(attempt->events.front());
       attempt->events.pop_front();
+      attempt->queuedBytes -= block.size();
+      attempt->eventsTaken.notify();
       const auto event = attempt->eventParser.parseBlock(block);
       if (event.number != mLastEvent + 1) {
         mReason = "events_out_of_order";
@@ -272,8 +299,8 @@
       break;
     }
     const auto now = Clock::now();
-    const bool isSilent =
-      mIsResumable && now - attempt->lastActivity > kMaxSilence;
+    const bool isSilent = mIsResumable && !attempt->isPaused &&
+                          now - attempt->lastActivity > kMaxSilence;
     const bool isStopping = mContext.stopping->isCancelRequested();
     if (isSilent || isStopping || timeLeft() <= Millis(0)) {
       mReason = isStopping ? "stopping" : isSilent ? "silent" : "out_of_time";
--- a/src/gateway/stream_forward.h
+++ b/src/gateway/stream_forward.h
@@ -28,8 +28,9 @@
   /// An attempt at one server.
   struct Attempt
   {
-    explicit Attempt(const std::string& versionField)
+    Attempt(net::asio::io_context& io, const std::string& versionField)
       : eventParser(versionField)
+      , eventsTaken(io)
     {
     }
 
@@ -43,6 +44,13 @@
     net::HttpResponse head;
     /// Complete events that are not forwarded yet, as received.
     std::deque<std::string> events;
+    /// Size of `events` in bytes.
+    std::size_t queuedBytes = 0;
+    /// Notified when an event was taken from `events`.
+    net::Notifier eventsTaken;
+    /// True while nothing is read, because the caller is slower than the
+    /// server.
+    bool isPaused = false;
     core::TimePoint startedAt{};
     /// When data was last received; at first the start of the attempt.
     core::TimePoint lastActivity{};
@@ -55,6 +63,8 @@
 
   /// Sends the request to the server and collects the received events.
   net::Awaitable<void> request(std::shared_ptr<Attempt> attempt);
+  /// Waits until the caller has taken enough of the received events.
+  net::Awaitable<void> waitForCaller(std::shared_ptr<Attempt> attempt) const;
   /// Forwards the events of the attempt to the caller until the attempt ends,
   /// its server is silent for too long, or the caller disconnects.
   net::Awaitable<void> relayEvents(std::shared_ptr<Attempt> attempt);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -30,8 +30,12 @@
 /// arrive. Otherwise, the server could close the connection while the request
 /// is on its way.
 constexpr core::Millis kKeepAliveMargin{ 500 };
-/// Maximum size, in bytes, of one read from a connection.
+/// Maximum size, in bytes, of one read from a connection, in a head and in a
+/// body. Most connections that wait for a response wait for its head.
+constexpr std::size_t kMaxHeadReadBytes = 4UL * 1024;
 constexpr std::size_t kMaxReadBytes = 16UL * 1024;
+/// Limit, in bytes, of a client without a limit of its process.
+constexpr std::size_t kDefaultReadMemory = 256UL * 1024 * 1024;
 
 /// Returns for how long a connection may be reused: the time-out in the header
 /// `Keep-Alive: timeout=N` (N in whole seconds) less kKeepAliveMargin, at most
@@ -84,12 +88,15 @@
     std::vector<std::size_t> keys;
   };
 
-  explicit State(asio::io_context& context)
+  State(asio::io_context& context, std::shared_ptr<ReadMemory> memory)
     : io(context)
+    , readMemory(memory ? std::move(memory)
+                        : std::make_shared<ReadMemory>(kDefaultReadMemory))
   {
   }
 
   asio::io_context& io;
+  std::shared_ptr<ReadMemory> readMemory;
   std::map<core::Endpoint, std::vector<Connection>> idle;
 
   /// Returns an idle connection for the call; one without a stream if a new
@@ -175,9 +182,13 @@
 class ClientCall
 {
 public:
-  ClientCall(HttpCall& call, std::shared_ptr<beast::tcp_stream> stream)
+  ClientCall(HttpCall& call,
+             std::shared_ptr<beast::tcp_stream> stream,
+             std::shared_ptr<ReadMemory> readMemory)
     : mCall(call)
     , mStream(std::move(stream))
+    , mMemory(std::make_shared<ReadMemory::Share>(std::move(readMemory),
+                                                  [this] { giveUp(); }))
     , mDeadline(core::Clock::now() + call.timeout)
   {
     if (mCall.cancel) {
@@ -227,6 +238,8 @@
   {
     if (isCancelled()) {
       mResult.error = NetError::Cancelled;
+    } else if (mIsGivenUp) {
+      mResult.error = NetError::BadMessage;
     } else if (error == beast::error::timeout) {
       mResult.error = NetError::TimedOut;
     } else if (error) {
@@ -277,14 +290,24 @@
     beast::flat_buffer buffer(kMaxUnparsedBytes);
     mStream->expires_at(mDeadline);
     while (!parser.isComplete()) {
+      if (mCall.waitForReceiver) {
+        co_await mCall.waitForReceiver();
+      }
       const auto room = buffer.max_size() - buffer.size();
       if (room == 0) {
         mResult.error = NetError::BadMessage;
         co_return;
       }
+      // The time-out of the stream ends only reads that wait.
+      if (core::Clock::now() >= mDeadline) {
+        check(beast::error::timeout, NetError::TimedOut);
+        co_return;
+      }
+      const auto readLimit =
+        mResult.response.status == 0 ? kMaxHeadReadBytes : kMaxReadBytes;
       boost::system::error_code error;
       const auto size = co_await mStream->async_read_some(
-        buffer.prepare(std::min(kMaxReadBytes, room)),
+        buffer.prepare(std::min(readLimit, room)),
         asio::redirect_error(asio::use_awaitable, error));
       mResult.hasReceivedBytes = mResult.hasReceivedBytes || size > 0;
       const bool isEnd = error == asio::error::eof && !isCancelled();
@@ -303,12 +326,31 @@
         mResult.error = parser.error();
         co_return;
       }
+      const auto heldByReceiver = mCall.heldBytes ? mCall.heldBytes() : 0;
+      mMemory->resize(buffer.capacity() + mResult.response.body.size() +
+                      heldByReceiver);
+      if (mIsGivenUp) {
+        check({}, NetError::BadMessage);
+        co_return;
+      }
     }
+    // The body is accounted for until the last copy of the response is gone.
+    mMemory->markComplete();
+    mMemory->resize(mResult.response.body.size());
+    mResult.response.memory = mMemory;
     // Data after the end of the response does not belong to any request, so the
     // connection cannot be reused.
     mReusable = parser.isConnectionReusable() && buffer.size() == 0;
   }
 
+  /// Ends the call, because the process has no memory left for the response.
+  void giveUp()
+  {
+    mIsGivenUp = true;
+    std::string().swap(mResult.response.body);
+    mStream->close();
+  }
+
   bool handleHead(HttpResponse head)
   {
     mResult.response = std::move(head);
@@ -333,17 +375,20 @@
 
   HttpCall& mCall;
   std::shared_ptr<beast::tcp_stream> mStream;
+  std::shared_ptr<ReadMemory::Share> mMemory;
   core::TimePoint mDeadline;
   std::string mMethod;
   int mCancelCallback = 0;
+  bool mIsGivenUp = false;
   bool mReusable = false;
   HttpResult mResult;
 };
 
 } // namespace
 
-HttpClient::HttpClient(asio::io_context& io)
-  : mState(std::make_shared<State>(io))
+HttpClient::HttpClient(asio::io_context& io,
+                       std::shared_ptr<ReadMemory> readMemory)
+  : mState(std::make_shared<State>(io, std::move(readMemory)))
 {
 }
 
@@ -360,7 +405,7 @@
   if (!isConnected) {
     connection.stream = std::make_shared<beast::tcp_stream>(state->io);
   }
-  ClientCall run(call, connection.stream);
+  ClientCall run(call, connection.stream, state->readMemory);
   auto result = co_await run.run(isConnected);
   const auto idleLimit = idleTimeLimit(result.response.headers);
   const bool mayKeep = !call.useNewConnection || call.keepNewConnection;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -3,6 +3,7 @@
 #include "net/asio.h"
 #include "net/cancel_signal.h"
 #include "net/http_types.h"
+#include "net/read_memory.h"
 
 #include <functional>
 #include <memory>
@@ -48,6 +49,11 @@
   /// Receives the body piece by piece. If it is not set, the body is collected
   /// in HttpResult::response.
   std::function<void(std::string_view)> onData;
+  /// Returns how many bytes of this response the receiver of `onData` holds.
+  std::function<std::size_t()> heldBytes;
+  /// Returns when the receiver of `onData` takes more data. Until then nothing
+  /// is read, so that the server has to wait.
+  std::function<Awaitable<void>()> waitForReceiver;
   /// When it fires, the connection is closed and the call ends with Cancelled.
   std::shared_ptr<CancelSignal> cancel;
 };
@@ -74,7 +80,10 @@
 class HttpClient
 {
 public:
-  explicit HttpClient(asio::io_context& io);
+  /// `readMemory` limits what all responses hold together; without it, the
+  /// client has a limit of its own.
+  explicit HttpClient(asio::io_context& io,
+                      std::shared_ptr<ReadMemory> readMemory = nullptr);
   ~HttpClient();
 
   /// Sends the request and returns the response or the error.
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
@@ -56,6 +57,8 @@
   std::string contentType = "application/json";
   Headers headers;
   std::string body;
+  /// Accounts for the memory of the body of a received response.
+  std::shared_ptr<const void> memory = nullptr;
 };
 
 } // namespace lentilrack::net
--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -44,6 +44,10 @@
                                    : bytes.substr(0, bytes.find("\r\n\r\n"));
 }
 
+/// Maximum number of fields in a head and its trailer. Each takes much more
+/// memory than its shortest text.
+constexpr std::size_t kMaxFields = 1'000;
+
 std::string
 toString(beast::string_view text)
 {
@@ -112,8 +116,12 @@
   void on_field_impl(http::field,
                      beast::string_view name,
                      beast::string_view value,
-                     Error&) override
+                     Error& error) override
   {
+    if (++mFields > kMaxFields) {
+      error = http::error::header_limit;
+      return;
+    }
     // The fields of a trailer are not used.
     if (!mHasHead) {
       mHead.headers.emplace_back(toString(name), toString(value));
@@ -169,6 +177,7 @@
   int mStatus = 0;
   int mVersion = 0;
   bool mHasHead = false;
+  std::size_t mFields = 0;
   std::uint64_t mChunkBytesLeft = 0;
 };
 
