--- a/tests/net/response_parser_test.cpp
+++ b/tests/net/response_parser_test.cpp
@@ -129,8 +129,10 @@
                                   ": value",
                                   "Name" }) {
     const std::string length = "Content-Length: 4\r\n";
-    expectRefused("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length + "\r\ndone");
-    expectRefused("HTTP/1.1 200 OK\r\n" + length + line + "\r\n\r\ndone");
+    expectRefused(
+      fmt::format("HTTP/1.1 200 OK\r\n{}\r\n{}\r\ndone", line, length));
+    expectRefused(
+      fmt::format("HTTP/1.1 200 OK\r\n{}{}\r\n\r\ndone", length, line));
     expectRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                   "4\r\ndone\r\n0\r\nX-Trailer: 1\r\n" +
                   line + "\r\n\r\n");
@@ -180,7 +182,7 @@
          "Content-Length: 0x4\r\n",
          "Content-Length:\r\n",
          "Content-Length: 99999999999999999999\r\n" }) {
-    expectRefused("HTTP/1.1 200 OK\r\n" + headers + chunks);
+    expectRefused(fmt::format("HTTP/1.1 200 OK\r\n{}{}", headers, chunks));
   }
   expectRefused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks);
   for (const std::string chunk : { "x\r\n",
