Answer open requests before a stopping process ends

Seen by callers: a batch submission that a stopping process had taken was cut without an answer when the store did not respond in time. A request that arrived on a new or idle connection in the last second could be cut as well. Cause: only forwarded requests and streams end at the answer deadline. Other handlers may wait for the store or a peer for longer than the rest of the grace period; and the process accepted connections until its last moment. Change: HttpServer answers all exchanges that have no response yet on behalf of their handlers, 504 because their outcome is unknown, before the process ends. From the answer deadline on it accepts no connections, closes idle ones, and refuses what has just arrived. Evidence: SubmissionIsAnsweredAlthoughTheStoreIsSilent got no answer before and 504 now. RequestsOfTheWholeGracePeriodAreAnswered (orders, lookups and streams every 20 ms of the grace period, at a server that does not respond) passed before: requests and streams that can't be finished were refused at once.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,7 +30,8 @@
 /// Open requests are answered this long before the end of the grace period,
 /// with what is known of them.
 constexpr Millis kShutdownMargin{ 1'000 };
-/// How long to wait then until these answers are written.
+/// How long to wait then until these answers are written. Requests that are
+/// still open after the first half are answered on behalf of their handlers.
 constexpr Millis kLastAnswersTime{ 500 };
 /// Time that a request may need besides the time that it is allowed.
 constexpr Millis kAnswerMargin{ 100 };
@@ -489,6 +490,20 @@
     co_await net::sleepFor(kDrainPollInterval);
   }
   mContext.stopping->cancel();
+  // A request that is taken from now on may find the process gone.
+  for (const auto& server : mServers) {
+    server->stopAccepting();
+    server->closeIdleConnections();
+  }
+  // Requests that had arrived, but were not read yet, become active.
+  co_await net::sleepFor(kDrainPollInterval);
+  while (hasActiveExchanges() &&
+         mContext.timeToAnswer() > -kLastAnswersTime / 2) {
+    co_await net::sleepFor(kDrainPollInterval);
+  }
+  for (const auto& server : mServers) {
+    server->respondToOpenExchanges(errorResponse(504, "stopping"));
+  }
   while (hasActiveExchanges() && mContext.timeToAnswer() > -kLastAnswersTime) {
     co_await net::sleepFor(kDrainPollInterval);
   }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -56,6 +56,8 @@
   std::set<beast::tcp_stream*> streams;
   /// The members of `streams` that have received no byte of a request yet.
   std::set<beast::tcp_stream*> idleStreams;
+  /// Exchanges whose handler has not returned yet.
+  std::set<std::shared_ptr<HttpExchange>> exchanges;
   /// Number of exchanges whose request has begun to arrive and whose handler
   /// has not returned yet.
   std::size_t runningExchanges = 0;
@@ -393,31 +395,33 @@
   }
   const bool keepAlive = parser.get().keep_alive();
   stream->expires_never();
-  ServerExchange exchange(
+  const auto exchange = std::make_shared<ServerExchange>(
     fromBeast(parser.release()), stream, limits, keepAlive);
+  exchanges.insert(exchange);
   bool hasFailed = false;
   try {
-    co_await handler(exchange);
+    co_await handler(*exchange);
   } catch (const std::exception& failure) {
     hasFailed = true;
     if (onFailure) {
       onFailure(failure.what());
     }
   }
+  exchanges.erase(exchange);
   running.end();
-  if (hasFailed && exchange.hasStarted() && !exchange.hasEnded()) {
+  if (hasFailed && exchange->hasStarted() && !exchange->hasEnded()) {
     // Closes the connection, so that the client does not take the response for
     // complete.
-    exchange.abort();
+    exchange->abort();
   }
-  if (!exchange.hasStarted()) {
+  if (!exchange->hasStarted()) {
     HttpResponse response;
     response.status = 500;
     response.body = R"({"error":"no_answer"})";
-    co_await exchange.respond(std::move(response));
+    co_await exchange->respond(std::move(response));
   }
-  exchange.finish();
-  co_return exchange.canBeReused();
+  exchange->finish();
+  co_return exchange->canBeReused();
 }
 
 Awaitable<void>
@@ -512,6 +516,14 @@
   }
 }
 
+void
+HttpServer::respondToOpenExchanges(const HttpResponse& response)
+{
+  for (const auto& exchange : mState->exchanges) {
+    spawn(mState->io, exchange->respond(response), exchange);
+  }
+}
+
 void
 HttpServer::closeAllConnections()
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -105,6 +105,9 @@
   void stopAccepting();
   /// Closes the connections on which no byte of a request has arrived.
   void closeIdleConnections();
+  /// Sends this response to each request whose handler has sent none yet. What
+  /// the handler sends later is ignored.
+  void respondToOpenExchanges(const HttpResponse& response);
   /// Closes all connections, including those with a request in progress.
   void closeAllConnections();
   /// Returns the number of exchanges whose request has begun to arrive and
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -171,6 +171,9 @@
 net::Awaitable<StoreCommit>
 FakeStore::commit(StoreTransaction transaction)
 {
+  while (areCommitsSilent) {
+    co_await net::sleepFor(core::Millis(10));
+  }
   co_await net::sleepFor(Millis(1));
   if (beforeCommit) {
     beforeCommit(transaction);
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -68,6 +68,8 @@
 
   /// True if every call fails with StoreError::Unavailable.
   bool isUnreachable = false;
+  /// True if commits get no response while it is set.
+  bool areCommitsSilent = false;
   /// True if watches succeed but return no changes.
   bool isWatchSilent = false;
   /// Number of following commits that are executed but whose response is lost.
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -3,6 +3,9 @@
 
 #include <spdlog/sinks/null_sink.h>
 
+#include <algorithm>
+#include <set>
+
 namespace lentilrack::gateway {
 
 namespace {
@@ -29,8 +32,10 @@
     entry.startedAt = 1;
     mContext.registry.apply({ entry }, core::Clock::now());
     std::vector<core::Route> routes;
-    for (const auto kind :
-         { RouteKind::Single, RouteKind::Repeatable, RouteKind::Stream }) {
+    for (const auto kind : { RouteKind::Single,
+                             RouteKind::Repeatable,
+                             RouteKind::Stream,
+                             RouteKind::Batch }) {
       auto route = plainRoute(kind, 1);
       route.pathPrefix = prefixOf(kind);
       route.timeout = Millis(5'000);
@@ -83,6 +88,29 @@
     co_return co_await mClient.call(std::move(call));
   }
 
+  /// Sends a request and keeps its number until it is answered.
+  net::Awaitable<void> sendUntilAnswered(RouteKind kind, Millis allowed)
+  {
+    const auto number = mSent + 1;
+    mUnanswered.insert("r" + std::to_string(number));
+    const auto result = co_await send(kind, allowed);
+    // A connection that is refused or closed before the request was read
+    // proves that it was not passed on.
+    if (!result.error) {
+      mUnanswered.erase("r" + std::to_string(number));
+      ++mAnswered;
+    }
+  }
+
+  /// Returns true if a server has got the request, and its caller no answer.
+  bool isLost(const std::string& id) const
+  {
+    return mUnanswered.contains(id) &&
+           std::ranges::any_of(mServer.requests(), [&](const auto& seen) {
+             return seen.header("X-Request-Id") == id;
+           });
+  }
+
   void shutDown()
   {
     mGateway.shutDown([this] { mIsStopped = true; });
@@ -97,6 +125,8 @@
   net::HttpClient mClient{ mIo };
   Millis mServerTime{ 0 };
   int mSent = 0;
+  int mAnswered = 0;
+  std::set<std::string> mUnanswered;
   bool mIsStopped = false;
 };
 
@@ -132,6 +162,60 @@
   });
 }
 
+// Guards against taking a request late in the grace period, passing it on and
+// cutting it at the end. The server responds to none of them in time.
+TEST_F(ShutdownTest, RequestsOfTheWholeGracePeriodAreAnswered)
+{
+  mServerTime = Millis(60'000);
+  run([&]() -> net::Awaitable<void> {
+    shutDown();
+    while (!mIsStopped) {
+      for (const auto kind :
+           { RouteKind::Single, RouteKind::Repeatable, RouteKind::Stream }) {
+        for (const int allowed : { 50, 400, 1'000, 4'500 }) {
+          net::spawn(mIo, sendUntilAnswered(kind, Millis(allowed)));
+        }
+      }
+      co_await net::sleepFor(Millis(20));
+    }
+    // The last responses may still be on their way.
+    co_await net::sleepFor(Millis(50));
+    EXPECT_GT(mAnswered, 0);
+    const auto unanswered = mUnanswered;
+    for (const auto& id : unanswered) {
+      EXPECT_FALSE(isLost(id)) << id;
+    }
+  });
+}
+
+// Guards against cutting a submission at the end of the process because the
+// store does not respond in time.
+TEST_F(ShutdownTest, SubmissionIsAnsweredAlthoughTheStoreIsSilent)
+{
+  run([&]() -> net::Awaitable<void> {
+    mStore.areCommitsSilent = true;
+    shutDown();
+    net::HttpResult result;
+    bool isAnswered = false;
+    const auto submit = [&]() -> net::Awaitable<void> {
+      net::HttpCall call;
+      call.endpoint = *mGateway.callerEndpoint();
+      call.timeout = Millis(30'000);
+      call.request = submission("b1", 2);
+      call.request.target = prefixOf(RouteKind::Batch) + "b1";
+      result = co_await mClient.call(std::move(call));
+      isAnswered = true;
+    };
+    net::spawn(mIo, submit());
+    co_await until([&] { return mIsStopped; });
+    co_await net::sleepFor(Millis(50));
+    EXPECT_TRUE(isAnswered);
+    EXPECT_EQ(result.response.status, 504);
+    mStore.areCommitsSilent = false;
+    co_await until([&] { return isAnswered; });
+  });
+}
+
 // Guards against closing the connection of a request without an answer when the
 // process ends. The server may have executed the request.
 TEST_F(ShutdownTest, OpenRequestIsAnsweredBeforeTheEnd)
