Count what bodies reserve, and measure the peak with servers that flood

Cause: with a memory limit of 110 MB, a gateway whose servers sent without end peaked at 107 MB although all responses together were limited to 27.5 MB. Bodies were counted by size, but doubled their memory when they grew.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -327,7 +327,7 @@
         co_return;
       }
       const auto heldByReceiver = mCall.heldBytes ? mCall.heldBytes() : 0;
-      mMemory->resize(buffer.capacity() + mResult.response.body.size() +
+      mMemory->resize(buffer.capacity() + mResult.response.body.capacity() +
                       heldByReceiver);
       if (mIsGivenUp) {
         check({}, NetError::BadMessage);
@@ -336,7 +336,7 @@
     }
     // The body is accounted for until the last copy of the response is gone.
     mMemory->markComplete();
-    mMemory->resize(mResult.response.body.size());
+    mMemory->resize(mResult.response.body.capacity());
     mResult.response.memory = mMemory;
     // Data after the end of the response does not belong to any request, so the
     // connection cannot be reused.
@@ -369,10 +369,26 @@
     if (mCall.onData) {
       mCall.onData(data);
     } else {
-      mResult.response.body.append(data);
+      appendToBody(data);
     }
   }
 
+  /// Grows the body by a quarter when it is full. append() doubles it, and the
+  /// memory limit counts what is reserved.
+  void appendToBody(std::string_view data)
+  {
+    constexpr std::size_t kGrowthDivisor = 4;
+    auto& body = mResult.response.body;
+    const auto size = body.size() + data.size();
+    if (size > body.capacity()) {
+      std::string grown;
+      grown.reserve(size + size / kGrowthDivisor);
+      grown = body;
+      body.swap(grown);
+    }
+    body.append(data);
+  }
+
   HttpCall& mCall;
   std::shared_ptr<beast::tcp_stream> mStream;
   std::shared_ptr<ReadMemory::Share> mMemory;
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -17,6 +17,8 @@
   /// Folder for settings and logs.
   std::string folder;
   core::Endpoint provider;
+  /// Memory limit of a process, as its settings state it.
+  int memoryMegabytes = 260;
 };
 
 /// A lentilrack-gateway on a loopback address of its own.
@@ -43,6 +45,9 @@
 
   void start(const std::vector<core::Endpoint>& seeds);
   void signal(int number) const;
+  /// Returns the most memory that the process has used, in bytes; 0 if it does
+  /// not run.
+  std::size_t peakMemory() const;
   /// Returns true if the process has ended. Must be called for the process to
   /// be released.
   bool hasEnded();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -6,6 +6,7 @@
 #include "promise_checker.h"
 #include "soak_servers.h"
 #include "store_server.h"
+#include "support/flooding_server.h"
 
 #include <pcg_random.hpp>
 
@@ -23,6 +24,10 @@
   /// How long faults are injected. The run ends some seconds later.
   core::Millis duration{ 30'000 };
   int gateways = 4;
+  /// Memory limit of a gateway, as its settings state it.
+  int memoryMegabytes = 260;
+  /// Number of servers that send without end.
+  int floodingServers = 0;
   int callers = 12;
   /// Path of lentilrack-gateway.
   std::string program;
@@ -39,6 +44,8 @@
 
   /// Runs to the end. PromiseChecker then holds what was found.
   net::Awaitable<void> run();
+  /// Returns the most memory that a gateway has used, in bytes.
+  std::size_t peakMemory() const { return mPeakMemory; }
   const PromiseChecker& checker() const { return mChecker; }
   const std::map<std::string, int>& faults() const { return mFaults; }
 
@@ -66,6 +73,8 @@
   };
 
   void createServers();
+  /// Creates servers that send without end, for the plain service.
+  void createFloodingServers();
   void createMachines();
   void writeDesiredState();
   net::Awaitable<void> untilReady();
@@ -111,12 +120,14 @@
   SoakProvider mProvider;
   net::HttpClient mClient;
   std::vector<std::unique_ptr<SoakServer>> mServers;
+  std::vector<std::unique_ptr<testing::FloodingServer>> mFloodingServers;
   std::vector<Machine> mMachines;
   std::vector<Key> mKeys;
   std::map<std::string, int> mFaults;
   std::int64_t mStateVersion = 0;
   std::int64_t mWeightVersion = 1;
   int mBatches = 0;
+  std::size_t mPeakMemory = 0;
   bool mIsEnding = false;
 };
 
