Share one read limit between the clients of a process

Cause: in lentilrack-entry and lentilrack-dispatch, the client of the key-value service had a read limit of its own beside that of the other calls. Change: it takes the limit of the process. The option has an explicit default, which the linter asks for.

--- a/src/backends/kv_client.h
+++ b/src/backends/kv_client.h
@@ -51,7 +51,7 @@
   std::uint64_t seed = 0;
   /// Limits what the responses hold, together with others of the process; see
   /// net::HttpClient.
-  std::shared_ptr<net::ReadMemory> readMemory;
+  std::shared_ptr<net::ReadMemory> readMemory = nullptr;
 };
 
 /// Client of the platform's key-value service. Tries the next endpoint when an
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -433,6 +433,12 @@
   co_return result;
 }
 
+std::shared_ptr<ReadMemory>
+HttpClient::readMemory() const
+{
+  return mState->readMemory;
+}
+
 bool
 HttpClient::hasIdleConnection(const core::Endpoint& endpoint) const
 {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -88,6 +88,8 @@
 
   /// Sends the request and returns the response or the error.
   Awaitable<HttpResult> call(HttpCall call);
+  /// Returns the limit of what responses hold, to be shared with other clients.
+  std::shared_ptr<ReadMemory> readMemory() const;
   /// Returns true if there is an idle connection to the endpoint that may still
   /// be reused. The server may have closed it in the meantime.
   bool hasIdleConnection(const core::Endpoint& endpoint) const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -97,7 +97,7 @@
       [this](net::HttpExchange& exchange) { return router.handle(exchange); })
   , linkServer(context, { members.self().id, settings.linkSecret })
   , links(context, { members.self().id, settings.linkSecret })
-  , kv(context, { settings.kv })
+  , kv(context, { .endpoints = settings.kv, .readMemory = http.readMemory() })
   , sync(context, members, table, links, kv, log.child("table"))
   , heartbeat(
       context,
