--- /dev/null
+++ b/review/harness-3/cases.cpp
@@ -0,0 +1,338 @@
+// Cases of the third review. Usage: cases NAME ROOT FOLDER, with TROUBLE=0 for
+// the same run without the disruption. Exits with 1 if the rule was broken, 0
+// if it held and 2 if the case could not run.
+
+#include "trainer.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <unistd.h>
+
+namespace review {
+
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kNotRun = 2;
+
+struct Setting
+{
+  std::string root;
+  std::string folder;
+  bool hasTrouble = true;
+};
+
+const std::string kItemPath = "/rollout/";
+const std::string kModel = "model-a";
+/// How long a trainer goes on with a submission, and with reading its results.
+constexpr Millis kStepBudget{ 12'000 };
+
+std::string
+longPrefix(std::size_t bytes)
+{
+  std::string prefix;
+  for (int i = 0; prefix.size() < bytes; ++i) {
+    char part[32];
+    std::snprintf(part, sizeof part, "%s%08x:4", i > 0 ? "," : "", i + 4096);
+    prefix += part;
+  }
+  return prefix;
+}
+
+/// Samplers of one service that run items.
+std::vector<std::unique_ptr<Sampler>>
+modelSamplers(Deployment& deployment,
+              Record& record,
+              int count,
+              const Sampler::Options& options)
+{
+  std::vector<std::unique_ptr<Sampler>> samplers;
+  for (int i = 1; i <= count; ++i) {
+    auto own = options;
+    own.id = options.service + "-" + std::to_string(i);
+    samplers.push_back(std::make_unique<Sampler>(
+      loopback(2, i), *deployment.store, record, own));
+  }
+  return samplers;
+}
+
+int
+longItemHeader(const Setting& setting, Record& record)
+{
+  Deployment deployment(setting.root, setting.folder, record, 4);
+  deployment.configure(Json::array({ rolloutRoute(kItemPath, "llm") }),
+                       Json::array({ modelService("llm", kModel, 8) }));
+  Sampler::Options options;
+  options.service = "llm";
+  options.model = kModel;
+  options.pace = Millis(60);
+  const auto samplers = modelSamplers(deployment, record, 3, options);
+  if (!deployment.start()) {
+    return kNotRun;
+  }
+  deployment.startSupervision();
+  Trainer trainer(deployment, record);
+  const auto good = Trainer::items("a1", 40, kItemPath, kModel);
+  if (trainer.submit("a1", kItemPath, Trainer::submission(good, kModel)) !=
+      202) {
+    return kNotRun;
+  }
+  auto odd = Trainer::items("b1", 4, kItemPath, kModel);
+  odd[0].headers[2].second = longPrefix(setting.hasTrouble ? 70'000 : 7'000);
+  const bool isTaken =
+    trainer.submit("b1", kItemPath, Trainer::submission(odd, kModel)) == 202;
+  // Far longer than the time budget of a step, which is 12 s.
+  const auto first = trainer.readAll("a1", good.size(), Millis(40'000));
+  const auto second =
+    isTaken ? trainer.readAll("b1", odd.size(), Millis(12'000))
+            : std::map<std::string, Json>();
+  record.line("results of a1: " + std::to_string(first.size()) + " of " +
+              std::to_string(good.size()) +
+              "; of b1: " + std::to_string(second.size()) + " of " +
+              std::to_string(odd.size()) + (isTaken ? "" : " (refused)") +
+              "; ends of processes: " +
+              std::to_string(deployment.unexpectedEnds().size()));
+  const bool isComplete =
+    first.size() == good.size() && (!isTaken || second.size() == odd.size());
+  return isComplete ? kHeld : kBroken;
+}
+
+int
+injectedHeader(const Setting& setting, Record& record)
+{
+  Deployment deployment(setting.root, setting.folder, record, 4);
+  deployment.configure(Json::array({ rolloutRoute(kItemPath, "llm") }),
+                       Json::array({ modelService("llm", kModel, 8) }));
+  Sampler::Options options;
+  options.service = "llm";
+  options.model = kModel;
+  const auto samplers = modelSamplers(deployment, record, 3, options);
+  if (!deployment.start()) {
+    return kNotRun;
+  }
+  Trainer trainer(deployment, record);
+  auto items = Trainer::items("a1", 6, kItemPath, kModel);
+  items[0].headers.emplace_back(
+    "X-Note",
+    setting.hasTrouble
+      ? "a\r\nX-Request-Id: nobody-sent-this\r\nContent-Length: 0\r\n\r\n"
+        "POST /other/path HTTP/1.1\r\nX-Note: b"
+      : "a b");
+  trainer.submit("a1", kItemPath, Trainer::submission(items, kModel));
+  const auto results = trainer.readAll("a1", items.size(), Millis(8'000));
+  std::size_t foreign = 0;
+  for (const auto& sampler : samplers) {
+    for (const auto& run : sampler->runs()) {
+      foreign += run.id.starts_with("a1i") && run.path.starts_with(kItemPath)
+                   ? 0
+                   : 1;
+    }
+  }
+  record.line("results: " + std::to_string(results.size()) +
+              "; runs of requests that nobody sent: " +
+              std::to_string(foreign));
+  return foreign > 0 ? kBroken : kHeld;
+}
+
+/// Trains one step with prompts of `bytes` bytes in all. Returns true if the
+/// submission was accepted and its results were read.
+bool
+runStep(Trainer& trainer, const std::string& batch, std::size_t bytes)
+{
+  constexpr int kItems = 512;
+  auto items = Trainer::items(batch, kItems, kItemPath, kModel);
+  for (auto& item : items) {
+    item.body.assign(bytes / kItems, 'p');
+  }
+  const auto body = Trainer::submission(items, kModel);
+  if (trainer.submit(batch, kItemPath, body, kStepBudget) != 202) {
+    return false;
+  }
+  const auto results = trainer.readAll(batch, items.size(), kStepBudget);
+  trainer.end(0, batch);
+  return results.size() == items.size();
+}
+
+int
+largeSubmission(const Setting& setting, Record& record)
+{
+  Deployment deployment(setting.root, setting.folder, record, 4);
+  deployment.configure(Json::array({ rolloutRoute(kItemPath, "llm") }),
+                       Json::array({ modelService("llm", kModel, 16) }));
+  Sampler::Options options;
+  options.service = "llm";
+  options.model = kModel;
+  options.slots = 16;
+  options.pace = Millis(2);
+  const auto samplers = modelSamplers(deployment, record, 3, options);
+  if (!deployment.start()) {
+    return kNotRun;
+  }
+  deployment.enforceMemoryLimit();
+  deployment.startSupervision();
+  Trainer trainer(deployment, record);
+  const std::size_t bytes = setting.hasTrouble ? 18'000'000 : 1'000'000;
+  std::size_t steps = 0;
+  for (const auto* batch : { "step1", "step2", "step3" }) {
+    steps += runStep(trainer, batch, bytes) ? 1 : 0;
+  }
+  const auto ends = deployment.unexpectedEnds();
+  std::map<std::string, int> endsOf;
+  for (const auto& end : ends) {
+    ++endsOf[end.substr(0, end.find(' '))];
+  }
+  const auto machines =
+    std::count_if(endsOf.begin(), endsOf.end(), [](const auto& item) {
+      return item.second >= 3;
+    });
+  record.line("steps that were trained: " + std::to_string(steps) +
+              " of 3; ends of processes: " + std::to_string(ends.size()) +
+              "; machines with three or more: " + std::to_string(machines));
+  return machines >= 2 ? kBroken : kHeld;
+}
+
+int
+longOutputs(const Setting& setting, Record& record)
+{
+  Deployment deployment(setting.root, setting.folder, record, 4);
+  deployment.configure(Json::array({ rolloutRoute(kItemPath, "llm") }),
+                       Json::array({ modelService("llm", kModel, 16) }));
+  Sampler::Options options;
+  options.service = "llm";
+  options.model = kModel;
+  options.slots = 16;
+  options.events = 10;
+  options.pace = Millis(20);
+  options.eventBytes = setting.hasTrouble ? 10'000 : 100;
+  const auto samplers = modelSamplers(deployment, record, 3, options);
+  if (!deployment.start()) {
+    return kNotRun;
+  }
+  deployment.enforceMemoryLimit();
+  deployment.startSupervision();
+  Trainer trainer(deployment, record);
+  const auto items = Trainer::items("a1", 1'200, kItemPath, kModel);
+  if (trainer.submit("a1", kItemPath, Trainer::submission(items, kModel)) !=
+      202) {
+    return kNotRun;
+  }
+  const auto results = trainer.readAll("a1", items.size(), Millis(70'000));
+  const auto ends = deployment.unexpectedEnds();
+  record.line("results: " + std::to_string(results.size()) + " of " +
+              std::to_string(items.size()) +
+              "; ends of processes: " + std::to_string(ends.size()));
+  return results.size() < items.size() || !ends.empty() ? kBroken : kHeld;
+}
+
+int
+lengthHint(const Setting& setting, Record& record)
+{
+  Deployment deployment(setting.root, setting.folder, record, 4);
+  deployment.configure(Json::array({ rolloutRoute(kItemPath, "llm") }),
+                       Json::array({ modelService("llm", kModel, 8) }));
+  Sampler::Options options;
+  options.service = "llm";
+  options.model = kModel;
+  options.events = 24;
+  options.pace = Millis(200);
+  const auto samplers = modelSamplers(deployment, record, 3, options);
+  if (!deployment.start()) {
+    return kNotRun;
+  }
+  deployment.startSupervision();
+  Trainer trainer(deployment, record);
+  auto items = Trainer::items("a1", 40, kItemPath, kModel);
+  for (auto& item : items) {
+    item.headers.emplace_back("X-Length-Hint", "inf");
+  }
+  if (trainer.submit("a1", kItemPath, Trainer::submission(items, kModel)) !=
+      202) {
+    // A refusal is no loss.
+    return kHeld;
+  }
+  std::this_thread::sleep_for(Millis(1'000));
+  for (auto& gateway : deployment.gateways) {
+    if (!setting.hasTrouble) {
+      break;
+    }
+    record.line("SIGTERM to " + gateway->name());
+    deployment.expectEnd(gateway->name());
+    const auto starts = gateway->starts();
+    gateway->signal(SIGTERM);
+    const auto end = Clock::now() + std::chrono::seconds(12);
+    while (Clock::now() < end &&
+           (gateway->starts() == starts || !gateway->isReady())) {
+      std::this_thread::sleep_for(Millis(50));
+    }
+  }
+  // Longer than recovery_s after the last machine is back.
+  const auto results = trainer.readAll("a1", items.size(), Millis(30'000));
+  for (std::size_t i = 0; i < deployment.gateways.size(); ++i) {
+    const auto status = trainer.read(i, "a1", 0, 0).status;
+    record.line("last read at " + deployment.gateways[i]->name() + ": " +
+                std::to_string(status));
+  }
+  record.line("results: " + std::to_string(results.size()) + " of " +
+              std::to_string(items.size()));
+  return results.size() < items.size() ? kBroken : kHeld;
+}
+
+} // namespace
+
+int
+runCase(const std::string& name, const Setting& setting, Record& record)
+{
+  const std::map<std::string, int (*)(const Setting&, Record&)> cases{
+    { "long-item-header", longItemHeader },
+    { "large-submission", largeSubmission },
+    { "injected-header", injectedHeader },
+    { "length-hint", lengthHint },
+    { "long-outputs", longOutputs },
+  };
+  const auto found = cases.find(name);
+  return found == cases.end() ? kNotRun : found->second(setting, record);
+}
+
+} // namespace review
+
+int
+main(int argc, char** argv)
+{
+  if (argc != 4) {
+    std::cerr << "usage: cases NAME ROOT FOLDER\n";
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  // Ends the processes too: each gets SIGKILL when this one ends.
+  ::alarm(115);
+  const char* trouble = std::getenv("TROUBLE");
+  review::Setting setting;
+  setting.root = argv[2];
+  setting.hasTrouble = trouble == nullptr || std::string(trouble) != "0";
+  auto pattern =
+    (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+  if (::mkdtemp(pattern.data()) == nullptr) {
+    return 2;
+  }
+  setting.folder = pattern;
+  review::Record record(std::string(argv[3]) + "/record.txt");
+  record.line(setting.hasTrouble ? "with the disruption"
+                                 : "without the disruption");
+  int result = 2;
+  try {
+    result = review::runCase(argv[1], setting, record);
+  } catch (const std::exception& error) {
+    record.line(std::string("the case could not run: ") + error.what());
+  }
+  record.line("exit code " + std::to_string(result));
+  if (std::getenv("KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(setting.folder);
+  } else {
+    std::cerr << setting.folder << "\n";
+  }
+  return result;
+}
