--- a/review/harness-3/cases.cpp
+++ b/review/harness-3/cases.cpp
@@ -247,6 +247,81 @@
   return machines >= 2 ? kBroken : kHeld;
 }
 
+int
+foreignAnswer(const Setting& setting, Record& record)
+{
+  Deployment deployment(setting.root, setting.folder, record, 4);
+  deployment.configure(Json::array({ rolloutRoute(kItemPath, "llm") }),
+                       Json::array({ modelService("llm", kModel, 4) }));
+  Sampler::Options options;
+  options.service = "llm";
+  options.model = kModel;
+  options.slots = 4;
+  options.events = 12;
+  options.pace = Millis(100);
+  const auto samplers = modelSamplers(deployment, record, 2, options);
+  if (!deployment.start()) {
+    return kNotRun;
+  }
+  Trainer trainer(deployment, record);
+  const auto submitted = [&](const std::string& batch) {
+    const auto items = Trainer::items(batch, 60, kItemPath, kModel);
+    return trainer.submit(
+             batch, kItemPath, Trainer::submission(items, kModel)) == 202;
+  };
+  if (!submitted("a1") || !submitted("v1")) {
+    return kNotRun;
+  }
+  std::size_t foreign = 0;
+  std::size_t reads = 0;
+  const auto end = Clock::now() + std::chrono::seconds(12);
+  for (std::size_t round = 0; Clock::now() < end; ++round) {
+    std::this_thread::sleep_for(Millis(50));
+    const auto machine = round % deployment.gateways.size();
+    // The first consumer asks for the body of an item of its batch, with an id
+    // that names none.
+    const auto own = trainer.read(machine, "a1", 0, 0);
+    std::size_t listed = 0;
+    if (own.status == 200) {
+      listed = Json::parse(own.body).at("next_token").get<std::size_t>();
+    }
+    Request request;
+    request.method = "GET";
+    request.target = "/api/items/a1?id=none";
+    if (setting.hasTrouble) {
+      request.target += "%20HTTP/1.1%0D%0AHost:%20x%0D%0A%0D%0AGET%20/peer/results/"
+                        "a1%3Fafter%3D" +
+                        std::to_string(listed) + "%26wait%3D1400%20HTTP/1.1"
+                        "%0D%0AX-Note:";
+    }
+    const auto asked = call(
+      deployment.gateways[machine]->front(), request, kHost, Millis(2'000));
+    record.line("first consumer asks " + deployment.gateways[machine]->name() +
+                " for a body: " + std::to_string(asked.status));
+    // The second consumer reads its own batch.
+    const auto answer = trainer.read(machine, "v1", 0, 1'000);
+    if (answer.status != 200) {
+      record.line("second consumer reads v1: " + std::to_string(answer.status) +
+                  " " + answer.error);
+      continue;
+    }
+    ++reads;
+    const auto results = Json::parse(answer.body).at("results");
+    for (const auto& result : results) {
+      const auto id = result.at("id").get<std::string>();
+      if (!id.starts_with("v1i")) {
+        ++foreign;
+        record.line("second consumer reads v1 at " +
+                    deployment.gateways[machine]->name() +
+                    " and gets the result of " + id);
+      }
+    }
+  }
+  record.line("reads of v1 answered: " + std::to_string(reads) +
+              "; results of another batch in them: " + std::to_string(foreign));
+  return reads == 0 ? kNotRun : foreign > 0 ? kBroken : kHeld;
+}
+
 int
 lengthHint(const Setting& setting, Record& record)
 {
@@ -310,6 +385,7 @@
     { "large-submission", largeSubmission },
     { "injected-header", injectedHeader },
     { "length-hint", lengthHint },
+    { "foreign-answer", foreignAnswer },
     { "long-request-header", longRequestHeader },
   };
   const auto found = cases.find(name);
