--- a/review/harness-3/cases.cpp
+++ b/review/harness-3/cases.cpp
@@ -1,5 +1,5 @@
-// Cases of the third review. Usage: cases NAME ROOT FOLDER, with TROUBLE=0 for
-// the same run without the disruption. Exits with 1 if the rule was broken, 0
+// Cases of the third review. Usage: cases NAME ROOT RECORD, with TROUBLE=0 for
+// the same run without the disruption. Writes the file RECORD. Exits with 1 if the rule was broken, 0
 // if it held and 2 if the case could not run.
 
 #include "trainer.h"
@@ -411,7 +411,7 @@
 main(int argc, char** argv)
 {
   if (argc != 4) {
-    std::cerr << "usage: cases NAME ROOT FOLDER\n";
+    std::cerr << "usage: cases NAME ROOT RECORD\n";
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
@@ -427,7 +427,11 @@
     return 2;
   }
   setting.folder = pattern;
-  review::Record record(std::string(argv[3]) + "/record.txt");
+  review::Record record(argv[3]);
+  if (!record.isOpen()) {
+    std::cerr << argv[3] << " can't be written\n";
+    return 2;
+  }
   record.line(setting.hasTrouble ? "with the disruption"
                                  : "without the disruption");
   int result = 2;
--- a/review/harness-3/standins.h
+++ b/review/harness-3/standins.h
@@ -26,6 +26,7 @@
 {
 public:
   explicit Record(const std::string& path);
+  bool isOpen() const { return mFile.is_open(); }
   void line(const std::string& text);
   std::int64_t now() const;
 
