--- a/review/harness-3/standins.cpp
+++ b/review/harness-3/standins.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <stdexcept>
 #include <netinet/in.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -45,13 +46,38 @@
 
 } // namespace
 
-std::string
-loopback(int group, int host)
+/// Returns the second number of this run's addresses. Another run that goes on
+/// at the same time holds the guard port of its own number.
+int
+network()
 {
   constexpr int kFirst = 20;
   constexpr int kCount = 200;
-  return "127." + std::to_string(kFirst + ::getpid() % kCount) + "." +
-         std::to_string(group) + "." + std::to_string(host);
+  constexpr std::uint16_t kGuardPort = 9464;
+  for (int i = 0; i < kCount; ++i) {
+    const int number = kFirst + (::getpid() + i) % kCount;
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kGuardPort);
+    const auto ip = "127." + std::to_string(number) + ".0.254";
+    ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) ==
+        0) {
+      // Held until this process ends.
+      return number;
+    }
+    ::close(fd);
+  }
+  throw std::runtime_error("no free loopback addresses");
+}
+
+std::string
+loopback(int group, int host)
+{
+  static const int kNetwork = network();
+  return "127." + std::to_string(kNetwork) + "." + std::to_string(group) + "." +
+         std::to_string(host);
 }
 
 Record::Record(const std::string& path)
@@ -735,6 +761,11 @@
     }
     std::this_thread::sleep_for(Millis(50));
   }
+  for (auto& gateway : gateways) {
+    record.line(gateway->name() + (gateway->hasEnded()
+                                     ? " ended: " + gateway->ending()
+                                     : std::string(" runs")));
+  }
   record.line("the processes did not become ready");
   return false;
 }
