Batches: refuse items whose requests cannot be sent as submitted

Callers saw a batch accepted with 202 whose item had a header with line breaks and a second request in its value.

Cause: nothing judged ids, paths, names and values of headers, the scorer or the counts of a batch where it entered. The HTTP library writes what it is given, and the first request was built only after the 202. Ruled out: a misreading by the server (the received bytes had the line breaks) and a check that a later step undoes (there was none).

Change: net/request_syntax says what one valid request is. gateway/batch_check applies it to the requests that the items and reward calls become, before anything is stored, and refuses the batch with 400, the item and the field. HttpClient applies the same check and writes head and framing itself; an exception in a call ends that call. Item ids are encoded in calls between processes, and a stored estimate of null is read as 0. An item of a batch stored by an earlier version that cannot be sent waits for the end of its lifetime.

--- a/src/gateway/attempt_outcome.cpp
+++ b/src/gateway/attempt_outcome.cpp
@@ -15,6 +15,9 @@
   if (result.error == net::NetError::RateLimited) {
     return AttemptOutcome::RateLimited;
   }
+  if (result.error == net::NetError::InvalidRequest) {
+    return AttemptOutcome::Invalid;
+  }
   if (result.error) {
     const bool isIdleClose = result.reusedConnection &&
                              !result.hasReceivedBytes &&
@@ -37,7 +40,8 @@
   return outcome == AttemptOutcome::Refused ||
          outcome == AttemptOutcome::Misdirected ||
          outcome == AttemptOutcome::NotSent ||
-         outcome == AttemptOutcome::RateLimited;
+         outcome == AttemptOutcome::RateLimited ||
+         outcome == AttemptOutcome::Invalid;
 }
 
 bool
@@ -67,6 +71,7 @@
       registry.markLeaving(server);
       break;
     case AttemptOutcome::RateLimited:
+    case AttemptOutcome::Invalid:
     case AttemptOutcome::ClosedWhenIdle:
     case AttemptOutcome::Cancelled:
       break;
--- a/src/gateway/attempt_outcome.h
+++ b/src/gateway/attempt_outcome.h
@@ -22,6 +22,8 @@
   /// The request was not sent, because the server states a request rate and
   /// there is no permit.
   RateLimited,
+  /// The request was not sent, because it is invalid.
+  Invalid,
   /// A kept-alive connection ended before any byte of a response. The server
   /// may have closed the connection as idle while the request was on its way,
   /// which says nothing about the health of the server.
--- a/src/gateway/batch_reader.cpp
+++ b/src/gateway/batch_reader.cpp
@@ -251,7 +251,8 @@
 net::Awaitable<void>
 BatchReader::read(net::HttpExchange& exchange, ReadBatch call)
 {
-  call.wait = std::min(call.wait, std::max(Millis(0), mContext.timeToAnswer()));
+  const auto maxWait = std::clamp(mContext.timeToAnswer(), Millis(0), kMaxWait);
+  call.wait = std::clamp(call.wait, Millis(0), maxWait);
   auto response = co_await readLocal(call);
   if (response.status == net::status::kNotFound) {
     response = co_await readRemote(call);
@@ -288,8 +289,10 @@
     co_return std::move(*rejection);
   }
   net::HttpRequest request;
-  request.target =
-    fmt::format("{}{}?item={}", peer_paths::kItemBody, call.id, call.item);
+  request.target = fmt::format("{}{}?item={}",
+                               peer_paths::kItemBody,
+                               call.id,
+                               net::percentEncoded(call.item));
   auto ownerResponse =
     co_await requestFromOwner(call.id, std::move(request), kPeerTimeout);
   if (ownerResponse && ownerResponse->status != net::status::kNotFound) {
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -2,6 +2,7 @@
 
 #include "core/decimal.h"
 #include "gateway/attempt_outcome.h"
+#include "gateway/item_requests.h"
 #include "gateway/item_score.h"
 #include "gateway/read_limits.h"
 #include "net/http_status.h"
@@ -25,6 +26,7 @@
 /// Delays before an item is run again after a refusal or a failure.
 constexpr Millis kRefusalRetryDelay{ 25 };
 constexpr Millis kFailureRetryDelay{ 10 };
+constexpr Millis kInvalidRetryDelay{ 5'000 };
 
 std::size_t
 memoryOf(const core::BatchSpec& spec)
@@ -196,16 +198,7 @@
   call.connectTimeout = kConnectTimeout;
   call.timeout = kMaxRunTime;
   call.cancel = state.cancel;
-  call.request.method = "POST";
-  call.request.target = spec.path;
-  call.request.headers = spec.headers;
-  if (!mSpec->organisation.empty()) {
-    // An item must not name another organisation or carry a key.
-    call.request.headers = Forwarder::identifiedHeaders(
-      std::move(call.request.headers), names, mSpec->organisation);
-  }
-  call.request.headers.emplace_back("Host", mSpec->host);
-  call.request.headers.emplace_back(names.requestId, spec.id);
+  call.request = itemRequestHead(*mSpec, spec, names);
   call.request.headers.emplace_back(names.expectedServer, server.id);
   const auto* batchRoute = route();
   if (batchRoute != nullptr && batchRoute->singleVersion) {
@@ -352,6 +345,12 @@
     reason = "events_out_of_order";
     mContext.registry.failed(server, now);
     requeue(item, kFailureRetryDelay);
+  } else if (attemptOutcome == AttemptOutcome::Invalid) {
+    // No server can be sent this item, but it must not be given up before the
+    // end of its lifetime. Such batches are refused; an earlier version may
+    // have stored one.
+    reason = "invalid_request";
+    requeue(item, kInvalidRetryDelay);
   } else if (attemptOutcome == AttemptOutcome::RateLimited) {
     // The registry knows when the server takes the next request.
     requeue(item, kRefusalRetryDelay);
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -1,6 +1,7 @@
 #include "gateway/batch_service.h"
 
 #include "core/organisations/authentication.h"
+#include "gateway/batch_check.h"
 #include "net/http_status.h"
 
 #include <algorithm>
@@ -106,14 +107,14 @@
                     id, request.header("Host"), request.target, request.body)
                 : std::string("the batch id is missing or invalid");
   std::string reason = "accepted";
-  if (!spec) {
-    reason = spec.error();
-    response = errorResponse(400, "malformed_batch");
-  } else if (spec.value().items.empty()) {
-    reason = "no items";
-    response = errorResponse(400, "batch_without_items");
-  } else {
+  if (spec) {
     spec.value().organisation = std::move(organisation);
+  }
+  if (const auto problem = problemIn(spec)) {
+    reason = *problem;
+    response =
+      errorResponse(net::status::kBadRequest, "malformed_batch", reason);
+  } else {
     const auto atHome = co_await acceptAtHome(spec.value(), request.body);
     if (atHome == WriteOutcome::Done) {
       reason = "accepted_by_home";
@@ -143,6 +144,27 @@
   co_await exchange.respond(std::move(response));
 }
 
+std::optional<std::string>
+BatchService::problemIn(const WireFormat::Decoded<core::BatchSpec>& spec) const
+{
+  if (!spec) {
+    return spec.error();
+  }
+  if (spec.value().items.empty()) {
+    return "items is empty";
+  }
+  // A batch that was accepted is answered with 202 again, although the limits
+  // may have changed.
+  const auto& id = spec.value().id;
+  if (mCluster.batches().contains(id) || mRuns.contains(id)) {
+    return std::nullopt;
+  }
+  const auto limits =
+    mContext.desired ? mContext.desired->limits() : core::CallerLimits();
+  return findProblem(
+    spec.value(), limits.headerBytes, mContext.format.headers());
+}
+
 std::size_t
 BatchService::runMemory() const
 {
@@ -218,14 +240,17 @@
                                     request.header(peer_headers::kBatchPath),
                                     request.body)
       : std::string("the batch id is missing or invalid");
+  if (spec) {
+    spec.value().organisation =
+      request.header(peer_headers::kBatchOrganisation);
+  }
   net::HttpResponse response;
-  if (!spec || spec.value().items.empty()) {
-    response = errorResponse(400, "malformed_batch");
+  if (const auto problem = problemIn(spec)) {
+    response =
+      errorResponse(net::status::kBadRequest, "malformed_batch", *problem);
   } else if (mContext.isLeaving || !mContext.desired || isMemoryExhausted()) {
     response = refusalResponse(503, "not_accepting_batches", kRetryAfter);
   } else {
-    spec.value().organisation =
-      request.header(peer_headers::kBatchOrganisation);
     response = co_await accept(
       std::make_shared<const core::BatchSpec>(std::move(spec).value()),
       request.body,
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lentilrack::gateway {
@@ -56,6 +57,9 @@
   /// store the batch.
   net::Awaitable<WriteOutcome> acceptAtHome(const core::BatchSpec& spec,
                                             const std::string& body);
+  /// Returns why a submission must be refused, or nothing.
+  std::optional<std::string> problemIn(
+    const WireFormat::Decoded<core::BatchSpec>& spec) const;
   /// Returns an estimate of the memory that the runs use, in bytes.
   std::size_t runMemory() const;
   /// Returns whether the batches use so much memory that no further one
--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -199,7 +199,10 @@
     record.bodyParts = json.value("parts", std::size_t{ 0 });
     record.model = json.value("model", "");
     record.organisation = json.value("organisation", "");
-    record.estimatedTokens = json.value("work", 0.0);
+    // An estimate that was no number is stored as null. The batch must stay
+    // readable.
+    const auto& work = json.value("work", Json());
+    record.estimatedTokens = work.is_number() ? work.get<double>() : 0;
     record.submittedAt = Millis(json.value("submitted_at", std::int64_t{ 0 }));
     record.state = static_cast<BatchState>(json.value("state", 0));
     record.revision = item.revision;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -5,6 +5,7 @@
 #include "gateway/stream_forward.h"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -35,11 +36,16 @@
 }
 
 net::HttpResponse
-errorResponse(int status, const std::string& reason)
+errorResponse(int status, const std::string& reason, const std::string& detail)
 {
+  using Json = nlohmann::json;
+  Json body = { { "error", reason } };
+  if (!detail.empty()) {
+    body["detail"] = detail;
+  }
   net::HttpResponse response;
   response.status = status;
-  response.body = fmt::format("{{\"error\":\"{}\"}}", reason);
+  response.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
   return response;
 }
 
@@ -59,21 +65,17 @@
 Forwarder::forwardedRequest(const net::HttpRequest& request) const
 {
   const auto& names = mContext.format.headers();
-  const std::array<std::string_view, 10> droppedHeaders{
-    "Connection",        "Keep-Alive", "Transfer-Encoding",
-    "Content-Length",    "Upgrade",    "TE",
-    "Proxy-Connection",  "Expect",     names.timeLeft,
-    names.expectedServer
+  const std::array<std::string_view, 11> droppedHeaders{
+    "Connection", "Keep-Alive",   "Transfer-Encoding", "Content-Length",
+    "Upgrade",    "TE",           "Proxy-Connection",  "Expect",
+    "Trailer",    names.timeLeft, names.expectedServer
   };
   auto forwarded = request;
   net::removeHeaders(forwarded.headers, droppedHeaders);
   // The Connection header names further hop-by-hop headers, which must not be
   // forwarded either.
-  const auto connection = request.header("Connection");
-  std::erase_if(forwarded.headers, [&](const auto& header) {
-    return !connection.empty() && header.first.size() > 1 &&
-           connection.find(header.first) != std::string::npos;
-  });
+  net::removeHeaders(forwarded.headers,
+                     net::connectionOptions(request.headers));
   return forwarded;
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -117,8 +117,11 @@
 refusalResponse(int status, const std::string& reason, core::Millis retryAfter);
 
 /// Returns an error response without a Retry-After header. It does not tell
-/// whether the request was executed.
+/// whether the request was executed. `detail` may contain any text of the
+/// request; it is left out if it is empty.
 net::HttpResponse
-errorResponse(int status, const std::string& reason);
+errorResponse(int status,
+              const std::string& reason,
+              const std::string& detail = "");
 
 } // namespace lentilrack::gateway
--- a/src/gateway/item_score.cpp
+++ b/src/gateway/item_score.cpp
@@ -1,5 +1,6 @@
 #include "gateway/item_score.h"
 
+#include "gateway/item_requests.h"
 #include "net/http_status.h"
 
 #include <algorithm>
@@ -31,10 +32,7 @@
   ServiceCall call;
   call.id = reward.id;
   call.service = route.pickService(context.uniformRandom());
-  call.request.method = "POST";
-  call.request.target = reward.path;
-  call.request.headers = { { "Host", reward.host },
-                           { context.format.headers().requestId, reward.id } };
+  call.request = rewardRequestHead(reward, context.format.headers());
   call.request.body = reward.body;
   call.maxAttempts = kMaxAttemptsPerCall;
   call.isRepeatable = true;
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -34,6 +34,8 @@
   /// Name, in lower case, of the event field that reports a change of the
   /// weights.
   std::string weightVersionField;
+  /// Number of output tokens that the caller expects.
+  std::string lengthHint;
   /// Number of the last event received, after which a stream is to resume.
   std::string lastEvent;
   /// How long a response may be delayed while there is nothing to report.
--- a/src/net/error.cpp
+++ b/src/net/error.cpp
@@ -34,6 +34,12 @@
         return "address cannot be bound";
       case NetError::RateLimited:
         return "no permit for the server's request rate";
+      case NetError::InvalidRequest:
+        return "request that cannot be sent";
+      case NetError::HeadTooLarge:
+        return "head of the request is too large";
+      case NetError::BodyTooLarge:
+        return "body of the request is too large";
     }
     return "unknown error";
   }
--- a/src/net/error.h
+++ b/src/net/error.h
@@ -25,6 +25,11 @@
   /// The call was not started, because the server takes no further request at
   /// present.
   RateLimited,
+  /// The request cannot be sent as one valid message.
+  InvalidRequest,
+  /// The head or the body of a request exceeds its size limit.
+  HeadTooLarge,
+  BodyTooLarge,
 };
 
 const std::error_category&
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,9 +2,13 @@
 
 #include "net/beast.h"
 #include "net/error.h"
+#include "net/request_syntax.h"
 #include "net/response_parser.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <map>
 
@@ -57,22 +61,32 @@
                     kKeepAliveMargin);
 }
 
-http::request<http::string_body>
-toBeast(HttpRequest request, const core::Endpoint& endpoint)
+/// Returns the head of the request as it is sent. The length of the body frames
+/// the message, whatever the headers of the request say.
+std::string
+encodeHead(const HttpRequest& request, const core::Endpoint& endpoint)
 {
-  http::request<http::string_body> message;
-  message.method_string(request.method);
-  message.target(request.target);
-  message.version(11);
-  if (headerValue(request.headers, "Host").empty()) {
-    message.set(http::field::host, endpoint.text());
+  const auto& headers = request.headers;
+  auto head = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+  if (headerValues(headers, "Host").empty()) {
+    head += fmt::format("Host: {}\r\n", endpoint.text());
+  }
+  for (const auto& [name, value] : headers) {
+    if (!equalsIgnoringCase(name, "Content-Length") &&
+        !equalsIgnoringCase(name, "Transfer-Encoding")) {
+      head += fmt::format("{}: {}\r\n", name, value);
+    }
   }
-  for (const auto& [name, value] : request.headers) {
-    message.insert(name, value);
+  // RFC 9110, section 8.6.
+  constexpr std::array<std::string_view, 3> kMethodsWithBody{ "POST",
+                                                              "PUT",
+                                                              "PATCH" };
+  if (!request.body.empty() ||
+      std::ranges::find(kMethodsWithBody, request.method) !=
+        kMethodsWithBody.end()) {
+    head += fmt::format("Content-Length: {}\r\n", request.body.size());
   }
-  message.body() = std::move(request.body);
-  message.prepare_payload();
-  return message;
+  return head + "\r\n";
 }
 
 } // namespace
@@ -224,6 +238,14 @@
     co_return std::move(mResult);
   }
 
+  /// Returns the result of a call that an exception has ended.
+  HttpResult failedResult()
+  {
+    mResult.error = NetError::BadMessage;
+    mReusable = false;
+    return std::move(mResult);
+  }
+
   /// Returns true if the response was read completely, the server keeps the
   /// connection open and no further data has arrived.
   bool canReuseConnection() const { return mReusable; }
@@ -270,12 +292,16 @@
     if (isCancelled()) {
       co_return check({}, NetError::Cancelled);
     }
-    mMethod = mCall.request.method;
-    auto message = toBeast(std::move(mCall.request), mCall.endpoint);
+    const auto request = std::move(mCall.request);
+    mMethod = request.method;
+    const auto head = encodeHead(request, mCall.endpoint);
+    const std::array<asio::const_buffer, 2> message{
+      asio::buffer(head), asio::buffer(request.body)
+    };
     boost::system::error_code error;
     mStream->expires_at(mDeadline);
     mResult.sent = true;
-    co_await http::async_write(
+    co_await asio::async_write(
       *mStream, message, asio::redirect_error(asio::use_awaitable, error));
     co_return check(error, NetError::ConnectionLost);
   }
@@ -414,6 +440,11 @@
 HttpClient::call(HttpCall call)
 {
   const auto state = mState;
+  if (findProblem(call.request)) {
+    HttpResult invalid;
+    invalid.error = NetError::InvalidRequest;
+    co_return invalid;
+  }
   const auto endpoint = call.endpoint;
   const auto key = call.requestKey;
   auto connection = state->takeIdle(call);
@@ -422,7 +453,14 @@
     connection.stream = std::make_shared<beast::tcp_stream>(state->io);
   }
   ClientCall run(call, connection.stream, state->readMemory);
-  auto result = co_await run.run(isConnected);
+  HttpResult result;
+  // An unexpected error, also one of the hooks, must end this call and not the
+  // process.
+  try {
+    result = co_await run.run(isConnected);
+  } catch (const std::exception&) {
+    result = run.failedResult();
+  }
   const auto idleLimit = idleTimeLimit(result.response.headers);
   const bool mayKeep = !call.useNewConnection || call.keepNewConnection;
   if (run.canReuseConnection() && mayKeep) {
--- a/src/net/http_types.cpp
+++ b/src/net/http_types.cpp
@@ -1,5 +1,7 @@
 #include "net/http_types.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -67,6 +69,41 @@
   });
 }
 
+std::vector<std::string_view>
+connectionOptions(const Headers& headers)
+{
+  constexpr std::string_view kBlanks = " \t";
+  std::vector<std::string_view> options;
+  for (auto rest : headerValues(headers, "Connection")) {
+    while (!rest.empty()) {
+      const auto end = std::min(rest.find(','), rest.size());
+      auto option = rest.substr(0, end);
+      rest.remove_prefix(std::min(end + 1, rest.size()));
+      option.remove_prefix(
+        std::min(option.find_first_not_of(kBlanks), option.size()));
+      option = option.substr(0, option.find_last_not_of(kBlanks) + 1);
+      if (!option.empty()) {
+        options.push_back(option);
+      }
+    }
+  }
+  return options;
+}
+
+std::string
+percentEncoded(std::string_view text)
+{
+  constexpr std::string_view kUnreserved = "-._~";
+  std::string result;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    const bool isUnreserved =
+      std::isalnum(byte) != 0 || kUnreserved.find(c) != kUnreserved.npos;
+    result += isUnreserved ? std::string(1, c) : fmt::format("%{:02X}", byte);
+  }
+  return result;
+}
+
 std::string
 HttpRequest::path() const
 {
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -31,6 +31,16 @@
 void
 removeHeaders(Headers& headers, std::span<const std::string_view> names);
 
+/// Returns the options of all Connection headers, without blanks around them.
+/// They name the headers that concern only this connection.
+std::vector<std::string_view>
+connectionOptions(const Headers& headers);
+
+/// Returns the text as it stands in the query of a target: all bytes but
+/// unreserved characters (RFC 3986) are encoded.
+std::string
+percentEncoded(std::string_view text);
+
 struct HttpRequest
 {
   std::string method = "GET";
