Server: judge every request in one parser, and end one connection on an error

Cause: the HTTP library's container of headers throws an exception for a header of more than 65,533 bytes, and for a body with TRACE. The try block of a connection held only the handler, so the exception ended the process. The limits of the desired state were not judged either. Ruled out: a fault of forwarding alone (a server whose handler forwards nothing ended too).

Change: RequestParser judges each request, and shares MessageParser, which keeps the headers itself, with ResponseParser. What it refuses is answered 400, 413 or 431. An exception on a connection ends that connection. Limits for headers above 1 MB count as 1 MB; negative times are errors and endless ones are bounded. A repeated id, and a Connection header that names the Host or the id, are refused with 400, since the next server would read another request.

--- a/src/core/desired_state.cpp
+++ b/src/core/desired_state.cpp
@@ -52,6 +52,8 @@
                      ? std::make_shared<OrganisationDirectory>(*organisations)
                      : nullptr)
 {
+  mLimits.headerBytes =
+    std::min(mLimits.headerBytes, CallerLimits::kMaxHeaderBytes);
   for (auto& route : routes) {
     mRoutes[hostName(route.host)].push_back(std::move(route));
   }
--- a/src/core/desired_state.h
+++ b/src/core/desired_state.h
@@ -83,8 +83,12 @@
 /// Limits on the size and duration of a caller's requests.
 struct CallerLimits
 {
+  /// A larger limit on headers counts as this one. A process holds the whole
+  /// head of each request that it reads.
+  static constexpr std::uint64_t kMaxHeaderBytes = 1024UL * 1024;
+
   std::uint64_t bodyBytes = 32UL * 1024 * 1024;
-  std::uint32_t headerBytes = 16 * 1024;
+  std::uint64_t headerBytes = 16UL * 1024;
   /// Time to receive the headers.
   Millis headerTime{ 3'000 };
   /// Time without data after which a connection is closed.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "core/decimal.h"
 #include "core/shutdown_admission.h"
 #include "core/takeover_order.h"
+#include "net/http_status.h"
 
 #include <fmt/format.h>
 
@@ -43,6 +44,26 @@
 /// others learn it from the store.
 constexpr std::size_t kMaxLeavingRecipients = 64;
 
+/// Returns why the headers of a caller's request cannot be sent on as they are,
+/// or nothing.
+std::optional<std::string>
+problemIn(const net::Headers& headers, const std::string& requestId)
+{
+  if (net::headerValues(headers, requestId).size() > 1) {
+    // Another server could take another one for the id of the request.
+    return requestId + ": it is repeated";
+  }
+  const auto options = net::connectionOptions(headers);
+  const bool dropsOwnHeader = std::ranges::any_of(options, [&](auto option) {
+    return net::equalsIgnoringCase(option, "Host") ||
+           net::equalsIgnoringCase(option, requestId);
+  });
+  if (dropsOwnHeader) {
+    return "Connection: it names a header that every server needs";
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 Gateway::Gateway(Context& context)
@@ -173,7 +194,8 @@
   if (mContext.desired) {
     const auto& configuredLimits = mContext.desired->limits();
     limits.maxBodyBytes = configuredLimits.bodyBytes;
-    limits.maxHeaderBytes = configuredLimits.headerBytes;
+    limits.maxHeaderBytes =
+      static_cast<std::uint32_t>(configuredLimits.headerBytes);
     limits.readTimeout =
       std::max(limits.readTimeout, configuredLimits.headerTime);
     limits.idleTimeout = configuredLimits.idleTime + kIdleMargin;
@@ -184,7 +206,14 @@
 net::Awaitable<void>
 Gateway::handleCaller(net::HttpExchange& exchange)
 {
-  auto call = mContext.format.classifyRequest(exchange.request());
+  const auto& request = exchange.request();
+  if (const auto problem =
+        problemIn(request.headers, mContext.format.headers().requestId)) {
+    co_await exchange.respond(
+      errorResponse(net::status::kBadRequest, "malformed_request", *problem));
+    co_return;
+  }
+  auto call = mContext.format.classifyRequest(request);
   if (const auto* bad = std::get_if<MalformedCall>(&call)) {
     co_await exchange.respond(errorResponse(400, bad->reason));
   } else if (std::holds_alternative<ForwardRequest>(call)) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "net/beast.h"
 #include "net/error.h"
+#include "net/request_parser.h"
 
 #include <algorithm>
 #include <array>
@@ -20,6 +21,28 @@
 /// addition to the maximum size of a head. It bounds the size line and
 /// extension of a chunk.
 constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
+/// Maximum size, in bytes, of one read from a connection.
+constexpr std::size_t kMaxReadBytes = 64UL * 1024;
+constexpr std::size_t kFirstReadBytes = 4UL * 1024;
+
+struct Rejection
+{
+  int status = 400;
+  const char* code = "malformed_http";
+};
+
+/// Returns the response to a request that RequestParser has refused.
+Rejection
+rejectionFor(std::error_code error)
+{
+  if (error == NetError::HeadTooLarge) {
+    return { 431, "headers_too_large" };
+  }
+  if (error == NetError::BodyTooLarge) {
+    return { 413, "body_too_large" };
+  }
+  return {};
+}
 
 } // namespace
 
@@ -66,9 +89,13 @@
   Awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream);
   Awaitable<bool> serveOne(const std::shared_ptr<beast::tcp_stream>& stream,
                            beast::flat_buffer& buffer);
-  Awaitable<void> reject(beast::tcp_stream& stream,
-                         int status,
-                         const char* code);
+  /// Reads a request. Returns false if the connection has ended or timed out
+  /// before the request was complete or refused.
+  Awaitable<bool> readRequest(beast::tcp_stream& stream,
+                              beast::flat_buffer& buffer,
+                              RequestParser& parser);
+  Awaitable<void> reject(beast::tcp_stream& stream, Rejection rejection);
+  void reportFailure(const std::exception& failure);
 };
 
 namespace {
@@ -183,7 +210,6 @@
       co_return;
     }
     mStarted = true;
-    mEnded = true;
     mKeepAlive = mKeepAlive && mLimits().allowKeepAlive;
     http::response<http::string_body> message;
     message.result(static_cast<unsigned>(response.status));
@@ -197,6 +223,7 @@
     message.keep_alive(mKeepAlive);
     message.body() = std::move(response.body);
     message.prepare_payload();
+    mEnded = true;
     mStream->expires_after(mWriteTime);
     boost::system::error_code error;
     co_await http::async_write(
@@ -311,20 +338,6 @@
   bool mEnded = false;
 };
 
-HttpRequest
-fromBeast(http::request<http::string_body> message)
-{
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers.emplace_back(std::string(field.name_string()),
-                                 std::string(field.value()));
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
 } // namespace
 
 void
@@ -345,8 +358,16 @@
   beast::flat_buffer buffer;
   bool isReusable = true;
   while (isReusable) {
-    isReusable = co_await serveOne(stream, buffer);
+    // An unexpected error must end this connection and not the process, with
+    // all that it does for others.
+    try {
+      isReusable = co_await serveOne(stream, buffer);
+    } catch (const std::exception& failure) {
+      isReusable = false;
+      reportFailure(failure);
+    }
   }
+  idleStreams.erase(stream.get());
   streams.erase(stream.get());
   boost::system::error_code ignored;
   stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -357,19 +378,17 @@
 HttpServer::State::serveOne(const std::shared_ptr<beast::tcp_stream>& stream,
                             beast::flat_buffer& buffer)
 {
-  boost::system::error_code error;
-  http::request_parser<http::string_body> parser;
   const auto bounds = limits();
-  parser.body_limit(bounds.maxBodyBytes);
-  parser.header_limit(bounds.maxHeaderBytes);
   // A pipelined request may already be in the buffer.
-  buffer.max_size(
-    std::max(buffer.size(), bounds.maxHeaderBytes + kMaxUnparsedBytes));
+  buffer.max_size(std::max<std::size_t>(
+    buffer.size(), std::size_t{ bounds.maxHeaderBytes } + kMaxUnparsedBytes));
   if (buffer.size() == 0) {
     stream->expires_after(bounds.idleTimeout);
     idleStreams.insert(stream.get());
+    boost::system::error_code error;
     const auto size = co_await stream->async_read_some(
-      buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+      buffer.prepare(kFirstReadBytes),
+      asio::redirect_error(asio::use_awaitable, error));
     buffer.commit(size);
     idleStreams.erase(stream.get());
     if (error) {
@@ -378,34 +397,26 @@
   }
   RunningExchange running(runningExchanges);
   stream->expires_after(bounds.readTimeout);
-  co_await http::async_read(
-    *stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-  if (error == http::error::body_limit) {
-    co_await reject(*stream, 413, "body_too_large");
-  } else if (error == http::error::header_limit) {
-    co_await reject(*stream, 431, "headers_too_large");
-  } else if (error == beast::error::timeout) {
+  RequestParser parser({ bounds.maxHeaderBytes, bounds.maxBodyBytes });
+  const bool isRead = co_await readRequest(*stream, buffer, parser);
+  if (!isRead) {
     co_return false;
-  } else if (error && error != http::error::end_of_stream &&
-             error != http::error::partial_message) {
-    co_await reject(*stream, 400, "malformed_http");
   }
-  if (error) {
+  if (parser.error()) {
+    co_await reject(*stream, rejectionFor(parser.error()));
     co_return false;
   }
-  const bool keepAlive = parser.get().keep_alive();
+  const bool keepAlive = parser.isConnectionReusable();
   stream->expires_never();
   const auto exchange = std::make_shared<ServerExchange>(
-    fromBeast(parser.release()), stream, limits, keepAlive);
+    parser.takeRequest(), stream, limits, keepAlive);
   exchanges.insert(exchange);
   bool hasFailed = false;
   try {
     co_await handler(*exchange);
   } catch (const std::exception& failure) {
     hasFailed = true;
-    if (onFailure) {
-      onFailure(failure.what());
-    }
+    reportFailure(failure);
   }
   exchanges.erase(exchange);
   running.end();
@@ -424,16 +435,49 @@
   co_return exchange->canBeReused();
 }
 
+Awaitable<bool>
+HttpServer::State::readRequest(beast::tcp_stream& stream,
+                               beast::flat_buffer& buffer,
+                               RequestParser& parser)
+{
+  for (;;) {
+    const auto received = buffer.cdata();
+    buffer.consume(parser.parse(
+      { static_cast<const char*>(received.data()), received.size() }));
+    if (parser.error() || parser.isComplete()) {
+      co_return true;
+    }
+    const auto room = buffer.max_size() - buffer.size();
+    if (room == 0) {
+      co_return false;
+    }
+    boost::system::error_code error;
+    const auto size = co_await stream.async_read_some(
+      buffer.prepare(std::min(room, kMaxReadBytes)),
+      asio::redirect_error(asio::use_awaitable, error));
+    buffer.commit(size);
+    if (error) {
+      co_return false;
+    }
+  }
+}
+
+void
+HttpServer::State::reportFailure(const std::exception& failure)
+{
+  if (onFailure) {
+    onFailure(failure.what());
+  }
+}
+
 Awaitable<void>
-HttpServer::State::reject(beast::tcp_stream& stream,
-                          int status,
-                          const char* code)
+HttpServer::State::reject(beast::tcp_stream& stream, Rejection rejection)
 {
-  http::response<http::string_body> message(static_cast<http::status>(status),
-                                            11);
+  http::response<http::string_body> message(
+    static_cast<http::status>(rejection.status), 11);
   message.set(http::field::content_type, "application/json");
   message.keep_alive(false);
-  message.body() = std::string(R"({"error":")") + code + "\"}";
+  message.body() = std::string(R"({"error":")") + rejection.code + "\"}";
   message.prepare_payload();
   stream.expires_after(limits().writeTimeout);
   boost::system::error_code ignored;
--- a/tests/adapter/format_test.cpp
+++ b/tests/adapter/format_test.cpp
@@ -220,4 +220,31 @@
   }
 }
 
+// Guards against limits that end each process: a negative time, or a time or a
+// size beyond what a process can hold.
+TEST(FormatTest, LimitsOfTheDesiredStateAreBounded)
+{
+  const auto decode = [](const std::string& limits) {
+    return kFormat.decodeDesiredState(
+      R"({"version":1,"routes":[],"services":[],"limits":{)" + limits + "}}");
+  };
+  const auto raised = decode(R"("max_header_bytes":100000)");
+  ASSERT_TRUE(raised);
+  EXPECT_EQ(raised.value().limits().headerBytes, 100'000U);
+  const auto huge =
+    decode(R"("max_header_bytes":5000000000,"header_timeout_ms":9e18)");
+  ASSERT_TRUE(huge);
+  EXPECT_EQ(huge.value().limits().headerBytes,
+            core::CallerLimits::kMaxHeaderBytes);
+  EXPECT_GT(huge.value().limits().headerTime, core::Millis(0));
+  EXPECT_LE(huge.value().limits().headerTime, core::Millis(1'000'000'000'000));
+  for (const auto* limits : { R"("max_header_bytes":-1)",
+                              R"("max_header_bytes":"many")",
+                              R"("max_body_bytes":-1)",
+                              R"("idle_timeout_ms":-1)",
+                              R"("header_timeout_ms":"long")" }) {
+    EXPECT_FALSE(decode(limits)) << limits;
+  }
+}
+
 } // namespace lentilrack::platform
