Batches: only a proven owner says that there is no further result

The woken process also ran unfinished items again.

Cause: an answer without a result was given without proof of ownership, by the former owner from its own list and by the others on its word. Only a failed write told a run that its batch belongs to another process. Ruled out: old lists from the store.

Change: a page with results stays valid whoever owns the batch. A page without one needs the owner key under the present duty lease, a lease that cannot have expired on a clock that counts suspended time, and a known outcome of each write. Without it the store is read. Pages of peers name the revision of the owner key on which they depend. A run stops once another owner or the end of its batch is known, and claims its batch again at once after the loss of a lease, unless another process has written results to it.

--- a/src/gateway/batch_reader.cpp
+++ b/src/gateway/batch_reader.cpp
@@ -1,5 +1,6 @@
 #include "gateway/batch_reader.h"
 
+#include "core/decimal.h"
 #include "core/organisations/authentication.h"
 #include "net/http_status.h"
 
@@ -151,14 +152,7 @@
   if (!instance || *instance == mContext.settings.instance) {
     co_return std::nullopt;
   }
-  auto answer =
-    co_await mPeers.sendRequest(*instance, std::move(request), timeout);
-  if (answer) {
-    // The headers of the response belong to the connection between the two
-    // processes and must not reach the trainer.
-    answer->headers.clear();
-  }
-  co_return answer;
+  co_return co_await mPeers.sendRequest(*instance, std::move(request), timeout);
 }
 
 net::HttpResponse
@@ -180,24 +174,50 @@
   return response;
 }
 
-net::Awaitable<net::HttpResponse>
+net::Awaitable<std::optional<BatchReader::LocalPage>>
 BatchReader::readLocal(ReadBatch call)
 {
   const auto batch = mFindLocalRun(call.id);
-  // A local run that was stopped before it finished has only some of the
-  // results, because another process has taken the batch over.
-  const auto isIncomplete = [&batch] {
-    return batch->isStopped() && !batch->results().isComplete();
-  };
-  if (!batch || isIncomplete()) {
-    co_return errorResponse(net::status::kNotFound, "not_the_owner");
+  if (!batch) {
+    co_return std::nullopt;
   }
   co_await batch->waitForResults(call.after, std::min(call.wait, kMaxWait));
-  if (isIncomplete()) {
+  const auto& results = batch->results();
+  LocalPage page;
+  // Results never change. That there is no further one is only certain while
+  // this process is the only one that may write results.
+  if (results.committed().size() <= call.after && !results.isComplete()) {
+    if (!results.isProvenCurrent()) {
+      co_return std::nullopt;
+    }
+    page.ownerRevision = results.ownerRevision();
+  }
+  page.response = makePage(results.total(), call.after, results.committed());
+  co_return page;
+}
+
+net::Awaitable<net::HttpResponse>
+BatchReader::readForPeer(ReadBatch call)
+{
+  auto page = co_await readLocal(std::move(call));
+  if (!page) {
     co_return errorResponse(net::status::kNotFound, "not_the_owner");
   }
-  const auto& results = batch->results();
-  co_return makePage(results.total(), call.after, results.committed());
+  page->response.headers.emplace_back(peer_headers::kOwnerRevision,
+                                      std::to_string(page->ownerRevision));
+  co_return std::move(page->response);
+}
+
+bool
+BatchReader::isCurrentPage(const std::string& id,
+                           const net::HttpResponse& page) const
+{
+  const auto revision = core::parseDecimal<std::int64_t>(
+    net::headerValue(page.headers, peer_headers::kOwnerRevision));
+  const auto* owner = mCluster.ownerOf(id);
+  const bool isFromOwner =
+    revision && owner != nullptr && owner->revision <= *revision;
+  return revision == 0 || isFromOwner;
 }
 
 net::Awaitable<net::HttpResponse>
@@ -242,7 +262,9 @@
                                call.wait.count());
   auto ownerResponse = co_await requestFromOwner(
     call.id, std::move(request), call.wait + kPeerTimeoutMargin);
-  if (ownerResponse && ownerResponse->status == net::status::kOk) {
+  if (ownerResponse && ownerResponse->status == net::status::kOk &&
+      isCurrentPage(call.id, *ownerResponse)) {
+    ownerResponse->headers.clear();
     co_return std::move(*ownerResponse);
   }
   co_return co_await readStored(call);
@@ -253,8 +275,13 @@
 {
   const auto maxWait = std::clamp(mContext.timeToAnswer(), Millis(0), kMaxWait);
   call.wait = std::clamp(call.wait, Millis(0), maxWait);
-  auto response = co_await readLocal(call);
-  if (response.status == net::status::kNotFound) {
+  auto page = co_await readLocal(call);
+  // Not a conditional expression: GCC 12 destroys the result of a co_await in
+  // one of its branches too early.
+  net::HttpResponse response;
+  if (page) {
+    response = std::move(page->response);
+  } else {
     response = co_await readRemote(call);
   }
   if (response.status != net::status::kOk) {
@@ -296,6 +323,7 @@
   auto ownerResponse =
     co_await requestFromOwner(call.id, std::move(request), kPeerTimeout);
   if (ownerResponse && ownerResponse->status != net::status::kNotFound) {
+    ownerResponse->headers.clear();
     co_return std::move(*ownerResponse);
   }
   // The record may have been removed while the owner was asked, and a batch
--- a/src/gateway/batch_reader.h
+++ b/src/gateway/batch_reader.h
@@ -66,9 +66,9 @@
                                     ReadItemBody call);
 
   /// Respond to other processes from the batches that this process owns. Status
-  /// 404 only means that this process does not own the batch; the batch may
-  /// exist.
-  net::Awaitable<net::HttpResponse> readLocal(ReadBatch call);
+  /// 404 only means that this process cannot prove that it owns the batch; the
+  /// batch may exist. Pages of results carry peer_headers::kOwnerRevision.
+  net::Awaitable<net::HttpResponse> readForPeer(ReadBatch call);
   net::HttpResponse readLocalItemBody(const ReadItemBody& call) const;
 
   /// Returns whether the batch was ever accepted. Reads the store only if this
@@ -80,13 +80,29 @@
                                                  BatchRecord record);
   /// Sends a request to the owner of the batch. Returns nothing if the batch
   /// has no owner, this process is the owner, or the owner does not respond in
-  /// time.
+  /// time. The headers of the response belong to the connection between the two
+  /// processes and must not reach the trainer.
   net::Awaitable<std::optional<net::HttpResponse>> requestFromOwner(
     std::string id,
     net::HttpRequest request,
     core::Millis timeout);
 
 private:
+  /// A page from the run in this process.
+  struct LocalPage
+  {
+    net::HttpResponse response;
+    /// Revision of the owner key on which the page depends, or 0.
+    std::int64_t ownerRevision = 0;
+  };
+
+  /// Returns the page, or nothing if this process has no run of the batch, or
+  /// has no result at the position and cannot prove that there is none.
+  net::Awaitable<std::optional<LocalPage>> readLocal(ReadBatch call);
+  /// Returns true if the page of a peer is valid as far as this process knows.
+  /// The batch may have got another owner since the peer made the page.
+  bool isCurrentPage(const std::string& id,
+                     const net::HttpResponse& page) const;
   /// Returns the instance that is most likely to have the results of a batch in
   /// memory, or nothing if there is none.
   std::optional<std::string> likelyHolderOf(const std::string& id) const;
@@ -95,7 +111,7 @@
   net::Awaitable<std::optional<net::HttpResponse>> rejectUnknownBatch(
     std::string id);
   /// Reads results from the owner of the batch, or from the store if the owner
-  /// does not respond.
+  /// does not respond or does not own the batch any more.
   net::Awaitable<net::HttpResponse> readRemote(ReadBatch call);
   net::Awaitable<net::HttpResponse> readStored(ReadBatch call);
   net::Awaitable<net::HttpResponse> readRemoteItemBody(ReadItemBody call);
--- a/src/gateway/batch_run.cpp
+++ b/src/gateway/batch_run.cpp
@@ -125,6 +125,14 @@
   mResults.stop();
 }
 
+void
+BatchRun::stopIfOwnedElsewhere()
+{
+  if (!mIsStopped && mResults.isOwnedElsewhere()) {
+    stop("owned_elsewhere");
+  }
+}
+
 net::Awaitable<void>
 BatchRun::handOver()
 {
--- a/src/gateway/batch_run.h
+++ b/src/gateway/batch_run.h
@@ -37,6 +37,8 @@
   void start();
   /// Cancels the runs of all items. No result is written afterwards.
   void stop(const std::string& reason);
+  /// Stops the run if another process owns or has finished the batch.
+  void stopIfOwnedElsewhere();
   /// Stops the batch and gives up its ownership, so that another process takes
   /// the batch over.
   net::Awaitable<void> handOver();
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -268,7 +268,7 @@
                                     const BatchRecord& record,
                                     const std::string& body) const
 {
-  const auto self = mCluster.self();
+  const auto owner = mCluster.selfAsOwner();
   const auto partSize = mContext.settings.storeValueBytes / kBodyPartDivisor;
   StoreTransaction transaction;
   transaction.preconditions = { { keys::batch(id), 0 },
@@ -278,7 +278,7 @@
   // without an owner, so that another process takes the batch over.
   if (mCluster.lease() != 0 && !mContext.isLeaving) {
     transaction.writes.push_back(
-      { keys::owner(id), self.encode(), mCluster.lease() });
+      { keys::owner(id), owner.encode(), owner.lease });
   }
   for (std::size_t part = 0; part < record.bodyParts; ++part) {
     transaction.writes.push_back(
@@ -314,15 +314,14 @@
   while (Clock::now() < deadline) {
     auto transaction = makeAcceptTransaction(id, record, body);
     const bool isOwner = transaction.writes.size() > record.bodyParts + 1;
+    const auto owner = mCluster.selfAsOwner().encode();
     const auto commit = co_await mContext.store.commit(std::move(transaction));
     if (!commit.error) {
       record.revision = commit.revision;
       mCluster.recordItem(
         { keys::batch(id), record.encode(), commit.revision });
       if (isOwner) {
-        const auto self = mCluster.self();
-        mCluster.recordItem(
-          { keys::owner(id), self.encode(), commit.revision });
+        mCluster.recordItem({ keys::owner(id), owner, commit.revision });
         startRun(spec, record, commit.revision, {});
       }
       co_return acceptedResponse();
@@ -373,11 +372,13 @@
 void
 BatchService::onClusterChange()
 {
-  for (const auto& [id, record] : mCluster.batches()) {
-    const auto localRun = findLocalRun(id);
-    if (localRun && record.state == BatchState::Ended) {
+  for (const auto& [id, localRun] : mRuns) {
+    const auto known = mCluster.batches().find(id);
+    if (known != mCluster.batches().end() &&
+        known->second.state == BatchState::Ended) {
       localRun->stop("ended");
     }
+    localRun->stopIfOwnedElsewhere();
   }
 }
 
@@ -438,14 +439,14 @@
     known != mCluster.batches().end() ? known->second : BatchRecord{};
   const auto ownerRevision = owner != nullptr ? owner->revision : 0;
   auto revision = ownerRevision;
-  const bool isAlreadyOwner = owner != nullptr && mCluster.isSelf(*owner);
+  const bool isAlreadyOwner = mCluster.isListedOwner(id, ownerRevision);
   if (!isAlreadyOwner) {
     const auto lease = co_await mCluster.acquireLease();
     if (lease == 0) {
       mPendingClaims.erase(id);
       co_return;
     }
-    const auto self = mCluster.self();
+    const auto self = mCluster.selfAsOwner();
     StoreTransaction transaction;
     transaction.preconditions = { { keys::owner(id), ownerRevision },
                                   { keys::batch(id), record.revision } };
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -39,8 +39,8 @@
   /// batch at another process.
   void stopEndedRun(const std::string& id);
 
-  /// Stops the runs of ended batches in this process. Called after each change
-  /// of a cluster key.
+  /// Stops the runs in this process whose batches have ended or belong to
+  /// another process. Called after each change of a cluster key.
   void onClusterChange();
   /// Starts to give up the ownership of all running batches, so that other
   /// processes take them over.
--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -220,6 +220,9 @@
   if (isSettled) {
     json["settled"] = true;
   }
+  if (lease != 0) {
+    json["lease"] = lease;
+  }
   return json.dump();
 }
 
@@ -231,7 +234,8 @@
                    json.value("lifetime", ""),
                    item.revision,
                    json.value("address", ""),
-                   json.value("settled", false) };
+                   json.value("settled", false),
+                   json.value("lease", std::int64_t{ 0 }) };
   });
 }
 
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -78,6 +78,8 @@
   /// other machines, are long enough ago. A process that is restarted cannot
   /// know that otherwise.
   bool isSettled = false;
+  /// Only of the owner of a batch: the lease that its key is bound to.
+  std::int64_t lease = 0;
 
   std::string encode() const;
   static std::optional<Holder> decode(const StoreItem& item);
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -91,6 +91,30 @@
   return { mContext.settings.instance, mContext.incarnation, 0 };
 }
 
+Holder
+ClusterView::selfAsOwner() const
+{
+  auto owner = self();
+  owner.lease = lease();
+  return owner;
+}
+
+bool
+ClusterView::isListedOwner(const std::string& batch,
+                           std::int64_t revision) const
+{
+  const auto* owner = ownerOf(batch);
+  return owner != nullptr && isSelf(*owner) && owner->revision == revision &&
+         owner->lease != 0 && owner->lease == lease();
+}
+
+bool
+ClusterView::isProvenOwner(const std::string& batch,
+                           std::int64_t revision) const
+{
+  return isListedOwner(batch, revision) && dutyLease().isCurrent();
+}
+
 bool
 ClusterView::isSelf(const Holder& holder) const
 {
@@ -162,8 +186,7 @@
 bool
 ClusterView::isMembershipCurrent() const
 {
-  return mIsRegistered && mMemberLease.id != 0 &&
-         bootTime() < mMemberLease.renewedAt + mMemberLease.timeToLive;
+  return mIsRegistered && mMemberLease.isCurrent();
 }
 
 std::vector<std::string>
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -60,9 +60,19 @@
   const Holder* ownerOf(const std::string& batch) const;
   /// Returns the leader, or null.
   const Holder* leader() const { return mLeader ? &*mLeader : nullptr; }
-  /// Returns the value with which this process claims a batch or the
-  /// leadership.
+  /// Returns true if this process holds the owner key of the batch at this
+  /// revision under its present duty lease, as far as it knows. The lease may
+  /// have expired since it was last renewed.
+  bool isListedOwner(const std::string& batch, std::int64_t revision) const;
+  /// Returns true if this process provably still owns the batch: it is the
+  /// listed owner, and the lease cannot have expired, even if this process was
+  /// suspended or is cut off.
+  bool isProvenOwner(const std::string& batch, std::int64_t revision) const;
+  /// Returns the value with which this process claims the leadership.
   Holder self() const;
+  /// Returns the value with which this process claims a batch under its present
+  /// duty lease.
+  Holder selfAsOwner() const;
   /// Returns true if the holder is this process and not an earlier process of
   /// the same instance.
   bool isSelf(const Holder& holder) const;
@@ -113,6 +123,12 @@
     /// When the last successful renewal was sent, as the time since the machine
     /// booted.
     core::Millis renewedAt{ 0 };
+
+    /// Returns true if there is a lease and it cannot have expired yet.
+    bool isCurrent() const
+    {
+      return id != 0 && bootTime() < renewedAt + timeToLive;
+    }
   };
 
   /// Whether the lease of the registration is also the duty lease.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -449,7 +449,7 @@
       core::parseDecimal<std::size_t>(request.query("after")).value_or(0);
     read.wait = Millis(
       core::parseDecimal<std::int64_t>(request.query("wait")).value_or(0));
-    response = co_await mBatches.reader().readLocal(std::move(read));
+    response = co_await mBatches.reader().readForPeer(std::move(read));
   } else if (path.starts_with(peer_paths::kItemBody)) {
     response = mBatches.reader().readLocalItemBody(
       { after(peer_paths::kItemBody), request.query("item") });
--- a/src/gateway/peer_client.h
+++ b/src/gateway/peer_client.h
@@ -32,6 +32,9 @@
 inline constexpr const char* kBatchPath = "X-Batch-Path";
 /// Organisation that has submitted a batch; absent if there is none.
 inline constexpr const char* kBatchOrganisation = "X-Batch-Organisation";
+/// Revision of the owner key on which a page of results depends; 0 if the page
+/// is valid whoever owns the batch, since results never change.
+inline constexpr const char* kOwnerRevision = "X-Owner-Revision";
 }
 
 /// Sends requests to other processes of the cluster.
--- a/src/gateway/result_log.cpp
+++ b/src/gateway/result_log.cpp
@@ -17,6 +17,11 @@
 /// store divided by this.
 constexpr std::size_t kChunkSizeDivisor = 2;
 
+/// Readers may see the results of a write this long before its outcome is known
+/// here. Shorter than the time after which a result that was read must stay
+/// visible (1 s on the known deployments).
+constexpr Millis kMaxUnknownWriteTime{ 500 };
+
 /// Returns the time of the submission of a batch on the steady clock. A record
 /// whose time lies in the future counts as just submitted.
 core::TimePoint
@@ -70,6 +75,29 @@
   mWaitingReaders.notifyAll();
 }
 
+bool
+ResultLog::isProvenCurrent() const
+{
+  const bool isOutcomeOverdue =
+    mIsWriting && Clock::now() - mWriteStartedAt > kMaxUnknownWriteTime;
+  return !mIsStopped && !isOutcomeOverdue &&
+         mCluster.isProvenOwner(mBatch, mOwnerRevision);
+}
+
+bool
+ResultLog::isOwnedElsewhere() const
+{
+  if (mIsWriting || isComplete()) {
+    return false;
+  }
+  const auto* owner = mCluster.ownerOf(mBatch);
+  const auto record = mCluster.batches().find(mBatch);
+  const bool hasOtherOwner = owner != nullptr && !mCluster.isSelf(*owner) &&
+                             owner->revision > mOwnerRevision;
+  return hasOtherOwner || (record != mCluster.batches().end() &&
+                           record->second.state == BatchState::Finished);
+}
+
 net::Awaitable<std::error_code>
 ResultLog::release()
 {
@@ -130,6 +158,12 @@
 ResultLog::write()
 {
   while (!mIsStopped && !isComplete()) {
+    if (!mCluster.isListedOwner(mBatch, mOwnerRevision)) {
+      const bool isOwner = co_await reclaimOwnership();
+      if (!isOwner) {
+        co_return Ending::OwnedElsewhere;
+      }
+    }
     const auto due = mSchedule.dueTime();
     const auto now = Clock::now();
     if (!due || now < *due) {
@@ -140,6 +174,7 @@
     }
     auto chunk = takeChunk();
     mIsWriting = true;
+    mWriteStartedAt = Clock::now();
     const bool isWritten = co_await commit(chunk);
     mIsWriting = false;
     if (mIsStopped) {
@@ -214,8 +249,12 @@
 net::Awaitable<bool>
 ResultLog::reclaimOwnership()
 {
-  const auto self = mCluster.self();
   while (!mIsStopped) {
+    const auto lease = co_await mCluster.acquireLease();
+    if (lease == 0) {
+      co_await net::sleepFor(kStoreRetryDelay);
+      continue;
+    }
     const auto owner = co_await mContext.store.read(keys::owner(mBatch));
     const auto record = co_await mContext.store.read(keys::batch(mBatch));
     if (!owner || !record) {
@@ -230,26 +269,58 @@
     mRecord.revision = known->revision;
     if (owner.value()) {
       const auto holder = Holder::decode(*owner.value());
-      const bool isOwn = holder && mCluster.isSelf(*holder);
-      mOwnerRevision = isOwn ? holder->revision : mOwnerRevision;
-      co_return isOwn;
-    }
-    const auto lease = co_await mCluster.acquireLease();
-    if (lease == 0) {
+      if (!holder || !mCluster.isSelf(*holder)) {
+        co_return false;
+      }
+      mCluster.recordItem(*owner.value());
+      if (mCluster.isListedOwner(mBatch, holder->revision)) {
+        mOwnerRevision = holder->revision;
+        co_return true;
+      }
+      // The key is bound to a lease that this process has lost. Another process
+      // may take the batch over once the store deletes the key.
       co_await net::sleepFor(kStoreRetryDelay);
       continue;
     }
-    StoreTransaction transaction;
-    transaction.preconditions = { { keys::owner(mBatch), 0 } };
-    transaction.writes = { { keys::owner(mBatch), self.encode(), lease } };
-    const auto commit = co_await mContext.store.commit(std::move(transaction));
+    const auto commit = co_await claim(lease);
     if (!commit.error) {
       mOwnerRevision = commit.revision;
       co_return true;
     }
+    const auto nextResults = keys::results(mBatch, mCommitted.size());
+    const bool hasFurtherResults =
+      std::ranges::any_of(commit.current, [&](const StoreItem& item) {
+        return item.key == nextResults;
+      });
+    if (hasFurtherResults) {
+      co_return false;
+    }
     co_await net::sleepFor(kStoreRetryDelay);
   }
   co_return false;
 }
 
+net::Awaitable<StoreCommit>
+ResultLog::claim(std::int64_t lease)
+{
+  const auto owner = mCluster.selfAsOwner().encode();
+  StoreTransaction transaction;
+  // The last precondition fails if another process has owned the batch in the
+  // meantime and has written results that this process does not know.
+  transaction.preconditions = { { keys::owner(mBatch), 0 },
+                                { keys::batch(mBatch), mRecord.revision },
+                                { keys::results(mBatch, mCommitted.size()),
+                                  0 } };
+  transaction.writes = { { keys::owner(mBatch), owner, lease } };
+  auto commit = co_await mContext.store.commit(std::move(transaction));
+  mContext.log.info(
+    "batch_reclaimed",
+    { { "batch", mBatch },
+      { "outcome", commit.error ? commit.error.message() : "done" } });
+  if (!commit.error) {
+    mCluster.recordItem({ keys::owner(mBatch), owner, commit.revision });
+  }
+  co_return commit;
+}
+
 } // namespace lentilrack::gateway
--- a/src/gateway/result_log.h
+++ b/src/gateway/result_log.h
@@ -53,6 +53,16 @@
   bool isCommitted(std::size_t item) const { return mIsCommitted[item]; }
   /// Returns the number of items of the batch.
   std::size_t total() const { return mRecord.total; }
+  /// Revision of the owner key under which this process writes results.
+  std::int64_t ownerRevision() const { return mOwnerRevision; }
+  /// Returns true if committed() provably has all results that are in the
+  /// store: this process owns the batch and knows the outcome of its writes.
+  /// Without this proof, another process may have written further results, and
+  /// readers may have seen them.
+  bool isProvenCurrent() const;
+  /// Returns true if another process owns or has finished the batch, as far as
+  /// this process knows, and no write of this process is under way.
+  bool isOwnedElsewhere() const;
   /// Returns true if the results of all items are in the store.
   bool isComplete() const { return mCommitted.size() == mRecord.total; }
   /// Waits until there are more than `after` results or no further result can
@@ -67,10 +77,12 @@
   /// Writes a result chunk (a group of results under one key). Returns false if
   /// another process owns the batch or the log was stopped.
   net::Awaitable<bool> commit(const std::vector<StoredResult>& chunk);
-  /// Reads the owner of the batch after a conflict, and claims the batch if it
-  /// has none. Returns false if another process owns the batch or the batch is
-  /// no longer open.
+  /// Reads the owner of the batch from the store, and claims the batch if it
+  /// has none. Returns false if another process owns the batch or has written
+  /// results to it, or the batch is no longer open.
   net::Awaitable<bool> reclaimOwnership();
+  /// Writes the owner key, which must not exist.
+  net::Awaitable<StoreCommit> claim(std::int64_t lease);
 
   Context& mContext;
   ClusterView& mCluster;
@@ -90,6 +102,8 @@
   net::Notifier mResultAdded;
   /// Whether a write of results is under way. Its outcome is not known yet.
   bool mIsWriting = false;
+  /// When the write that is under way was first tried.
+  core::TimePoint mWriteStartedAt{};
   bool mIsStopped = false;
 };
 
--- a/tests/gateway/cluster_records_test.cpp
+++ b/tests/gateway/cluster_records_test.cpp
@@ -28,17 +28,19 @@
   }
 }
 
-// Guards against losing what a restarted leader relies on.
+// Guards against losing what a restarted leader or the owner of a batch relies
+// on.
 TEST(ClusterRecordsTest, HolderRoundTrips)
 {
   for (const bool isSettled : { false, true }) {
-    const Holder holder{ "a", "life", 7, "10.0.0.1", isSettled };
+    const Holder holder{ "a", "life", 7, "10.0.0.1", isSettled, 12 };
     const auto decoded = Holder::decode({ "key", holder.encode(), 7 });
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded->instance, "a");
     EXPECT_EQ(decoded->incarnation, "life");
     EXPECT_EQ(decoded->address, "10.0.0.1");
     EXPECT_EQ(decoded->isSettled, isSettled);
+    EXPECT_EQ(decoded->lease, 12);
   }
 }
 
