Bound negative times of callers and peers

Cause: a negative X-Deadline-Ms of a caller and a negative wait of a peer were added to the clock as they came. The smallest ones overflow, so that the deadline is any time.

Change: a negative time counts as none left, or as no wait.

Measured: before, ForwarderTest.NegativeTimeMeansThatNoneIsLeft failed with a signed overflow reported by the sanitizer; it passes with the change.

--- a/src/gateway/batch_reader.cpp
+++ b/src/gateway/batch_reader.cpp
@@ -181,7 +181,8 @@
   if (!batch) {
     co_return std::nullopt;
   }
-  co_await batch->waitForResults(call.after, std::min(call.wait, kMaxWait));
+  co_await batch->waitForResults(call.after,
+                                 std::clamp(call.wait, Millis(0), kMaxWait));
   const auto& results = batch->results();
   LocalPage page;
   // Results never change. That there is no further one is only certain while
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -114,7 +114,7 @@
 {
   const auto callerTime = core::parseDecimal<std::int64_t>(
     exchange.request().header(context.format.headers().timeLeft));
-  return callerTime ? std::min(Millis(*callerTime), route.timeout)
+  return callerTime ? std::clamp(Millis(*callerTime), Millis(0), route.timeout)
                     : route.timeout;
 }
 
--- a/src/gateway/state_replicator.cpp
+++ b/src/gateway/state_replicator.cpp
@@ -350,10 +350,10 @@
   const auto operatorSequence = sequenceOf("operator");
   const auto serverSequence = sequenceOf("servers");
   const auto clusterSequence = sequenceOf("cluster");
-  const auto wait = std::min(
-    mTiming.followTimeout,
-    Millis(
-      core::parseDecimal<std::int64_t>(request.query("wait")).value_or(0)));
+  const auto wait = std::clamp(
+    Millis(core::parseDecimal<std::int64_t>(request.query("wait")).value_or(0)),
+    Millis(0),
+    mTiming.followTimeout);
   const auto receivedAt = Clock::now();
   const auto end = receivedAt + wait;
   const auto hasChanges = [&] {
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -354,4 +354,24 @@
   EXPECT_EQ(broken.requests().size(), 1U);
 }
 
+// Guards against a negative time of the caller that overflows the clock, so
+// that the request is given any time or none.
+TEST_F(ForwarderTest, NegativeTimeMeansThatNoneIsLeft)
+{
+  auto node = makeNode("a");
+  FakeServer server(mIo, "s1");
+  node->addServer(server, "desk");
+  const auto route = plainRoute(RouteKind::Repeatable, 2);
+  for (const auto* time : { "0", "-1", "-9223372036854775808" }) {
+    auto sent = request("r1");
+    sent.headers.emplace_back("X-Deadline-Ms", time);
+    TestExchange exchange(std::move(sent));
+    EXPECT_EQ(Forwarder::allowedTime(node->context, exchange, route), Millis(0))
+      << time;
+    run([&]() { return node->forwarder.forward(exchange, route); });
+    EXPECT_GE(exchange.response.status, 500) << time;
+  }
+  EXPECT_TRUE(server.requests().empty());
+}
+
 } // namespace lentilrack::gateway
