Batches: bound the check of headers, and claim under one lease

The check for repeated headers compared each with each, before their number was known, so one submission could keep a process busy. A claim of a batch could name another lease in its value than the one it is bound to, if the lease changed between two reads.

Change: the number and size of the headers are checked first, and repeated names are found with a set. The claim uses the lease that its value names. The server reads at most 16 KB at once, as the client does, so that a connection keeps a small buffer.

--- a/src/gateway/batch_check.cpp
+++ b/src/gateway/batch_check.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <set>
 
 namespace lentilrack::gateway {
@@ -20,7 +21,7 @@
 constexpr std::size_t kMaxIdBytes = 1'000;
 /// Names of fields in error texts are cut off after this many bytes.
 constexpr std::size_t kMaxNamedBytes = 100;
-/// Larger estimates of the number of tokens are taken for malformed.
+/// Larger estimates of the number of tokens count as malformed.
 constexpr double kMaxLengthHint = 1e9;
 
 /// A field that is invalid and why.
@@ -62,6 +63,15 @@
            : "it is not a path of visible ASCII characters";
 }
 
+std::string
+lowerCase(std::string_view text)
+{
+  std::string result(text);
+  std::ranges::transform(
+    text, result.begin(), [](unsigned char c) { return std::tolower(c); });
+  return result;
+}
+
 bool
 isAnyOf(std::string_view name, std::span<const std::string_view> names)
 {
@@ -116,23 +126,20 @@
                   const core::BatchItem& item,
                   const HeaderNames& names)
 {
-  for (auto header = item.headers.begin(); header != item.headers.end();
-       ++header) {
-    const auto isSameName = [&](const Header& other) {
-      return net::equalsIgnoringCase(other.first, header->first);
-    };
-    const char* problem = std::any_of(item.headers.begin(), header, isSameName)
-                            ? "it is repeated"
-                            : headerProblem(*header, batch, item, names);
+  std::set<std::string> seen;
+  for (const auto& header : item.headers) {
+    const bool isNew = seen.insert(lowerCase(header.first)).second;
+    const char* problem =
+      isNew ? headerProblem(header, batch, item, names) : "it is repeated";
     if (problem != nullptr) {
-      return InvalidField{ "headers." + header->first, problem };
+      return InvalidField{ "headers." + header.first, problem };
     }
   }
   return std::nullopt;
 }
 
-/// Returns why a request cannot be sent. `path` is the name of the field that
-/// is the target.
+/// Returns why a request cannot be sent. `prefix` is put before the name of the
+/// field.
 std::optional<InvalidField>
 findRequestProblem(const net::HttpRequest& request,
                    std::size_t maxHeadBytes,
@@ -179,13 +186,13 @@
   if (const char* problem = pathProblem(item.path)) {
     return InvalidField{ "path", problem };
   }
-  if (auto problem = findHeaderProblem(batch, item, names)) {
-    return problem;
-  }
   if (auto problem = findRequestProblem(
         itemRequestHead(batch, item, names), maxHeadBytes, "")) {
     return problem;
   }
+  if (auto problem = findHeaderProblem(batch, item, names)) {
+    return problem;
+  }
   return item.reward ? findRewardProblem(*item.reward, maxHeadBytes, names)
                      : std::nullopt;
 }
--- a/src/gateway/result_log.cpp
+++ b/src/gateway/result_log.cpp
@@ -250,6 +250,7 @@
 ResultLog::reclaimOwnership()
 {
   while (!mIsStopped) {
+    // Without a lease, do not load the store with reads.
     const auto lease = co_await mCluster.acquireLease();
     if (lease == 0) {
       co_await net::sleepFor(kStoreRetryDelay);
@@ -282,7 +283,11 @@
       co_await net::sleepFor(kStoreRetryDelay);
       continue;
     }
-    const auto commit = co_await claim(lease);
+    const auto self = mCluster.selfAsOwner();
+    if (self.lease == 0) {
+      continue;
+    }
+    const auto commit = co_await claim(self);
     if (!commit.error) {
       mOwnerRevision = commit.revision;
       co_return true;
@@ -301,9 +306,8 @@
 }
 
 net::Awaitable<StoreCommit>
-ResultLog::claim(std::int64_t lease)
+ResultLog::claim(Holder self)
 {
-  const auto owner = mCluster.selfAsOwner().encode();
   StoreTransaction transaction;
   // The last precondition fails if another process has owned the batch in the
   // meantime and has written results that this process does not know.
@@ -311,14 +315,15 @@
                                 { keys::batch(mBatch), mRecord.revision },
                                 { keys::results(mBatch, mCommitted.size()),
                                   0 } };
-  transaction.writes = { { keys::owner(mBatch), owner, lease } };
+  transaction.writes = { { keys::owner(mBatch), self.encode(), self.lease } };
   auto commit = co_await mContext.store.commit(std::move(transaction));
   mContext.log.info(
     "batch_reclaimed",
     { { "batch", mBatch },
       { "outcome", commit.error ? commit.error.message() : "done" } });
   if (!commit.error) {
-    mCluster.recordItem({ keys::owner(mBatch), owner, commit.revision });
+    mCluster.recordItem(
+      { keys::owner(mBatch), self.encode(), commit.revision });
   }
   co_return commit;
 }
--- a/src/gateway/result_log.h
+++ b/src/gateway/result_log.h
@@ -81,8 +81,8 @@
   /// has none. Returns false if another process owns the batch or has written
   /// results to it, or the batch is no longer open.
   net::Awaitable<bool> reclaimOwnership();
-  /// Writes the owner key, which must not exist.
-  net::Awaitable<StoreCommit> claim(std::int64_t lease);
+  /// Writes the owner key, which must not exist, under the lease of `self`.
+  net::Awaitable<StoreCommit> claim(Holder self);
 
   Context& mContext;
   ClusterView& mCluster;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -22,7 +22,7 @@
 /// extension of a chunk.
 constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 /// Maximum size, in bytes, of one read from a connection.
-constexpr std::size_t kMaxReadBytes = 64UL * 1024;
+constexpr std::size_t kMaxReadBytes = 16UL * 1024;
 constexpr std::size_t kFirstReadBytes = 4UL * 1024;
 
 struct Rejection
