Batches: judge submissions strictly, and stored batches only as far as needed

A batch that an earlier version accepted with a malformed field without effect, such as a step that is a string, could no longer be read from the store after an update, and would not have been finished.

Change: decodeSubmission() judges all fields; decodeBatch(), for stored batches, those that the system needs.

--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -103,7 +103,7 @@
   const auto id = core::scopedBatchId(organisation, callerId);
   net::HttpResponse response;
   auto spec = isValidBatchId(callerId)
-                ? mContext.format.decodeBatch(
+                ? mContext.format.decodeSubmission(
                     id, request.header("Host"), request.target, request.body)
                 : std::string("the batch id is missing or invalid");
   std::string reason = "accepted";
@@ -233,13 +233,13 @@
 BatchService::acceptForPeer(std::string id, net::HttpRequest request)
 {
   const auto deadline = Clock::now() + kHomeTimeout;
-  auto spec =
-    isStoredBatchId(id)
-      ? mContext.format.decodeBatch(id,
-                                    request.header(peer_headers::kBatchHost),
-                                    request.header(peer_headers::kBatchPath),
-                                    request.body)
-      : std::string("the batch id is missing or invalid");
+  auto spec = isStoredBatchId(id)
+                ? mContext.format.decodeSubmission(
+                    id,
+                    request.header(peer_headers::kBatchHost),
+                    request.header(peer_headers::kBatchPath),
+                    request.body)
+                : std::string("the batch id is missing or invalid");
   if (spec) {
     spec.value().organisation =
       request.header(peer_headers::kBatchOrganisation);
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -201,7 +201,15 @@
   /// requests are to be forwarded.
   virtual ClassifiedRequest classifyRequest(
     const net::HttpRequest& request) const = 0;
-  /// Decodes the body of a submission to the given host and path.
+  /// Decodes the body of a submission to the given host and path. Malformed
+  /// fields are errors, also those that the system does not use.
+  virtual Decoded<core::BatchSpec> decodeSubmission(
+    const std::string& id,
+    const std::string& host,
+    const std::string& path,
+    const std::string& body) const = 0;
+  /// Decodes the body of a batch that was accepted, perhaps by an earlier
+  /// version with fewer checks. Only what the system needs must be well-formed.
   virtual Decoded<core::BatchSpec> decodeBatch(
     const std::string& id,
     const std::string& host,
--- a/tests/adapter/format_test.cpp
+++ b/tests/adapter/format_test.cpp
@@ -70,6 +70,7 @@
   RC_ASSERT(!kFormat.decodeServer("servers/x", text));
   RC_ASSERT(!kFormat.decodeSettings(text));
   RC_ASSERT(!kFormat.decodeBatch("id", "h", "/p", text));
+  RC_ASSERT(!kFormat.decodeSubmission("id", "h", "/p", text));
   RC_ASSERT(!kFormat.decodeReport(text));
 }
 
--- a/tests/gateway/batch_input_test.cpp
+++ b/tests/gateway/batch_input_test.cpp
@@ -340,6 +340,10 @@
   mNode->addServer(server, "engine");
   auto body = Json::parse(submission("old", 2).body);
   body["items"][1]["headers"]["X-Note"] = kHiddenRequest;
+  // Malformed fields without effect must not keep the batch from being run.
+  body["step"] = "1";
+  body["items"][0]["tokens"] = -1;
+  body["items"][0]["scorer"] = Json::object();
   BatchRecord record;
   record.host = kHost;
   record.path = "/batch/old";
