Server: check the head of a request once

Cause: the parser applied the whole check of a request again once its body was complete, although only a TRACE request with a body can be refused by then. Each request paid for its headers twice. No caller saw this.

Change: findBodyProblem() is the part of findProblem() that needs the body, and the parser calls only this part at the end. What is accepted and refused stays the same.

--- a/src/net/request_parser.cpp
+++ b/src/net/request_parser.cpp
@@ -108,7 +108,8 @@
       mError = NetError::HeadTooLarge;
     } else if (error == http::error::body_limit) {
       mError = NetError::BodyTooLarge;
-    } else if (error || (isComplete() && findProblem(mMessage->request()))) {
+    } else if (error ||
+               (isComplete() && findBodyProblem(mMessage->request()))) {
       mError = NetError::BadMessage;
     }
   }
--- a/src/net/request_syntax.cpp
+++ b/src/net/request_syntax.cpp
@@ -56,6 +56,15 @@
   });
 }
 
+std::optional<RequestProblem>
+findBodyProblem(const HttpRequest& request)
+{
+  // RFC 9110, section 9.3.8.
+  return request.method == "TRACE" && !request.body.empty()
+           ? std::optional(RequestProblem{ "body", "a TRACE request has none" })
+           : std::nullopt;
+}
+
 std::optional<RequestProblem>
 findProblem(const HttpRequest& request)
 {
@@ -67,9 +76,8 @@
                            "it is empty or has a character that must be "
                            "encoded" };
   }
-  if (request.method == "TRACE" && !request.body.empty()) {
-    // RFC 9110, section 9.3.8.
-    return RequestProblem{ "body", "a TRACE request has none" };
+  if (auto problem = findBodyProblem(request)) {
+    return problem;
   }
   if (request.headers.size() > kMaxMessageFields) {
     return RequestProblem{
--- a/src/net/request_syntax.h
+++ b/src/net/request_syntax.h
@@ -34,6 +34,11 @@
 std::optional<RequestProblem>
 findProblem(const HttpRequest& request);
 
+/// Returns the problem, if any, that only the body of a request can show. Part
+/// of findProblem().
+std::optional<RequestProblem>
+findBodyProblem(const HttpRequest& request);
+
 /// Returns the size of the head of the request in bytes, without the headers
 /// that frame the message.
 std::size_t
